--- a/pkg/controllog/replica.go
+++ b/pkg/controllog/replica.go
@@ -67,8 +67,6 @@
 	VoteTwice bool
 	// CommitOldTerms counts copies of entries of former terms as committed.
 	CommitOldTerms bool
-	// CountUnsynced lets a leader count its own copy before it is synced.
-	CountUnsynced bool
 	// UnconfirmedReads answers reads without asking a quorum.
 	UnconfirmedReads bool
 	// AnyIncarnation takes messages to an earlier incarnation.
@@ -354,9 +352,6 @@
 
 func (r *Replica) appendOwn(kind EntryKind, data []byte) {
 	r.log.append(Entry{term: r.hard.term, index: r.log.last() + 1, kind: kind, data: data})
-	if r.config.Faults.CountUnsynced {
-		r.advanceCommit()
-	}
 }
 
 func (r *Replica) becomeFollower(term uint64, leader MemberID) {
--- a/pkg/controllog/replication.go
+++ b/pkg/controllog/replication.go
@@ -22,6 +22,10 @@
 // sendAppend sends what the member lacks, as far as the window allows.
 func (r *Replica) sendAppend(to MemberID) {
 	p := r.progress[to]
+	if p == nil {
+		// The commit that went before has ended the lead or the membership.
+		return
+	}
 	if to == r.config.Self || p.sending != nil || p.next > r.log.last() || p.next > p.match+maxInTransit {
 		return
 	}
@@ -108,9 +112,6 @@
 
 func (r *Replica) matchOf(m MemberID) uint64 {
 	if m == r.config.Self {
-		if r.config.Faults.CountUnsynced {
-			return r.log.last()
-		}
 		return r.stable
 	}
 	if p := r.progress[m]; p != nil {
@@ -129,6 +130,10 @@
 		return nil
 	}
 	if term, ok := r.log.term(m.index); !ok || term != m.logTerm {
+		if ok && m.index <= r.hard.commit {
+			// Asking for earlier entries would go on for ever.
+			return r.checkTruncation(m.index)
+		}
 		hint := min(m.index-1, r.log.last())
 		r.send(Message{kind: MessageAppendAnswer, to: m.from, reject: true, index: max(hint, r.hard.commit)})
 		return nil
--- a/pkg/operator/document.go
+++ b/pkg/operator/document.go
@@ -23,6 +23,7 @@
 	"bytes"
 	"io"
 	"os"
+	"regexp"
 	"strings"
 
 	"gopkg.in/yaml.v3"
@@ -93,7 +94,7 @@
 	decoder := yaml.NewDecoder(bytes.NewReader(raw))
 	decoder.KnownFields(true)
 	if err := decoder.Decode(&d); err != nil {
-		return parsed{}, failure.New(failure.BadDocument, "%s: %v", path, err)
+		return parsed{}, failure.New(failure.BadDocument, "%s: %s", path, withoutGoTypes(err))
 	}
 	var p parsed
 	for _, add := range []func(*parsed) error{d.addSources, d.addModels, d.addGroups, d.addOrganisations, d.addServices, d.addLabels, d.addDeletions} {
@@ -107,6 +108,13 @@
 	return p, nil
 }
 
+// goTypes is what the YAML library says of the type that it decodes into.
+var goTypes = regexp.MustCompile(`(?s) in type .*|yaml: unmarshal errors:\n +`)
+
+// withoutGoTypes leaves the line and the field, which is what a reader of the
+// document knows.
+func withoutGoTypes(err error) string { return goTypes.ReplaceAllString(err.Error(), "") }
+
 // put encodes an object and adds it.
 func (p *parsed) put(kind contract.ObjectKind, name string, body any) error {
 	if name == "" {
