Proofs 1 to 6: whole entries and agents in virtual time, each with a seeded fault

The world of prove/ runs entries and agents unchanged but for their network, engines and origin, under testing/synctest.

--- a/cmd/tidepost-agent/main.go
+++ b/cmd/tidepost-agent/main.go
@@ -11,7 +11,7 @@
 
 func main() {
 	os.Exit(daemon.Main("tidepost-agent", settings.LoadAgent, func(s settings.Agent, signals <-chan os.Signal) error {
-		a, err := agent.New(s)
+		a, err := agent.New(s, agent.Seams{})
 		if err != nil {
 			return err
 		}
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -49,6 +49,7 @@
 // Agent is one agent process.
 type Agent struct {
 	settings settings.Agent
+	seams    Seams
 	process  *daemon.Process
 	folder   *disk.Folder
 	state    *configstate.State
@@ -68,8 +69,45 @@
 	drained chan string
 }
 
+// Seams are where a test replaces what lies outside of the process. The zero
+// value is the real outside.
+type Seams struct {
+	daemon.Seams
+	// Engine is the model engine; by the settings when nil.
+	Engine *engine.Engine
+	// Services are the plain services; by the settings when nil.
+	Services map[string]*engine.Engine
+	// Draw reads a chunk from a source.
+	Draw func(ctx context.Context, url string, a configstate.Assignment, chunk int) ([]byte, error)
+	// SendAnswer sends one part of an answer to an entry.
+	SendAnswer func(send func(contract.Answer) error, part contract.Answer) error
+	// Faults leave safeguards out.
+	Faults Faults
+}
+
+// Faults are seeded faults, to show that a proof notices them. The zero value
+// has none.
+type Faults struct {
+	// SkipVerify stores chunks whatever their digest.
+	SkipVerify bool
+	// SkipPin serves a request with whatever version is loaded.
+	SkipPin bool
+	// ForgetAttempts runs an attempt as often as it comes.
+	ForgetAttempts bool
+	// DrainAtOnce leaves without waiting for what is in flight.
+	DrainAtOnce bool
+	// TakeWhileDraining goes on taking requests.
+	TakeWhileDraining bool
+}
+
 // New returns an agent that is not running yet.
-func New(s settings.Agent) (*Agent, error) {
+func New(s settings.Agent, seams Seams) (*Agent, error) {
+	if seams.SendAnswer == nil {
+		seams.SendAnswer = func(send func(contract.Answer) error, part contract.Answer) error { return send(part) }
+	}
+	if seams.Draw == nil {
+		seams.Draw = drawOverHTTP
+	}
 	folder, err := disk.NewFolder(s.Common().DataFolder())
 	if err != nil {
 		return nil, err
@@ -80,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	process, err := daemon.New(s.Common(), incarnation)
+	process, err := daemon.New(s.Common(), incarnation, seams.Seams)
 	if err != nil {
 		return nil, err
 	}
@@ -90,6 +128,7 @@
 	}
 	a := &Agent{
 		settings: s,
+		seams:    seams,
 		process:  process,
 		folder:   folder,
 		state:    configstate.NewState(),
@@ -103,13 +142,10 @@
 		changed:  make(chan struct{}, 1),
 		drained:  make(chan string, 1),
 	}
+	store.SkipVerify = seams.Faults.SkipVerify
 	a.gate = newGate(s.MaxInFlight())
-	for name, url := range s.Services() {
-		a.services[name] = engine.NewHTTP(url)
-	}
-	if s.EngineURL() != "" {
-		a.engine = engine.NewHTTP(s.EngineURL())
-	}
+	a.gate.forget, a.gate.takeDraining = seams.Faults.ForgetAttempts, seams.Faults.TakeWhileDraining
+	a.connectBackends()
 	a.loader = newLoader(a, fresh)
 	a.restoreConfig()
 	a.state.OnChange(func(contract.Delta) { a.onConfig() })
@@ -117,6 +153,22 @@
 	return a, nil
 }
 
+// connectBackends finds the engine and the services on this VM.
+func (a *Agent) connectBackends() {
+	for name, url := range a.settings.Services() {
+		a.services[name] = engine.NewHTTP(url)
+	}
+	if a.settings.EngineURL() != "" {
+		a.engine = engine.NewHTTP(a.settings.EngineURL())
+	}
+	for name, service := range a.seams.Services {
+		a.services[name] = service
+	}
+	if a.seams.Engine != nil {
+		a.engine = a.seams.Engine
+	}
+}
+
 func (a *Agent) handleLinks() {
 	e := a.process.Endpoint
 	e.Handle(link.KindRequest, a.serveRequest)
@@ -130,6 +182,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer a.process.Endpoint.Close()
+	defer func() { _ = a.folder.Close() }()
 	a.process.Recorder.Record(event.ProcessStarted, string(a.process.Identity.ID()), a.process.Identity.Address())
 	defer a.process.Recorder.Record(event.ProcessStopped, string(a.process.Identity.ID()), "")
 
@@ -290,3 +343,6 @@
 	a.copies.forget(digest)
 	a.process.Recorder.Record(event.CopyRemoved, digest.Short(), "no configuration names it")
 }
+
+// Revision returns the configuration revision in force here.
+func (a *Agent) Revision() uint64 { return a.state.Revision() }
--- a/pkg/agent/chunks.go
+++ b/pkg/agent/chunks.go
@@ -137,14 +137,17 @@
 // ----------------------------------------------------------------
 // From origin and store
 
+func drawOverHTTP(ctx context.Context, url string, a configstate.Assignment, chunk int) ([]byte, error) {
+	return source.NewClient(url).Chunk(ctx, a.Model, a.Version, a.Manifest, chunk)
+}
+
 // drawChunk reads a chunk from the first source that gives it: the origin,
 // and the weight store when the origin refuses.
 func (a *Agent) drawChunk(ctx context.Context, assignment configstate.Assignment, index int) ([]byte, error) {
 	err := error(failure.New(failure.SourceRefused, "no source is configured"))
 	for _, spec := range orderedSources(a.state.View().Sources()) {
 		var data []byte
-		client := source.NewClient(spec.URL())
-		data, err = client.Chunk(ctx, assignment.Model, assignment.Version, assignment.Manifest, index)
+		data, err = a.seams.Draw(ctx, spec.URL(), assignment, index)
 		if err == nil {
 			return data, nil
 		}
--- a/pkg/agent/drain.go
+++ b/pkg/agent/drain.go
@@ -53,9 +53,15 @@
 	case <-ctx.Done():
 		return nil
 	case s := <-signals:
+		if s == os.Kill {
+			return nil
+		}
 		a.beginDrain("signal " + s.String())
 	case <-a.drained:
 	}
+	if a.seams.Faults.DrainAtOnce {
+		return nil
+	}
 	_, idle := a.gate.close("")
 	select {
 	case <-idle:
--- a/pkg/agent/requests.go
+++ b/pkg/agent/requests.go
@@ -92,6 +92,9 @@
 		}
 		return backend, false, nil
 	}
+	if a.seams.Faults.SkipPin && a.engine != nil {
+		return a.engine, false, nil
+	}
 	if a.engine == nil || !a.copies.pin(r.Digest()) {
 		return nil, false, failure.New(failure.WrongVersion, "%s is not ready on this VM", r.Digest().Short())
 	}
@@ -108,7 +111,7 @@
 	if err := checkDigest(r, response.Header); err != nil {
 		return err
 	}
-	return forward(s, r, response)
+	return a.forward(s, r, response)
 }
 
 // checkDigest refuses an answer of another version than was asked for.
@@ -123,12 +126,12 @@
 
 // forward sends the answer in numbered parts. The last one says that the
 // answer is whole, which for a stream takes its closing event as well.
-func forward(s *link.Stream, r contract.Request, response *http.Response) error {
+func (a *Agent) forward(s *link.Stream, r contract.Request, response *http.Response) error {
 	sequence := uint64(0)
 	send := func(status int, contentType string, body []byte, end bool) error {
 		part := contract.NewAnswer(r.Attempt(), sequence, status, contentType, body, end, nil, r.Digest())
 		sequence++
-		return s.Send(part)
+		return a.seams.SendAnswer(func(p contract.Answer) error { return s.Send(p) }, part)
 	}
 	if err := send(response.StatusCode, response.Header.Get("Content-Type"), nil, false); err != nil {
 		return err
--- a/pkg/bus/bus.go
+++ b/pkg/bus/bus.go
@@ -78,7 +78,12 @@
 }
 
 // Run routes messages until the context ends.
-func (b *Bus) Run(ctx context.Context) error { return b.router.Run(ctx) }
+func (b *Bus) Run(ctx context.Context) error {
+	// A router without handlers does not notice the end of its context.
+	stop := context.AfterFunc(ctx, b.Close)
+	defer stop()
+	return b.router.Run(ctx)
+}
 
 // Running is closed once all handlers are subscribed.
 func (b *Bus) Running() <-chan struct{} { return b.router.Running() }
--- a/pkg/configstate/state.go
+++ b/pkg/configstate/state.go
@@ -72,6 +72,7 @@
 	changes  map[string]remembered
 	order    []string
 	onChange []func(contract.Delta)
+	faults   Faults
 
 	view atomic.Pointer[View]
 }
@@ -83,6 +84,18 @@
 	return s
 }
 
+// Faults are seeded faults, to show that a proof notices them. The zero value
+// has none.
+type Faults struct {
+	// SkipBaseCheck accepts a change whatever it was made against.
+	SkipBaseCheck bool
+	// TakeOlder puts a delta in force that goes back.
+	TakeOlder bool
+}
+
+// SetFaults leaves safeguards out. Call it before the state is fed.
+func (s *State) SetFaults(f Faults) { s.faults = f }
+
 // OnChange has f called, in order and from the applying goroutine, with every
 // delta that takes effect. Set it before the state is fed.
 func (s *State) OnChange(f func(contract.Delta)) { s.onChange = append(s.onChange, f) }
@@ -153,7 +166,7 @@
 	}
 	for _, o := range c.Objects() {
 		current, ok := s.objects[o.Key()]
-		if ok && current.Revision() > c.Base() {
+		if ok && current.Revision() > c.Base() && !s.faults.SkipBaseCheck {
 			return failure.New(failure.Conflict, "%s was changed at revision %d, after %d; the current revision is %d",
 				o.Key(), current.Revision(), c.Base(), s.revision)
 		}
@@ -212,7 +225,7 @@
 	s.mu.Lock()
 	full := d.From() == 0
 	fits := d.Revision() > s.revision && (full || d.From() <= s.revision)
-	if !fits {
+	if !fits && !s.faults.TakeOlder {
 		s.mu.Unlock()
 		return false
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -49,14 +49,39 @@
 	Bus      *bus.Bus
 	Endpoint *link.Endpoint
 	Identity vm.Identity
+	// Listen opens a listener.
+	Listen func(address string) (net.Listener, error)
 
 	observeListen string
 }
 
+// Seams are where a test puts its own network and log in place of the
+// machine's. The zero value is the machine's.
+type Seams struct {
+	// Listen opens a listener.
+	Listen func(address string) (net.Listener, error)
+	// Dial opens a connection.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Log is where log lines go.
+	Log io.Writer
+}
+
+func (s Seams) withDefaults() Seams {
+	if s.Listen == nil {
+		s.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	if s.Log == nil {
+		s.Log = os.Stderr
+	}
+	return s
+}
+
 // New returns the parts of a daemon, with the given incarnation of its VM.
-func New(c settings.Common, incarnation uint64) (*Process, error) {
+func New(c settings.Common, incarnation uint64, seams Seams) (*Process, error) {
+	ownProcess := seams.Log == nil
+	seams = seams.withDefaults()
 	identity := vm.NewIdentity(vm.ID(c.Name()), incarnation, c.Region(), c.Domain(), c.PeersAdvertise())
-	logger := NewLogger(os.Stderr, c.LogLevel(), c.Name())
+	logger := NewLogger(seams.Log, c.LogLevel(), c.Name())
 	clock := event.NewClock(time.Now)
 	recorder := event.NewRecorder(c.Name(), clock, event.DefaultRingSize)
 	if err := mirrorTimeline(recorder, c.DataFolder()); err != nil {
@@ -79,10 +104,14 @@
 	}
 	p := &Process{
 		Logger: logger, Registry: newRegistry(), Clock: clock, Recorder: recorder, Bus: b, Identity: identity,
-		Endpoint:      link.NewEndpoint(link.Config{Own: identity, Key: key, TLS: tlsConfig, Clock: clock, Logger: logger}),
+		Endpoint:      link.NewEndpoint(link.Config{Own: identity, Key: key, TLS: tlsConfig, Clock: clock, Logger: logger, Dial: seams.Dial}),
+		Listen:        seams.Listen,
 		observeListen: c.ObserveListen(),
 	}
-	invariant.Listen(func(name, detail string) { recorder.Record(event.InvariantReported, name, detail) })
+	if ownProcess {
+		// Several daemons in one process, as in tests, share the listener.
+		invariant.Listen(func(name, detail string) { recorder.Record(event.InvariantReported, name, detail) })
+	}
 	p.Endpoint.Handle(link.KindTimeline, p.serveTimeline)
 	return p, nil
 }
@@ -128,7 +157,7 @@
 
 // ServeLinks serves links on an address until the context ends.
 func (p *Process) ServeLinks(ctx context.Context, address string) error {
-	l, err := net.Listen("tcp", address)
+	l, err := p.Listen(address)
 	if err != nil {
 		return err
 	}
@@ -153,7 +182,7 @@
 		<-ctx.Done()
 		return nil
 	}
-	l, err := net.Listen("tcp", p.observeListen)
+	l, err := p.Listen(p.observeListen)
 	if err != nil {
 		return err
 	}
--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -20,7 +20,6 @@
 	"fmt"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -53,7 +52,7 @@
 )
 
 func (e *Entry) serveCallers(ctx context.Context) error {
-	l, err := net.Listen("tcp", e.settings.CallersListen())
+	l, err := e.process.Listen(e.settings.CallersListen())
 	if err != nil {
 		return err
 	}
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -5,6 +5,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -96,19 +97,22 @@
 
 // serveWork executes a request and answers its caller.
 func (e *Entry) serveWork(w http.ResponseWriter, r *http.Request, work *work, c caller) {
+	// The deadline bounds everything from here, the claim's quorum included.
+	ctx, cancel := context.WithDeadline(r.Context(), work.request.DeadlineTime())
+	defer cancel()
 	if c.key != "" && !work.request.Repeatable() {
-		e.serveClaimed(w, r, work, c.key)
+		e.serveClaimed(ctx, w, work, c.key)
 		return
 	}
 	out := e.stream(w)
-	err := e.execute(r.Context(), work, out)
+	err := e.execute(ctx, work, out)
 	e.finish(w, out, work.request.Stream(), err)
 }
 
 // serveClaimed answers a keyed request that may not be repeated. Its answer is
 // whole before it goes out, since the same bytes are stored for a resend.
-func (e *Entry) serveClaimed(w http.ResponseWriter, r *http.Request, work *work, key string) {
-	outcome, err := e.executeClaimed(r.Context(), work, key)
+func (e *Entry) serveClaimed(ctx context.Context, w http.ResponseWriter, work *work, key string) {
+	outcome, err := e.executeClaimed(ctx, work, key)
 	if err != nil {
 		e.refuse(w, err)
 		return
--- a/pkg/entry/claims.go
+++ b/pkg/entry/claims.go
@@ -28,6 +28,9 @@
 // answer as stored, also to a resend.
 func (e *Entry) executeClaimed(ctx context.Context, w *work, key string) (contract.Outcome, error) {
 	r := w.request
+	if e.seams.Faults.SkipClaim {
+		return e.runClaimed(ctx, w, key)
+	}
 	claim := contract.NewClaim(r.Organisation(), key, r.Attempt(), contract.DigestOf(append([]byte(r.Method()+" "+r.Path()+"\n"), r.Body()...)), r.Deadline())
 	var granted contract.ClaimResult
 	if err := e.proposals.propose(ctx, agreed.CommandClaim, claim, &granted); err != nil {
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -94,12 +94,16 @@
 	mu        sync.Mutex
 	addresses map[vm.ID]string
 	outboxes  map[string]chan controllog.Message
+	done      chan struct{}
 }
 
 func newPeerLinks(e *link.Endpoint) *peerLinks {
-	return &peerLinks{endpoint: e, addresses: map[vm.ID]string{}, outboxes: map[string]chan controllog.Message{}}
+	return &peerLinks{endpoint: e, addresses: map[vm.ID]string{}, outboxes: map[string]chan controllog.Message{}, done: make(chan struct{})}
 }
 
+// close ends the sending goroutines.
+func (p *peerLinks) close() { close(p.done) }
+
 // learn remembers where a member speaks from.
 func (p *peerLinks) learn(identity vm.Identity) {
 	p.mu.Lock()
@@ -134,7 +138,13 @@
 // dropped: the protocol sends what is still needed again.
 func (p *peerLinks) pump(address string, outbox <-chan controllog.Message) {
 	var s *link.Stream
-	for m := range outbox {
+	for {
+		var m controllog.Message
+		select {
+		case m = <-outbox:
+		case <-p.done:
+			return
+		}
 		if s == nil {
 			var err error
 			s, err = p.endpoint.Open(context.Background(), address, link.KindControlLog, "")
--- a/pkg/entry/drain.go
+++ b/pkg/entry/drain.go
@@ -61,10 +61,13 @@
 	case <-ctx.Done():
 		return nil
 	case s := <-signals:
+		if s == os.Kill {
+			return nil
+		}
 		e.beginDrain("signal " + s.String())
 	case <-e.drained:
 	}
-	if !sleep(ctx, e.settings.DrainNotice()) {
+	if e.seams.Faults.DrainAtOnce || !sleep(ctx, e.settings.DrainNotice()) {
 		return nil
 	}
 	limit := time.Now().Add(e.settings.DrainLimit())
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -36,6 +36,8 @@
 // Entry is one entry process.
 type Entry struct {
 	settings    settings.Entry
+	seams       Seams
+	folder      *disk.Folder // nil unless this entry is a voter
 	process     *daemon.Process
 	state       *configstate.State
 	machine     *agreed.Machine
@@ -58,8 +60,45 @@
 	inFlight    atomic.Int64
 }
 
+// Seams are where a test replaces what lies outside of the process. The zero
+// value is the real outside.
+type Seams struct {
+	daemon.Seams
+	// Manifest resolves a version name at a source.
+	Manifest func(ctx context.Context, url string, name contract.ModelName) (contract.Manifest, error)
+	// BeforeSend is called before an attempt is sent, with its id.
+	BeforeSend func(attempt string)
+	// Faults leave safeguards out.
+	Faults Faults
+}
+
+// Faults are seeded faults, to show that a proof notices them. The zero value
+// has none.
+type Faults struct {
+	// SkipClaim runs a keyed request without a claim.
+	SkipClaim bool
+	// RetryAnything tries again whatever may have run.
+	RetryAnything bool
+	// SkipAnswerCheck passes on any part of an answer.
+	SkipAnswerCheck bool
+	// SayNotRun calls every failure "not run".
+	SayNotRun bool
+	// DrainAtOnce leaves without waiting for what is in flight.
+	DrainAtOnce bool
+	// Config leaves safeguards of the configuration out.
+	Config configstate.Faults
+	// IgnoreLeaving goes on sending to agents that are leaving.
+	IgnoreLeaving bool
+}
+
 // New returns an entry that is not running yet.
-func New(s settings.Entry) (*Entry, error) {
+func New(s settings.Entry, seams Seams) (*Entry, error) {
+	if seams.Manifest == nil {
+		seams.Manifest = manifestOverHTTP
+	}
+	if seams.BeforeSend == nil {
+		seams.BeforeSend = func(string) {}
+	}
 	incarnation := vm.FreshIncarnation()
 	var folder *disk.Folder
 	if s.Voter() {
@@ -71,12 +110,14 @@
 			return nil, err
 		}
 	}
-	process, err := daemon.New(s.Common(), incarnation)
+	process, err := daemon.New(s.Common(), incarnation, seams.Seams)
 	if err != nil {
 		return nil, err
 	}
 	e := &Entry{
 		settings:  s,
+		seams:     seams,
+		folder:    folder,
 		process:   process,
 		state:     configstate.NewState(),
 		agents:    membership.NewView(s.AgentTimeout()),
@@ -87,6 +128,7 @@
 		metrics:   newMetrics(process.Registry),
 		drained:   make(chan string, 1),
 	}
+	e.state.SetFaults(seams.Faults.Config)
 	e.peers = newPeerLinks(process.Endpoint)
 	e.spread = newCoordinators(e)
 	e.distributor = configstate.NewDistributor(e.state, e.confirmed)
@@ -129,6 +171,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer e.process.Endpoint.Close()
+	defer e.peers.close()
+	if e.folder != nil {
+		defer func() { _ = e.folder.Close() }()
+	}
 	id := string(e.process.Identity.ID())
 	e.process.Recorder.Record(event.ProcessStarted, id, e.process.Identity.Address())
 	defer e.process.Recorder.Record(event.ProcessStopped, id, "")
@@ -187,3 +233,6 @@
 func (e *Entry) confirmed() bool {
 	return time.Since(time.Unix(0, e.heardQuorum.Load())) < confirmedFor
 }
+
+// Revision returns the configuration revision in force here.
+func (e *Entry) Revision() uint64 { return e.state.Revision() }
--- a/pkg/entry/execute.go
+++ b/pkg/entry/execute.go
@@ -64,6 +64,9 @@
 		// What one attempt may have run, no refusal of a later one undoes.
 		ran = max(ran, f.Ran())
 		if !e.mayRetry(ctx, w, out, f) {
+			if e.seams.Faults.SayNotRun {
+				ran = failure.NotRun
+			}
 			return f.WithRan(ran)
 		}
 		e.metrics.retries.Inc()
@@ -75,7 +78,7 @@
 	if out.started || ctx.Err() != nil || w.attempts == 0 || w.attempts >= maxAttempts {
 		return false
 	}
-	if f.Ran() != failure.NotRun && !w.request.Repeatable() {
+	if f.Ran() != failure.NotRun && !w.request.Repeatable() && !e.seams.Faults.RetryAnything {
 		return false
 	}
 	return retryable[f.Kind()] && e.budget.Retry()
@@ -148,6 +151,9 @@
 // while a version rolls, the old one answers until the new one is ready.
 func (e *Entry) candidates(w *work, now time.Time) []target {
 	usable := e.agents.Usable(now)
+	if e.seams.Faults.IgnoreLeaving {
+		usable = e.agents.Agents()
+	}
 	if w.request.Service() != "" {
 		return e.serviceCandidates(w, usable, now)
 	}
@@ -245,6 +251,7 @@
 // send sends one attempt and passes the parts of the answer on, each checked
 // to belong to this attempt and to follow the one before.
 func (e *Entry) send(ctx context.Context, t target, r contract.Request, out *sink) error {
+	e.seams.BeforeSend(r.Attempt())
 	// The deadline is looked at again here: the entry may have been frozen
 	// since the request was admitted or its claim was granted.
 	if !time.Now().Before(r.DeadlineTime()) {
@@ -269,8 +276,10 @@
 		if err := s.Receive(&part); err != nil {
 			return e.broken(ctx, failure.Of(err), r)
 		}
-		if err := checkPart(part, r, sequence); err != nil {
-			return err
+		if !e.seams.Faults.SkipAnswerCheck {
+			if err := checkPart(part, r, sequence); err != nil {
+				return err
+			}
 		}
 		if err := out.take(part); err != nil {
 			return failure.New(failure.Unreachable, "the caller went away: %v", err).WithRan(failure.RanYes)
--- a/pkg/entry/operators.go
+++ b/pkg/entry/operators.go
@@ -61,7 +61,7 @@
 		sources = append([]contract.Source{spec}, sources...)
 	}
 	for _, name := range a.Models() {
-		manifest, err := resolveModel(ctx, sources, name)
+		manifest, err := e.resolveModel(ctx, sources, name)
 		if err != nil {
 			return nil, err
 		}
@@ -75,10 +75,14 @@
 	return objects, nil
 }
 
-func resolveModel(ctx context.Context, sources []contract.Source, name contract.ModelName) (contract.Manifest, error) {
+func manifestOverHTTP(ctx context.Context, url string, name contract.ModelName) (contract.Manifest, error) {
+	return source.NewClient(url).Manifest(ctx, name.Model(), name.Version())
+}
+
+func (e *Entry) resolveModel(ctx context.Context, sources []contract.Source, name contract.ModelName) (contract.Manifest, error) {
 	last := error(failure.New(failure.SourceRefused, "no source is configured; apply one with kind source"))
 	for _, spec := range sources {
-		manifest, err := source.NewClient(spec.URL()).Manifest(ctx, name.Model(), name.Version())
+		manifest, err := e.seams.Manifest(ctx, spec.URL(), name)
 		if err == nil {
 			return manifest, nil
 		}
--- a/pkg/link/pubsub.go
+++ b/pkg/link/pubsub.go
@@ -12,6 +12,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -76,10 +77,9 @@
 // Subscriber is a watermill subscriber to what other processes publish here.
 type Subscriber struct {
 	endpoint *Endpoint
-	mu       sync.Mutex
 	closed   chan struct{}
 	once     sync.Once
-	dropped  uint64
+	dropped  atomic.Uint64
 }
 
 // NewSubscriber returns a subscriber on an endpoint. Subscribe to every topic
@@ -88,16 +88,41 @@
 	return &Subscriber{endpoint: e, closed: make(chan struct{})}
 }
 
+// subscription is the channel of one subscribed topic. The router waits for
+// the channel to be closed, so it must be, and never while a stream sends.
+type subscription struct {
+	mu     sync.RWMutex
+	closed bool
+	out    chan *message.Message
+}
+
 // Subscribe returns the messages of a topic until the context ends.
 func (s *Subscriber) Subscribe(ctx context.Context, topic string) (<-chan *message.Message, error) {
-	out := make(chan *message.Message, subscriberBuffer)
+	n := &subscription{out: make(chan *message.Message, subscriberBuffer)}
 	s.endpoint.HandleTopic(KindPublish, topic, func(_ context.Context, stream *Stream) error {
-		return s.pump(ctx, stream, out)
+		return s.pump(stream, n)
 	})
-	return out, nil
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-s.closed:
+		}
+		n.close()
+	}()
+	return n.out, nil
+}
+
+func (n *subscription) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.closed {
+		n.closed = true
+		close(n.out)
+	}
 }
 
-func (s *Subscriber) pump(ctx context.Context, stream *Stream, out chan<- *message.Message) error {
+// pump feeds the subscription from one stream.
+func (s *Subscriber) pump(stream *Stream, n *subscription) error {
 	for {
 		var payload []byte
 		err := stream.Receive(&payload)
@@ -107,27 +132,31 @@
 		if err != nil {
 			return failure.Of(err)
 		}
-		select {
-		case out <- message.NewMessage(watermill.NewShortUUID(), payload):
-		case <-ctx.Done():
+		if !n.offer(payload, &s.dropped) {
 			return nil
-		case <-s.closed:
-			return nil
-		default:
-			s.mu.Lock()
-			s.dropped++
-			s.mu.Unlock()
 		}
 	}
 }
 
-// Dropped counts the messages that found the buffer full.
-func (s *Subscriber) Dropped() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.dropped
+// offer hands a payload on, or drops it when the handler is behind; false once
+// the subscription has ended.
+func (n *subscription) offer(payload []byte, dropped *atomic.Uint64) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if n.closed {
+		return false
+	}
+	select {
+	case n.out <- message.NewMessage(watermill.NewShortUUID(), payload):
+	default:
+		dropped.Add(1)
+	}
+	return true
 }
 
+// Dropped counts the messages that found the buffer full.
+func (s *Subscriber) Dropped() uint64 { return s.dropped.Load() }
+
 // Close ends the subscriptions.
 func (s *Subscriber) Close() error {
 	s.once.Do(func() { close(s.closed) })
--- a/pkg/weights/store.go
+++ b/pkg/weights/store.go
@@ -34,6 +34,8 @@
 // Store holds the copies of one VM.
 type Store struct {
 	folder string
+	// SkipVerify is a seeded fault: chunks are taken whatever their digest.
+	SkipVerify bool
 
 	mu     sync.Mutex
 	copies map[contract.Digest]*Copy
@@ -45,6 +47,8 @@
 	manifest contract.Manifest
 	digest   contract.Digest
 	folder   string
+	// verify checks bytes against the digest of a chunk.
+	verify func(i int, data []byte) bool
 
 	mu    sync.RWMutex
 	file  *os.File
@@ -70,6 +74,10 @@
 		return c, nil
 	}
 	c := &Copy{manifest: m, digest: digest, folder: s.folder, held: spread.NewBitmap(len(m.Chunks()))}
+	c.verify = c.matches
+	if s.SkipVerify {
+		c.verify = func(int, []byte) bool { return true }
+	}
 	if err := c.open(); err != nil {
 		return nil, err
 	}
@@ -157,6 +165,10 @@
 	return filepath.Join(c.folder, c.digest.String()+suffix)
 }
 
+func (c *Copy) matches(i int, data []byte) bool {
+	return contract.DigestOf(data) == c.manifest.Chunks()[i]
+}
+
 // Path returns where the whole copy lies.
 func (c *Copy) Path() string { return c.path(wholeSuffix) }
 
@@ -212,7 +224,7 @@
 	if i < 0 || i >= len(c.manifest.Chunks()) {
 		return failure.New(failure.BadRequest, "chunk %d of %d", i, len(c.manifest.Chunks()))
 	}
-	if contract.DigestOf(data) != c.manifest.Chunks()[i] {
+	if !c.verify(i, data) {
 		return failure.New(failure.CorruptChunk, "chunk %d of %s", i, c.digest.Short())
 	}
 	c.mu.Lock()
@@ -257,7 +269,7 @@
 	if _, err := c.file.ReadAt(data, offset); err != nil {
 		return nil, failure.New(failure.DiskFailed, "read chunk %d of %s: %v", i, c.digest.Short(), err)
 	}
-	if contract.DigestOf(data) != c.manifest.Chunks()[i] {
+	if !c.verify(i, data) {
 		return nil, failure.New(failure.CorruptChunk, "chunk %d of %s on this VM's disk", i, c.digest.Short())
 	}
 	return data, nil
--- /dev/null
+++ b/prove/backends_test.go
@@ -0,0 +1,305 @@
+// ================================================================
+// Engines, a plain service and an origin in memory. Each knows what really
+// happened: what was loaded, what ran and how often.
+// ================================================================
+
+package prove
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tidepost/tidepost/pkg/configstate"
+	"github.com/tidepost/tidepost/pkg/contract"
+	"github.com/tidepost/tidepost/pkg/engine"
+	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/fake"
+)
+
+// step is the time between two tokens.
+const step = 10 * time.Millisecond
+
+// ledger is what really happened, over all backend servers.
+type ledger struct {
+	mu         sync.Mutex
+	runs       map[string]int // by request body
+	violations []string
+}
+
+func newLedger() *ledger { return &ledger{runs: map[string]int{}} }
+
+func (l *ledger) ran(body string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[body]++
+}
+
+func (l *ledger) count(body string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[body]
+}
+
+func (l *ledger) violation(format string, arguments ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.violations = append(l.violations, fmt.Sprintf(format, arguments...))
+}
+
+// ----------------------------------------------------------------
+// Engine
+
+// modelEngine is an engine in memory.
+type modelEngine struct {
+	ledger *ledger
+
+	mu       sync.Mutex
+	instance int
+	fence    uint64
+	loaded   map[string]string // digest to model
+	content  map[string]string // digest to what the weights really are
+	starts   int
+	held     bool
+}
+
+func newModelEngine(l *ledger) *modelEngine {
+	return &modelEngine{ledger: l, loaded: map[string]string{}, content: map[string]string{}}
+}
+
+func (m *modelEngine) engine() *engine.Engine {
+	return &engine.Engine{Give: m.give, Report: m.report, Send: m.send}
+}
+
+// hold makes every answer wait for release, so that a VM that drains stays.
+func (m *modelEngine) hold() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held = true
+}
+
+func (m *modelEngine) release() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.held = false
+}
+
+// started counts the requests that reached the engine.
+func (m *modelEngine) started() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.starts
+}
+
+func (m *modelEngine) isHeld() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.held
+}
+
+// restart loses what was loaded.
+func (m *modelEngine) restart() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instance++
+	m.loaded = map[string]string{}
+}
+
+// give loads without looking, as a trusting engine does; what it has loaded is
+// found out at once and remembered.
+func (m *modelEngine) give(_ context.Context, o engine.Order) (engine.State, error) {
+	time.Sleep(5 * step)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o.Fence <= m.fence {
+		return engine.State{}, failure.New(failure.StaleOrder, "fence %d is not above %d", o.Fence, m.fence)
+	}
+	m.fence = o.Fence
+	if o.Action == engine.ActionUnload {
+		delete(m.loaded, o.Digest)
+		return m.state(), nil
+	}
+	data, err := os.ReadFile(o.Path)
+	if err != nil {
+		return engine.State{}, failure.New(failure.BackendFailed, "%v", err)
+	}
+	m.loaded[o.Digest] = o.Model
+	m.content[o.Digest] = contract.ManifestOf(data, o.ChunkSize).Digest().String()
+	return m.state(), nil
+}
+
+func (m *modelEngine) report(context.Context) (engine.State, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state(), nil
+}
+
+func (m *modelEngine) state() engine.State {
+	s := engine.State{Instance: fmt.Sprint(m.instance), Fence: m.fence, CacheFree: 1}
+	for digest, model := range m.loaded {
+		s.Models = append(s.Models, engine.Loaded{Model: model, Digest: digest})
+	}
+	return s
+}
+
+// send answers with tokens that name the request and what the weights are.
+func (m *modelEngine) send(ctx context.Context, r contract.Request) (*http.Response, error) {
+	m.mu.Lock()
+	digest := r.Digest().String()
+	model, loaded := m.loaded[digest]
+	content := m.content[digest]
+	instance := m.instance
+	m.starts++
+	m.mu.Unlock()
+	m.ledger.ran(string(r.Body()))
+	if !loaded || model != r.Model() {
+		return response(http.StatusNotFound, "text/plain", digest, strings.NewReader("not loaded")), nil
+	}
+	if content != digest {
+		m.ledger.violation("an answer from weights %.12s under the digest %.12s", content, digest)
+	}
+	reader, writer := io.Pipe()
+	go func() {
+		for i := range tokens {
+			time.Sleep(step)
+			for m.isHeld() && ctx.Err() == nil {
+				time.Sleep(step)
+			}
+			m.mu.Lock()
+			gone := m.instance != instance
+			m.mu.Unlock()
+			if gone || ctx.Err() != nil {
+				_ = writer.CloseWithError(errors.New("connection reset"))
+				return
+			}
+			if _, err := fmt.Fprintf(writer, "data: %s:%d\n\n", r.Body(), i); err != nil {
+				return
+			}
+		}
+		_, _ = io.WriteString(writer, "data: [DONE]\n\n")
+		_ = writer.Close()
+	}()
+	stop := context.AfterFunc(ctx, func() { _ = reader.CloseWithError(ctx.Err()) })
+	_ = stop
+	return response(http.StatusOK, "text/event-stream", digest, reader), nil
+}
+
+// tokens is the length of every answer.
+const tokens = 12
+
+// wholeAnswer is what a caller must get for a body.
+func wholeAnswer(body string) string {
+	var b strings.Builder
+	for i := range tokens {
+		fmt.Fprintf(&b, "data: %s:%d\n\n", body, i)
+	}
+	b.WriteString("data: [DONE]\n\n")
+	return b.String()
+}
+
+func response(status int, contentType, digest string, body io.Reader) *http.Response {
+	h := http.Header{}
+	h.Set("Content-Type", contentType)
+	h.Set(engine.DigestHeader, digest)
+	closer, ok := body.(io.ReadCloser)
+	if !ok {
+		closer = io.NopCloser(body)
+	}
+	return &http.Response{StatusCode: status, Header: h, Body: closer}
+}
+
+// ----------------------------------------------------------------
+// Plain service
+
+// plainService is a service in memory whose calls may not be repeated.
+type plainService struct {
+	ledger *ledger
+	random func() int
+
+	mu   sync.Mutex
+	mode string
+}
+
+// The ways in which a call can end.
+const (
+	modeFine       = ""
+	modeLoseAnswer = "lose_answer"
+)
+
+func (p *plainService) setMode(mode string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+}
+
+func (p *plainService) engine() *engine.Engine {
+	return &engine.Engine{Send: func(_ context.Context, r contract.Request) (*http.Response, error) {
+		p.mu.Lock()
+		mode := p.mode
+		p.mu.Unlock()
+		p.ledger.ran(string(r.Body()))
+		time.Sleep(3 * step)
+		if mode == modeLoseAnswer {
+			return nil, failure.New(failure.OutcomeUnknown, "connection reset").WithRan(failure.RanUnknown)
+		}
+		return response(http.StatusOK, "text/plain", "", strings.NewReader("done:"+string(r.Body()))), nil
+	}}
+}
+
+// ----------------------------------------------------------------
+// Origin
+
+// origin holds the versions of one model.
+type origin struct {
+	mu       sync.Mutex
+	versions map[string][]byte
+	corrupt  float64
+	random   *rand.Rand
+	bytes    int64
+}
+
+const (
+	chunkSize = 1 << 10
+	copySize  = 24 * chunkSize
+)
+
+func newOrigin(random *rand.Rand) *origin {
+	return &origin{versions: map[string][]byte{}, random: random}
+}
+
+func (o *origin) put(version string, seed uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.versions[version] = fake.Weights(copySize, seed)
+}
+
+func (o *origin) manifest(_ context.Context, _ string, name contract.ModelName) (contract.Manifest, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	data, ok := o.versions[name.Version()]
+	if !ok {
+		return contract.Manifest{}, failure.New(failure.UnknownObject, "version %q", name.Version())
+	}
+	return contract.ManifestOf(data, chunkSize), nil
+}
+
+func (o *origin) draw(_ context.Context, _ string, a configstate.Assignment, chunk int) ([]byte, error) {
+	time.Sleep(2 * step)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	offset, length := a.Manifest.ChunkRange(chunk)
+	data := append([]byte(nil), o.versions[a.Version][offset:offset+length]...)
+	o.bytes += length
+	if o.random.Float64() < o.corrupt {
+		data[0] ^= 0xff
+	}
+	return data, nil
+}
--- /dev/null
+++ b/prove/network_test.go
@@ -0,0 +1,303 @@
+// ================================================================
+// A network in memory: hosts that listen and dial, links that can be cut
+// without a word, and hosts that can vanish.
+// ================================================================
+
+package prove
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// latency is one way, for every write.
+	latency = time.Millisecond
+	// cutPoll is how often a write looks whether its link is whole again.
+	cutPoll = 20 * time.Millisecond
+)
+
+// network connects hosts.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	hosts     map[string]string // address to host
+	cuts      map[[2]string]bool
+	conns     map[*conn]bool
+}
+
+func newNetwork() *network {
+	return &network{
+		listeners: map[string]*listener{}, hosts: map[string]string{},
+		cuts: map[[2]string]bool{}, conns: map[*conn]bool{},
+	}
+}
+
+// listener is a host's listener.
+type listener struct {
+	network *network
+	address string
+	queue   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.queue:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		delete(l.network.listeners, l.address)
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (n *network) listen(host string) func(address string) (net.Listener, error) {
+	return func(address string) (net.Listener, error) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		if n.listeners[address] != nil {
+			return nil, errors.Errorf("%s is taken", address)
+		}
+		l := &listener{network: n, address: address, queue: make(chan net.Conn), closed: make(chan struct{})}
+		n.listeners[address] = l
+		n.hosts[address] = host
+		return l, nil
+	}
+}
+
+func (n *network) dial(host string) func(ctx context.Context, address string) (net.Conn, error) {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		n.mu.Lock()
+		l := n.listeners[address]
+		to := n.hosts[address]
+		n.mu.Unlock()
+		if n.isCut(host, to) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		if l == nil {
+			return nil, errors.Errorf("%s: connection refused", address)
+		}
+		ours, theirs := n.connect(host, to)
+		select {
+		case l.queue <- theirs:
+			return ours, nil
+		case <-l.closed:
+			return nil, errors.Errorf("%s: connection refused", address)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// conn is one end of a connection. What is written waits in pending, travels
+// for the latency and for as long as the link is cut, and then arrives in the
+// other end's buffer, all at once: a receiver that holds a lock while it reads
+// a frame would else keep virtual time from passing.
+type conn struct {
+	network  *network
+	from, to string
+	peer     *conn
+	closed   chan struct{}
+	once     sync.Once
+	sent     chan struct{}
+	arrived  chan struct{}
+
+	mu       sync.Mutex
+	pending  []segment
+	buffer   []byte
+	deadline time.Time
+}
+
+// segment is what one write sent.
+type segment struct {
+	at   time.Time
+	data []byte
+}
+
+// connect returns the two ends of a connection.
+func (n *network) connect(a, b string) (near, far *conn) {
+	near = &conn{network: n, from: a, to: b, closed: make(chan struct{}), sent: make(chan struct{}, 1), arrived: make(chan struct{}, 1)}
+	far = &conn{network: n, from: b, to: a, closed: make(chan struct{}), sent: make(chan struct{}, 1), arrived: make(chan struct{}, 1)}
+	near.peer, far.peer = far, near
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[near], n.conns[far] = true, true
+	go near.pump()
+	go far.pump()
+	return near, far
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(data []byte) (int, error) {
+	select {
+	case <-c.closed:
+		return 0, net.ErrClosed
+	default:
+	}
+	c.mu.Lock()
+	c.pending = append(c.pending, segment{time.Now(), append([]byte(nil), data...)})
+	c.mu.Unlock()
+	wake(c.sent)
+	return len(data), nil
+}
+
+func (c *conn) pump() {
+	for {
+		select {
+		case <-c.sent:
+		case <-c.closed:
+			return
+		}
+		time.Sleep(latency)
+		for c.network.isCut(c.from, c.to) {
+			select {
+			case <-c.closed:
+				return
+			case <-time.After(cutPoll):
+			}
+		}
+		c.arrive()
+	}
+}
+
+// arrive moves what was sent before this instant. A frame's header and body
+// are written at one instant and so arrive together.
+func (c *conn) arrive() {
+	now := time.Now()
+	c.mu.Lock()
+	var data []byte
+	for len(c.pending) > 0 && c.pending[0].at.Before(now) {
+		data = append(data, c.pending[0].data...)
+		c.pending = c.pending[1:]
+	}
+	if len(c.pending) > 0 {
+		wake(c.sent)
+	}
+	c.mu.Unlock()
+	c.peer.mu.Lock()
+	c.peer.buffer = append(c.peer.buffer, data...)
+	c.peer.mu.Unlock()
+	wake(c.peer.arrived)
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(data []byte) (int, error) {
+	for {
+		c.mu.Lock()
+		if len(c.buffer) > 0 {
+			n := copy(data, c.buffer)
+			c.buffer = c.buffer[n:]
+			c.mu.Unlock()
+			return n, nil
+		}
+		deadline := c.deadline
+		c.mu.Unlock()
+		var timeout <-chan time.Time
+		if !deadline.IsZero() {
+			timeout = time.After(time.Until(deadline))
+		}
+		select {
+		case <-c.arrived:
+		case <-c.closed:
+			return 0, net.ErrClosed
+		case <-c.peer.closed:
+			return 0, net.ErrClosed
+		case <-timeout:
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.network.mu.Lock()
+		delete(c.network.conns, c)
+		c.network.mu.Unlock()
+	})
+	return nil
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error { return c.SetDeadline(t) }
+
+// SetWriteDeadline implements net.Conn; writes never wait.
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+
+// LocalAddr implements net.Conn.
+func (c *conn) LocalAddr() net.Addr { return &net.TCPAddr{} }
+
+// RemoteAddr implements net.Conn.
+func (c *conn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
+
+func (n *network) isCut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cuts[[2]string{from, to}]
+}
+
+// setCut cuts or mends a link in both directions.
+func (n *network) setCut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a, b}] = cut
+	n.cuts[[2]string{b, a}] = cut
+}
+
+func (n *network) mendAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts = map[[2]string]bool{}
+}
+
+// vanish breaks every connection of a host at once.
+func (n *network) vanish(host string) {
+	n.mu.Lock()
+	var broken []*conn
+	for c := range n.conns {
+		if c.from == host || c.to == host {
+			broken = append(broken, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/prove/prove_test.go
@@ -0,0 +1,110 @@
+// ================================================================
+// The frame of a proof: random runs that hold, and one seeded fault that must
+// be noticed.
+// ================================================================
+
+package prove
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes rapid's seed, unless a soak names one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seed := os.Getenv("TIDEPOST_SEED")
+	if seed == "" {
+		seed = "20261202"
+	}
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	if flag.Lookup("rapid.checks").Value.String() == "100" {
+		_ = flag.Set("rapid.checks", runsPerProof)
+	}
+	os.Exit(m.Run())
+}
+
+// runsPerProof is how many random runs each proof makes in CI.
+const runsPerProof = "12"
+
+// seededRuns bounds the runs in which a seeded fault has to be noticed.
+const seededRuns = 20
+
+// proof is one promise with its scenario.
+type proof struct {
+	number int
+	name   string
+	// scenario plays one random run and reports to the ledger.
+	scenario func(w *world)
+	// seeded leaves a safeguard out, by name.
+	seeded map[string]func(w *world)
+}
+
+// play makes one run and returns what was violated.
+func (p proof) play(t *testing.T, seed uint64, seedFault func(w *world)) (violations []string, faults int) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, seed)
+		defer w.stop()
+		if seedFault != nil {
+			seedFault(w)
+		}
+		w.start()
+		p.scenario(w)
+		w.ledger.mu.Lock()
+		defer w.ledger.mu.Unlock()
+		violations, faults = w.ledger.violations, w.faults
+	})
+	emptyPools()
+	return violations, faults
+}
+
+// emptyPools drops what sync.Pools hold. yamux keeps timers in one, and a timer
+// of one bubble must not be used in the next. Two collections empty a pool.
+func emptyPools() {
+	runtime.GC()
+	runtime.GC()
+}
+
+// run proves the promise and prints its line.
+func (p proof) run(t *testing.T) {
+	runs, faults := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64Range(0, 1<<32).Draw(rt, "seed")
+		violations, n := p.play(t, seed, nil)
+		if len(violations) > 0 {
+			rt.Fatalf("seed %d: %s", seed, strings.Join(violations, "; "))
+		}
+		runs++
+		faults += n
+	})
+	for name, seedFault := range p.seeded {
+		if !p.catches(t, seedFault) {
+			t.Fatalf("prove %d %s: %d runs did not notice the seeded fault %s", p.number, p.name, seededRuns, name)
+		}
+	}
+	if t.Failed() {
+		return
+	}
+	fmt.Printf("prove %d %s: held runs=%d faults=%d seeded_fault=caught\n", p.number, p.name, runs, faults)
+}
+
+func (p proof) catches(t *testing.T, seedFault func(w *world)) bool {
+	for seed := range uint64(seededRuns) {
+		if violations, _ := p.play(t, seed, seedFault); len(violations) > 0 {
+			t.Logf("seeded fault noticed by seed %d: %s", seed, violations[0])
+			return true
+		}
+	}
+	return false
+}
