--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -84,8 +84,8 @@
 	switch {
 	case e.draining.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
-	case e.state.Revision() == 0:
-		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	case e.mayServe() != nil:
+		http.Error(w, "no confirmed configuration yet", http.StatusServiceUnavailable)
 	default:
 		_, _ = io.WriteString(w, "ready\n")
 	}
@@ -105,6 +105,9 @@
 
 func (e *Entry) readCaller(r *http.Request, now time.Time) (caller, error) {
 	var c caller
+	if err := e.mayServe(); err != nil {
+		return c, err
+	}
 	name := r.Header.Get(HeaderOrganisation)
 	spec, ok := e.state.View().Organisation(name)
 	if !ok {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -54,6 +54,7 @@
 	metrics     *metrics
 
 	draining    atomic.Bool
+	caughtUp    atomic.Bool
 	drained     chan string
 	heardQuorum atomic.Int64
 	requests    atomic.Uint64
@@ -191,6 +192,11 @@
 	add(e.watchAgents)
 	add(e.watchPlatform)
 	add(e.spread.run)
+	add(func(ctx context.Context) error {
+		e.catchUp(ctx)
+		<-ctx.Done()
+		return nil
+	})
 	if e.runner != nil {
 		add(e.runControlLog)
 	} else {
@@ -233,6 +239,3 @@
 func (e *Entry) confirmed() bool {
 	return time.Since(time.Unix(0, e.heardQuorum.Load())) < confirmedFor
 }
-
-// Revision returns the configuration revision in force here.
-func (e *Entry) Revision() uint64 { return e.state.Revision() }
--- a/pkg/entry/forwarded.go
+++ b/pkg/entry/forwarded.go
@@ -22,6 +22,9 @@
 	if e.draining.Load() {
 		return failure.New(failure.Draining, "this entry is leaving")
 	}
+	if err := e.mayServe(); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.DeadlineTime())
 	defer cancel()
 	if r.Repeatable() {
