Burst bench, busy uploads refused, full replicas left out, draws bounded over all domains

Replicas report how many requests they take; a full one is left out, and when all are full the request is refused at once.

--- /dev/null
+++ b/bench/burst_test.go
@@ -0,0 +1,667 @@
+//go:build bench
+
+// ================================================================
+// The burst: N VMs, the real Swarm and Coordinator, chunks verified as they
+// are written, over paced links in virtual time.
+//
+// What is not in it: the framing of links and the disks. A link is a queue
+// that passes a block at its rate; a chunk goes in blocks, so that several
+// fetches share a link as they do over TCP.
+// ================================================================
+
+package bench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/tidepost/tidepost/pkg/contract"
+	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/spread"
+	"github.com/tidepost/tidepost/pkg/vm"
+)
+
+const (
+	// window is the time in which the origin's link carries originCopies and a
+	// VM's link vmCopies.
+	window       = 240 * time.Second
+	originCopies = 4.0
+	vmCopies     = 2.0
+	chunks       = 256
+	blocks       = 4
+	exchange     = 200 * time.Millisecond
+	haveDelay    = 50 * time.Millisecond
+	reportEvery  = time.Second
+	// frameOverhead is what a message costs besides its body, in bytes.
+	frameOverhead = 17 + 12
+	// giveUp bounds a burst that does not end.
+	giveUp = 20 * window
+)
+
+// burst is one run.
+type burst struct {
+	n        int
+	domains  int
+	together bool // a link's copies are both ways together
+	fault    string
+	draws    int
+	fetches  int
+	uploads  int
+	rarest   bool
+	seed     uint64
+
+	mu       sync.Mutex
+	origin   *pacedLink
+	vms      []*burstVM
+	coords   []*burstCoordinator
+	drawn    int
+	crossed  int
+	control  int64
+	lastDone time.Time
+	pending  int
+	done     chan struct{}
+	began    time.Time
+	random   *rand.Rand
+}
+
+// pacedLink passes one block after another.
+type pacedLink struct {
+	mu   sync.Mutex
+	per  time.Duration // for one block
+	free time.Time
+}
+
+// pass returns when a block is through.
+func (l *pacedLink) pass(earliest time.Time) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.free.Before(earliest) {
+		l.free = earliest
+	}
+	l.free = l.free.Add(l.per)
+	return l.free
+}
+
+// burstVM is one VM with its swarm.
+type burstVM struct {
+	burst    *burst
+	identity vm.Identity
+	domain   int
+	up, down *pacedLink
+	stalled  bool
+
+	mu      sync.Mutex
+	swarm   *spread.Swarm
+	dead    bool
+	whole   bool
+	watches map[vm.ID]bool // who listens to us
+	drawn   []uint32
+	told    map[vm.ID]bool // whom we listen to
+	asking  bool
+	again   bool
+
+	uploading int
+}
+
+// burstCoordinator is a domain's coordinator.
+type burstCoordinator struct {
+	mu          sync.Mutex
+	coordinator *spread.Coordinator
+	domain      int
+	cut         bool
+}
+
+func blockTime(copies float64) time.Duration {
+	return time.Duration(float64(window) / copies / chunks / blocks)
+}
+
+func newBurst(n, domains int, together bool, fault string, draws int, seed uint64) *burst {
+	b := &burst{
+		n: n, domains: domains, together: together, fault: fault, draws: draws, seed: seed,
+		origin: &pacedLink{per: blockTime(originCopies)}, pending: n, uploads: 6,
+		random: rand.New(rand.NewPCG(seed, 9)),
+	}
+	return b
+}
+
+var digest = contract.DigestOf([]byte("burst"))
+
+func (b *burst) run() {
+	b.began = time.Now()
+	b.done = make(chan struct{})
+	for d := range b.domains {
+		b.coords = append(b.coords, &burstCoordinator{domain: d, coordinator: b.newCoordinator(d)})
+	}
+	for i := range b.n {
+		d := i % b.domains
+		v := &burstVM{
+			burst: b, domain: d,
+			identity: vm.NewIdentity(vm.ID(fmt.Sprintf("vm-%03d", i)), 1, "", domainName(d), fmt.Sprintf("10.0.%d.%d:7001", i/250, i%250)),
+			up:       &pacedLink{per: blockTime(vmCopies)},
+			watches:  map[vm.ID]bool{}, told: map[vm.ID]bool{},
+			swarm: spread.NewSwarm(spread.SwarmConfig{Total: chunks, Fetches: b.fetches, RarestFirst: b.rarest, Random: rand.New(rand.NewPCG(b.seed, uint64(i)))}, spread.NewBitmap(chunks)),
+		}
+		v.down = &pacedLink{per: blockTime(vmCopies)}
+		if b.together {
+			v.down = v.up
+		}
+		b.vms = append(b.vms, v)
+	}
+	for _, v := range b.vms {
+		go v.loop()
+	}
+	go b.exchangeLoop()
+	go b.injectFault()
+	select {
+	case <-b.done:
+	case <-time.After(giveUp):
+	}
+	// Virtual time stops with this goroutine, so the others end first.
+	time.Sleep(window)
+}
+
+func (b *burst) newCoordinator(d int) *spread.Coordinator {
+	return spread.NewCoordinator(spread.CoordinatorConfig{
+		Domain: domainName(d), Digest: digest, Total: chunks, Draws: b.draws,
+		Random: rand.New(rand.NewPCG(b.seed, uint64(1000+d))),
+	}, time.Now())
+}
+
+func domainName(d int) string { return fmt.Sprintf("domain-%02d", d) }
+
+func (b *burst) ended() bool {
+	select {
+	case <-b.done:
+		return true
+	default:
+		return time.Since(b.began) > giveUp
+	}
+}
+
+func (b *burst) count(v any) {
+	raw, err := msgpack.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.control += int64(len(raw) + frameOverhead)
+}
+
+// leave notes that a VM is ready or gone.
+func (b *burst) leave(ready bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if ready {
+		b.lastDone = time.Now()
+	}
+	b.pending--
+	if b.pending == 0 {
+		close(b.done)
+	}
+}
+
+func (b *burst) find(id vm.ID) *burstVM {
+	for _, v := range b.vms {
+		if v.identity.ID() == id {
+			return v
+		}
+	}
+	return nil
+}
+
+// ----------------------------------------------------------------
+// A VM
+
+func (v *burstVM) loop() {
+	for !v.burst.ended() {
+		v.mu.Lock()
+		if v.dead {
+			v.mu.Unlock()
+			return
+		}
+		for _, f := range v.swarm.Stalled(time.Now()) {
+			_ = f
+		}
+		v.mu.Unlock()
+		v.report()
+		time.Sleep(reportEvery)
+	}
+}
+
+// report asks the coordinator; one at a time, again if something happened.
+func (v *burstVM) report() {
+	v.mu.Lock()
+	if v.asking {
+		v.again = true
+		v.mu.Unlock()
+		return
+	}
+	v.asking = true
+	v.mu.Unlock()
+	go v.ask()
+}
+
+func (v *burstVM) ask() {
+	for {
+		v.mu.Lock()
+		r := contract.NewSpreadReport(v.identity, digest, v.swarm.Held().Bytes(), v.drawn, !v.swarm.Done())
+		v.drawn = nil
+		v.again = false
+		v.mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+		c := v.burst.coords[v.domain]
+		c.mu.Lock()
+		plan := c.coordinator.Report(r, time.Now())
+		c.mu.Unlock()
+		v.burst.count(r)
+		v.burst.count(plan)
+		v.take(plan)
+		v.mu.Lock()
+		if !v.again {
+			v.asking = false
+			v.mu.Unlock()
+			return
+		}
+		v.mu.Unlock()
+	}
+}
+
+func (v *burstVM) take(plan contract.SpreadPlan) {
+	var identities []vm.Identity
+	for _, h := range plan.Peers() {
+		identities = append(identities, h.Peer())
+	}
+	v.mu.Lock()
+	if v.swarm.Done() || v.dead {
+		v.mu.Unlock()
+		return
+	}
+	v.swarm.SetNeighbours(identities)
+	var fresh []vm.ID
+	for _, i := range identities {
+		if !v.told[i.ID()] {
+			v.told[i.ID()] = true
+			fresh = append(fresh, i.ID())
+		}
+	}
+	for _, chunk := range plan.Draw() {
+		v.swarm.Lease(int(chunk), vm.Identity{})
+	}
+	for _, i := range plan.Imports() {
+		v.swarm.Lease(int(i.Index()), i.Holder())
+	}
+	v.mu.Unlock()
+	for _, id := range fresh {
+		v.subscribe(id)
+	}
+	v.advance()
+}
+
+// subscribe listens to a neighbour: all it holds now, and what comes.
+func (v *burstVM) subscribe(id vm.ID) {
+	other := v.burst.find(id)
+	other.mu.Lock()
+	if other.dead {
+		other.mu.Unlock()
+		return
+	}
+	other.watches[v.identity.ID()] = true
+	held := other.swarm.Held()
+	other.mu.Unlock()
+	v.burst.count(contract.NewHave(digest, held.Bytes(), nil))
+	v.mu.Lock()
+	v.swarm.PeerHolds(id, held)
+	v.mu.Unlock()
+}
+
+func (v *burstVM) advance() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.dead || v.swarm.Done() {
+		return
+	}
+	for _, f := range v.swarm.Next(time.Now()) {
+		go v.fetch(f)
+	}
+}
+
+func (v *burstVM) fetch(f spread.Fetch) {
+	var from *pacedLink
+	var other *burstVM
+	if f.Peer.ID() == spread.Origin {
+		from = v.burst.origin
+	} else {
+		other = v.burst.find(f.Peer.ID())
+		from = other.up
+	}
+	time.Sleep(3 * time.Millisecond)
+	if other != nil && !other.takeUpload() {
+		v.lost(f, failure.Overloaded)
+		return
+	}
+	passed := v.transfer(from, other)
+	if other != nil {
+		other.endUpload()
+	}
+	if !passed {
+		v.lost(f, failure.Unreachable)
+		return
+	}
+	if other != nil && v.burst.corrupts() {
+		v.lost(f, failure.CorruptChunk)
+		return
+	}
+	v.got(f, other)
+}
+
+func (v *burstVM) takeUpload() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.uploading >= v.burst.uploads {
+		return false
+	}
+	v.uploading++
+	return true
+}
+
+func (v *burstVM) endUpload() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.uploading--
+}
+
+// transfer passes a chunk block by block over both links.
+func (v *burstVM) transfer(from *pacedLink, other *burstVM) bool {
+	for range blocks {
+		if v.gone() || other != nil && other.gone() || v.burst.cutBetween(v, other) {
+			return false
+		}
+		if other != nil && other.stalled {
+			time.Sleep(spread.DefaultStall)
+			return false
+		}
+		// The second link is entered only when the first has passed the block:
+		// a place reserved ahead would leave a gap that nobody can use.
+		time.Sleep(time.Until(from.pass(time.Now())))
+		time.Sleep(time.Until(v.down.pass(time.Now().Add(-v.down.per))))
+	}
+	return true
+}
+
+func (v *burstVM) gone() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.dead
+}
+
+func (v *burstVM) lost(f spread.Fetch, kind failure.Kind) {
+	v.mu.Lock()
+	if v.dead {
+		v.mu.Unlock()
+		return
+	}
+	v.swarm.Lost(f.Chunk, f.Peer.ID(), kind, time.Now())
+	if f.Peer.ID() == spread.Origin || f.Peer.Domain() != v.identity.Domain() {
+		v.drawn = append(v.drawn, uint32(f.Chunk))
+	}
+	v.mu.Unlock()
+	v.advance()
+}
+
+func (v *burstVM) got(f spread.Fetch, other *burstVM) {
+	v.mu.Lock()
+	if v.dead {
+		v.mu.Unlock()
+		return
+	}
+	fresh := !v.swarm.Held().Has(f.Chunk)
+	v.swarm.Got(f.Chunk, f.Peer.ID(), time.Now())
+	leased := other == nil || other.domain != v.domain
+	if leased {
+		v.drawn = append(v.drawn, uint32(f.Chunk))
+	}
+	finished := v.swarm.Done() && !v.whole
+	v.whole = v.swarm.Done()
+	var watchers []vm.ID
+	for id := range v.watches {
+		watchers = append(watchers, id)
+	}
+	v.mu.Unlock()
+	sort.Slice(watchers, func(i, j int) bool { return watchers[i] < watchers[j] })
+	v.burst.note(other, v)
+	if leased {
+		v.report()
+	}
+	if finished {
+		v.burst.leave(true)
+	}
+	if fresh {
+		go v.announce(f.Chunk, watchers)
+	}
+	v.advance()
+}
+
+func (b *burst) note(from, to *burstVM) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if from == nil {
+		b.drawn++
+	} else if from.domain != to.domain {
+		b.crossed++
+	}
+}
+
+func (v *burstVM) announce(chunk int, watchers []vm.ID) {
+	time.Sleep(haveDelay)
+	for _, id := range watchers {
+		other := v.burst.find(id)
+		other.mu.Lock()
+		idle := !other.dead && !other.swarm.Done()
+		if idle {
+			other.swarm.PeerHas(v.identity.ID(), chunk)
+		}
+		other.mu.Unlock()
+		if idle {
+			v.burst.count(contract.NewHave(digest, nil, []uint32{uint32(chunk)}))
+			other.advance()
+		}
+	}
+}
+
+// exchangeLoop has the coordinators tell each other what their domains hold.
+func (b *burst) exchangeLoop() {
+	for !b.ended() {
+		for _, c := range b.coords {
+			c.mu.Lock()
+			s := c.coordinator.Sources(time.Now())
+			cut := c.cut
+			c.mu.Unlock()
+			for _, other := range b.coords {
+				if other == c {
+					continue
+				}
+				other.mu.Lock()
+				if !cut && !other.cut {
+					other.coordinator.Heard(s, time.Now())
+				}
+				other.mu.Unlock()
+			}
+		}
+		time.Sleep(exchange)
+	}
+}
+
+// ----------------------------------------------------------------
+// Faults
+
+func (b *burst) corrupts() bool {
+	if b.fault != "corrupt_1%" {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.random.IntN(100) == 0
+}
+
+func (b *burst) cutBetween(v, other *burstVM) bool {
+	if other == nil || other.domain == v.domain {
+		return false
+	}
+	for _, d := range []int{v.domain, other.domain} {
+		c := b.coords[d]
+		c.mu.Lock()
+		cut := c.cut
+		c.mu.Unlock()
+		if cut {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *burst) injectFault() {
+	switch b.fault {
+	case "withdraw_10%":
+		time.Sleep(window / 4)
+		for i, v := range b.vms {
+			if i%10 == 0 {
+				b.kill(v)
+			}
+		}
+	case "stalled_5%":
+		for i, v := range b.vms {
+			v.stalled = i%20 == 7
+		}
+	case "coordinator_killed":
+		time.Sleep(window / 4)
+		c := b.coords[0]
+		c.mu.Lock()
+		c.coordinator = b.newCoordinator(0)
+		c.mu.Unlock()
+	case "domain_cut":
+		time.Sleep(window / 4)
+		b.coords[0].mu.Lock()
+		b.coords[0].cut = true
+		b.coords[0].mu.Unlock()
+	}
+}
+
+func (b *burst) kill(v *burstVM) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.dead {
+		return
+	}
+	v.dead = true
+	if !v.whole {
+		b.leave(false)
+	}
+}
+
+// ----------------------------------------------------------------
+// Bounds, baselines and the table
+
+// fluidBound is the least time that any plan needs, in windows.
+func fluidBound(n int, together bool) float64 {
+	if together {
+		return 2 * float64(n) / (2*float64(n) + 4)
+	}
+	return max(1/originCopies, 1/vmCopies, float64(n)/(originCopies+float64(n)*vmCopies))
+}
+
+// binaryTree is the time of whole copies down a binary tree: each VM sends to
+// two others at once when it has all.
+func binaryTree(n int, together bool) float64 {
+	perLevel := 2 / vmCopies
+	levels := 0
+	for reached := 1; reached < n; reached += 1 << levels {
+		levels++
+	}
+	first := 1 / vmCopies
+	_ = together
+	return first + float64(levels)*perLevel
+}
+
+func play(t *testing.T, b *burst) {
+	synctest.Test(t, func(*testing.T) { b.run() })
+}
+
+func (b *burst) print(policy string) {
+	took := b.lastDone.Sub(b.began).Seconds() / window.Seconds()
+	links := "each_way"
+	if b.together {
+		links = "both_ways_together"
+	}
+	faults := ""
+	if b.fault != "" {
+		faults = " fault=" + b.fault
+	}
+	left := ""
+	if b.pending > 0 {
+		left = fmt.Sprintf(" NOT_READY=%d", b.pending)
+	}
+	fmt.Printf("burst n=%d links=%s policy=%s ratio=%.3f origin_copies=%.3f cross_domain_copies=%.2f control_bytes_per_vm=%.0f/s%s%s\n",
+		b.n, links, policy, took/fluidBound(b.n, b.together), float64(b.drawn)/chunks, float64(b.crossed)/chunks,
+		float64(b.control)/float64(b.n)/b.lastDone.Sub(b.began).Seconds(), faults, left)
+}
+
+var sizes = []struct{ n, domains int }{{12, 3}, {100, 3}, {440, 16}}
+
+func TestBurst(t *testing.T) {
+	for _, s := range sizes {
+		for _, together := range []bool{false, true} {
+			b := newBurst(s.n, s.domains, together, "", spread.DefaultDraws, 1)
+			play(t, b)
+			b.print("draw_once")
+			bound := fluidBound(s.n, together)
+			fmt.Printf("baseline n=%d way=all_from_origin ratio=%.1f origin_copies=%d\n", s.n, float64(s.n)/originCopies/bound, s.n)
+			fmt.Printf("baseline n=%d way=binary_tree_of_whole_copies ratio=%.1f origin_copies=1\n", s.n, binaryTree(s.n, together)/bound)
+		}
+	}
+}
+
+func TestBurstFaults(t *testing.T) {
+	for _, fault := range []string{"withdraw_10%", "stalled_5%", "corrupt_1%", "coordinator_killed", "domain_cut"} {
+		for _, s := range sizes {
+			b := newBurst(s.n, s.domains, false, fault, spread.DefaultDraws, 1)
+			play(t, b)
+			b.print("default")
+		}
+	}
+}
+
+// TestBurstDraws looks for a setting that buys time with origin bytes, or bytes
+// with time: how many chunks are drawn at one time, and fetched at one time.
+func TestBurstDraws(t *testing.T) {
+	for _, together := range []bool{false, true} {
+		for _, draws := range []int{16, 32, 64} {
+			for _, fetches := range []int{6, 10, 16} {
+				b := newBurst(12, 3, together, "", draws, 1)
+				b.fetches = fetches
+				play(t, b)
+				b.print(fmt.Sprintf("draws_%d_fetches_%d", draws, fetches))
+			}
+		}
+	}
+}
+
+// TestBurstChoice looks for the number of uploads that a VM takes at once, and
+// for the choice of chunks.
+func TestBurstChoice(t *testing.T) {
+	for _, rarest := range []bool{false, true} {
+		for _, uploads := range []int{4, 12} {
+			b := newBurst(100, 3, false, "", spread.DefaultDraws, 1)
+			b.uploads, b.rarest = uploads, rarest
+			play(t, b)
+			b.print(fmt.Sprintf("uploads_%d_rarest_%t", uploads, rarest))
+		}
+	}
+}
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -58,6 +58,14 @@
 	return &Controller{limit: limit, organisations: map[string]*usage{}}
 }
 
+// SetLimit changes the limit, as agents come and go. What is in flight above a
+// lower limit goes on to its end.
+func (c *Controller) SetLimit(limit int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limit = max(limit, 1)
+}
+
 // Ticket is an admitted request; call Release when it has ended.
 type Ticket struct {
 	controller *Controller
--- a/pkg/agent/chunks.go
+++ b/pkg/agent/chunks.go
@@ -64,10 +64,12 @@
 	if c == nil {
 		return failure.New(failure.NotReady, "no copy of %s here", q.Digest().Short())
 	}
+	// A queue here would only let the first holder of a rare chunk collect the
+	// requests of the whole domain while other links idle.
 	select {
 	case a.uploads <- struct{}{}:
-	case <-ctx.Done():
-		return nil
+	default:
+		return failure.New(failure.Overloaded, "%d chunks are being sent", cap(a.uploads))
 	}
 	defer func() { <-a.uploads }()
 	data, err := c.Read(int(q.Index()))
--- a/pkg/agent/heartbeats.go
+++ b/pkg/agent/heartbeats.go
@@ -96,7 +96,8 @@
 func (a *Agent) heartbeat(sequence uint64) contract.Heartbeat {
 	inFlight, draining := a.gate.state()
 	state, _ := a.loader.lastState()
-	load := contract.NewLoad(uint32(inFlight), uint32(state.Queued), state.CacheFree, state.TokensPerSecond)
+	load := contract.NewLoad(uint32(inFlight), uint32(state.Queued), state.CacheFree, state.TokensPerSecond,
+		uint32(a.settings.MaxInFlight()))
 	return contract.NewHeartbeat(a.process.Identity, sequence, a.state.Revision(), a.settings.Labels(),
 		a.copies.report(), a.serving(), load, draining != "", a.traffic.origin.Load(), a.traffic.peers.Load())
 }
--- a/pkg/contract/agent.go
+++ b/pkg/contract/agent.go
@@ -61,6 +61,8 @@
 	cacheFree float64
 	// tokensPerSecond is the engine's recent output rate.
 	tokensPerSecond float64
+	// limit is how many requests the agent takes at one time.
+	limit uint32
 }
 
 // Heartbeat is what an agent tells each entry of its failure domain.
--- a/pkg/contract/wire_generated.go
+++ b/pkg/contract/wire_generated.go
@@ -974,8 +974,8 @@
 }
 
 // NewLoad returns a Load with the given fields.
-func NewLoad(inFlight uint32, queued uint32, cacheFree float64, tokensPerSecond float64) Load {
-	return Load{inFlight: inFlight, queued: queued, cacheFree: cacheFree, tokensPerSecond: tokensPerSecond}
+func NewLoad(inFlight uint32, queued uint32, cacheFree float64, tokensPerSecond float64, limit uint32) Load {
+	return Load{inFlight: inFlight, queued: queued, cacheFree: cacheFree, tokensPerSecond: tokensPerSecond, limit: limit}
 }
 
 // InFlight counts the requests that the agent has admitted and not ended.
@@ -990,12 +990,15 @@
 // TokensPerSecond is the engine's recent output rate.
 func (l Load) TokensPerSecond() float64 { return l.tokensPerSecond }
 
+// Limit is how many requests the agent takes at one time.
+func (l Load) Limit() uint32 { return l.limit }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (l Load) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(4); err != nil {
+	if err := enc.EncodeArrayLen(5); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(l.inFlight, l.queued, l.cacheFree, l.tokensPerSecond)
+	return enc.EncodeMulti(l.inFlight, l.queued, l.cacheFree, l.tokensPerSecond, l.limit)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -1004,7 +1007,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&l.inFlight, &l.queued, &l.cacheFree, &l.tokensPerSecond}
+	fields := []any{&l.inFlight, &l.queued, &l.cacheFree, &l.tokensPerSecond, &l.limit}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/entry/beats.go
+++ b/pkg/entry/beats.go
@@ -55,6 +55,7 @@
 	}
 	e.router.Replica(id, now).Reported(route.Report{
 		InFlight:  int(b.Load().InFlight()),
+		Limit:     int(b.Load().Limit()),
 		CacheFree: b.Load().CacheFree(),
 		At:        now,
 	})
@@ -74,9 +75,36 @@
 			e.process.Recorder.Record(event.AgentLost, string(id), "no heartbeat for "+e.settings.AgentTimeout().String())
 		}
 		e.metrics.agents.Set(float64(len(e.agents.Agents())))
+		e.admission.SetLimit(e.shareOfCapacity(time.Now()))
 	}
 }
 
+// shareOfCapacity is this entry's part of what the failure domain's agents
+// take at one time: all entries of the domain get about as many requests, since
+// the balancer knows no difference. What is over the part of one entry while
+// another is idle, the agents still refuse.
+func (e *Entry) shareOfCapacity(now time.Time) int {
+	capacity := 0
+	for _, a := range e.agents.Usable(now) {
+		capacity += int(a.Beat.Load().Limit())
+	}
+	entries := 1
+	for _, b := range e.entries.all(now) {
+		if b.From().Domain() == e.process.Identity.Domain() && !b.Draining() {
+			entries++
+		}
+	}
+	if capacity == 0 {
+		// Nothing of this domain's own: what is admitted goes to others.
+		return e.settings.MaxInFlight()
+	}
+	return min(e.settings.MaxInFlight(), (capacity+entries-1)/entries*shareSlack)
+}
+
+// shareSlack lets an entry admit more than its even part, as balancers are not
+// even: the agents' own limits are what protects the engines.
+const shareSlack = 2
+
 // ----------------------------------------------------------------
 // Entries
 
@@ -158,7 +186,7 @@
 		inFlight += a.Beat.Load().InFlight()
 		queued += a.Beat.Load().Queued()
 	}
-	load := contract.NewLoad(inFlight, queued, 0, 0)
+	load := contract.NewLoad(inFlight, queued, 0, 0, 0)
 	return contract.NewEntryBeat(e.process.Identity, e.state.Revision(), e.draining.Load(),
 		sortedDigests(digests), sortedNames(services), load, e.settings.CallersListen())
 }
--- a/pkg/entry/execute.go
+++ b/pkg/entry/execute.go
@@ -132,16 +132,16 @@
 func (e *Entry) choose(w *work) (target, error) {
 	now := time.Now()
 	candidates := e.candidates(w, now)
-	if len(candidates) > 0 {
-		return e.pick(candidates, w, now), nil
+	if t, ok := e.pick(candidates, w, now); ok {
+		return t, nil
 	}
 	if !w.forwarded {
 		if t, ok := e.chooseEntry(w, now); ok {
 			return t, nil
 		}
 	}
-	if w.attempts > 0 {
-		return target{}, failure.New(failure.Overloaded, "every replica in reach refused")
+	if w.attempts > 0 || len(candidates) > 0 {
+		return target{}, failure.New(failure.Overloaded, "every replica in reach is full")
 	}
 	return target{}, failure.New(failure.NotReady, "no ready replica of %q in reach", w.request.Model()+w.request.Service())
 }
@@ -198,7 +198,8 @@
 	return targets
 }
 
-func (e *Entry) pick(candidates []target, w *work, now time.Time) target {
+// pick has the router choose; false when all are full or there are none.
+func (e *Entry) pick(candidates []target, w *work, now time.Time) (target, bool) {
 	replicas := make([]*route.Replica, 0, len(candidates))
 	for _, c := range candidates {
 		replicas = append(replicas, c.replica)
@@ -206,10 +207,10 @@
 	chosen := e.router.Pick(replicas, w.prefix, now)
 	for _, c := range candidates {
 		if c.replica == chosen {
-			return c
+			return c, true
 		}
 	}
-	return candidates[0]
+	return target{}, false
 }
 
 // chooseEntry picks the least loaded entry of another domain that can serve.
--- a/pkg/route/replica.go
+++ b/pkg/route/replica.go
@@ -31,6 +31,8 @@
 type Report struct {
 	// InFlight counts the requests that the replica has, from all entries.
 	InFlight int
+	// Limit is how many it takes at one time; 0 is not known.
+	Limit int
 	// CacheFree is the free part of its KV cache, 0 to 1.
 	CacheFree float64
 	// At is when the report came.
@@ -124,6 +126,13 @@
 	return math.Max(float64(r.own), float64(r.report.InFlight+r.own-r.ownAtBeat))
 }
 
+// Full tells whether the replica has all that it takes at one time.
+func (r *Replica) Full() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.report.Limit > 0 && r.load() >= float64(r.report.Limit)
+}
+
 // Own returns the requests of this entry that are in flight there.
 func (r *Replica) Own() int {
 	r.mu.Lock()
--- a/pkg/route/router.go
+++ b/pkg/route/router.go
@@ -51,14 +51,19 @@
 	delete(t.replicas, id)
 }
 
-// Pick chooses among the candidates, which must not be empty. Outliers are
-// left out, unless that would leave nobody.
+// Pick chooses among the candidates. Outliers are left out, unless that would
+// leave nobody. It returns nil when every candidate is full: a request that
+// would only wait in an engine's queue is better refused at once.
 func (t *Router) Pick(candidates []*Replica, prefix string, now time.Time) *Replica {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.turn++
+	open := withoutFull(withoutOutliers(candidates, now))
+	if len(open) == 0 {
+		return nil
+	}
 	return t.policy(Choice{
-		Candidates: withoutOutliers(candidates, now),
+		Candidates: open,
 		Prefix:     prefix,
 		Now:        now,
 		Random:     t.random,
@@ -80,3 +85,13 @@
 	}
 	return good
 }
+
+func withoutFull(candidates []*Replica) []*Replica {
+	var open []*Replica
+	for _, r := range candidates {
+		if !r.Full() {
+			open = append(open, r)
+		}
+	}
+	return open
+}
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -40,7 +40,8 @@
 	agentTimeout time.Duration
 	// platformURL is where the platform's list of VMs is read; may be empty.
 	platformURL string
-	// originDraws bounds the draws from the origin at one time, per copy.
+	// originDraws bounds the draws of one copy from the origin at one time,
+	// over all failure domains.
 	originDraws int
 }
 
@@ -79,7 +80,7 @@
 			set: duration(500*time.Millisecond, time.Minute, func(e *Entry) *time.Duration { return &e.agentTimeout })},
 		{Path: "platform.url", Unit: unitURL, Doc: "the platform's list of live and leaving VMs",
 			set: text(func(e *Entry) *string { return &e.platformURL })},
-		{Path: "spread.origin_draws", Default: "4", Unit: unitCount, Doc: "chunks that the failure domain draws from the origin at one time",
+		{Path: "spread.origin_draws", Default: "32", Unit: unitCount, Doc: "chunks that all failure domains together draw from the origin at one time",
 			set: count(1, 1024, func(e *Entry) *int { return &e.originDraws })},
 	}...)
 }
--- a/pkg/settings/wire_generated.go
+++ b/pkg/settings/wire_generated.go
@@ -124,5 +124,6 @@
 // PlatformURL is where the platform's list of VMs is read; may be empty.
 func (e Entry) PlatformURL() string { return e.platformURL }
 
-// OriginDraws bounds the draws from the origin at one time, per copy.
+// OriginDraws bounds the draws of one copy from the origin at one time,
+// over all failure domains.
 func (e Entry) OriginDraws() int { return e.originDraws }
--- a/pkg/spread/coordinator.go
+++ b/pkg/spread/coordinator.go
@@ -27,8 +27,10 @@
 const (
 	// DefaultNeighbours is how many neighbours an agent gets.
 	DefaultNeighbours = 24
-	// DefaultDraws is how many draws a domain has under way.
-	DefaultDraws = 4
+	// DefaultDraws is how many draws all domains together have under way.
+	DefaultDraws = 32
+	// leastDraws is how many of them a domain has at least.
+	leastDraws = 2
 	// DefaultLease is how long a lease lasts without the chunk's arrival.
 	DefaultLease = 20 * time.Second
 	// leasesPerAgent bounds the leases that one agent holds.
@@ -94,6 +96,7 @@
 	remotes map[string]remote
 	owners  []string
 	domains string
+	taking  int
 	started time.Time
 	draws   int
 }
@@ -310,7 +313,7 @@
 func (c *Coordinator) lendChunk(m *member, chunk int, now time.Time) {
 	l := lease{agent: m.identity.ID(), until: now.Add(c.config.Lease)}
 	if c.mayDraw(chunk, now) {
-		if c.draws >= c.config.Draws {
+		if c.draws >= max(leastDraws, c.config.Draws/c.taking) {
 			return
 		}
 		l.origin = true
@@ -385,7 +388,7 @@
 	if key == c.domains {
 		return
 	}
-	c.domains = key
+	c.domains, c.taking = key, len(taking)
 	c.owners = make([]string, c.config.Total)
 	for chunk := range c.owners {
 		c.owners[chunk] = owner(c.config.Digest, chunk, taking)
--- a/pkg/spread/swarm.go
+++ b/pkg/spread/swarm.go
@@ -22,12 +22,15 @@
 // Defaults of a swarm.
 const (
 	// DefaultFetches is how many chunks are on their way at one time.
-	DefaultFetches = 6
+	DefaultFetches = 10
 	// DefaultFetchesPerPeer bounds those from one neighbour.
 	DefaultFetchesPerPeer = 2
 	// DefaultStall is when a fetch counts as stalled.
 	DefaultStall = 30 * time.Second
 
+	// busyPause is how long a peer that is busy is left alone: about as long as
+	// it takes to pass a chunk on.
+	busyPause    = 200 * time.Millisecond
 	firstPenalty = 250 * time.Millisecond
 	maxPenalty   = 30 * time.Second
 	// hedgeFactor is how many times the usual duration a fetch may take
@@ -53,6 +56,9 @@
 	Fetches        int
 	FetchesPerPeer int
 	Stall          time.Duration
+	// RarestFirst prefers chunks that few neighbours hold; else any chunk that
+	// a neighbour holds is as good as another.
+	RarestFirst bool
 	Random         *rand.Rand
 }
 
@@ -230,9 +236,13 @@
 	if n == nil {
 		return
 	}
-	if kind == failure.CorruptChunk {
+	switch kind {
+	case failure.CorruptChunk:
 		n.banned = true
 		return
+	case failure.Overloaded:
+		n.quietUntil = now.Add(busyPause)
+		return
 	}
 	n.penalty = min(max(2*n.penalty, firstPenalty), maxPenalty)
 	n.quietUntil = now.Add(n.penalty)
--- a/pkg/spread/swarm_choice.go
+++ b/pkg/spread/swarm_choice.go
@@ -65,6 +65,9 @@
 func (s *Swarm) chooseRarest(now time.Time) (Fetch, bool) {
 	best, ties, least := -1, 0, 0
 	for chunk, available := range s.availability {
+		if available > 0 && !s.config.RarestFirst {
+			available = 1
+		}
 		if available == 0 || best >= 0 && available > least || s.held.Has(chunk) || len(s.flights[chunk]) > 0 {
 			continue
 		}
--- a/prove/backends_test.go
+++ b/prove/backends_test.go
@@ -222,7 +222,6 @@
 // plainService is a service in memory whose calls may not be repeated.
 type plainService struct {
 	ledger *ledger
-	random func() int
 
 	mu   sync.Mutex
 	mode string
