--- a/bench/burst_test.go
+++ b/bench/burst_test.go
@@ -657,11 +657,13 @@
 // for the choice of chunks.
 func TestBurstChoice(t *testing.T) {
 	for _, rarest := range []bool{false, true} {
-		for _, uploads := range []int{4, 12} {
-			b := newBurst(100, 3, false, "", spread.DefaultDraws, 1)
-			b.uploads, b.rarest = uploads, rarest
-			play(t, b)
-			b.print(fmt.Sprintf("uploads_%d_rarest_%t", uploads, rarest))
+		for _, uploads := range []int{12, 24} {
+			for _, fetches := range []int{10, 16} {
+				b := newBurst(100, 3, false, "", spread.DefaultDraws, 1)
+				b.uploads, b.fetches, b.rarest = uploads, fetches, rarest
+				play(t, b)
+				b.print(fmt.Sprintf("uploads_%d_fetches_%d_rarest_%t", uploads, fetches, rarest))
+			}
 		}
 	}
 }
