Replay of time lines, path bench, corrupt senders left alone for a while only

Cause: 'burst fault=corrupt_1%' at 12 VMs never ended for 2 VMs: three corrupt chunks banned all three neighbours of a domain for good. A sender of a corrupt chunk is now left alone for 5 s, doubling to 30 s; the test failed first.

--- a/bench/burst_test.go
+++ b/bench/burst_test.go
@@ -284,6 +284,15 @@
 		return
 	}
 	v.swarm.SetNeighbours(identities)
+	named := map[vm.ID]bool{}
+	for _, i := range identities {
+		named[i.ID()] = true
+	}
+	for id := range v.told {
+		if !named[id] {
+			delete(v.told, id)
+		}
+	}
 	var fresh []vm.ID
 	for _, i := range identities {
 		if !v.told[i.ID()] {
--- a/pkg/operator/output.go
+++ b/pkg/operator/output.go
@@ -29,6 +29,7 @@
 	"table": writeTable,
 	"json":  writeJSON,
 	"yaml":  writeYAML,
+	"jsonl": writeJSONLines,
 }
 
 func (s *session) show(r report) error { return formatters[s.format](s.out, r) }
@@ -58,6 +59,22 @@
 	return e.Encode(r.data)
 }
 
+// writeJSONLines writes each element of a list on a line of its own, the form
+// of a time line file; anything else is one line.
+func writeJSONLines(w io.Writer, r report) error {
+	e := json.NewEncoder(w)
+	list, ok := r.data.([]any)
+	if !ok {
+		return e.Encode(r.data)
+	}
+	for _, item := range list {
+		if err := e.Encode(item); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func writeYAML(w io.Writer, r report) error {
 	e := yaml.NewEncoder(w)
 	e.SetIndent(2)
--- a/pkg/operator/timeline.go
+++ b/pkg/operator/timeline.go
@@ -23,7 +23,7 @@
 var timelineVerb = verb{
 	name:    "timeline",
 	summary: "Show the events of all processes in one order",
-	example: "  tidepost timeline --since 5m\n  tidepost timeline --subject 3f2a91c07be4\n  tidepost timeline -o json > run.jsonl",
+	example: "  tidepost timeline --since 5m\n  tidepost timeline --subject 3f2a91c07be4\n  tidepost timeline -o jsonl > run.jsonl",
 	build:   buildTimeline,
 }
 
--- a/pkg/spread/swarm.go
+++ b/pkg/spread/swarm.go
@@ -32,7 +32,9 @@
 	// it takes to pass a chunk on.
 	busyPause    = 200 * time.Millisecond
 	firstPenalty = 250 * time.Millisecond
-	maxPenalty   = 30 * time.Second
+	// corruptPenalty follows the first corrupt chunk of a peer.
+	corruptPenalty = 5 * time.Second
+	maxPenalty     = 30 * time.Second
 	// hedgeFactor is how many times the usual duration a fetch may take
 	// before a second one is started elsewhere.
 	hedgeFactor = 4
@@ -66,7 +68,6 @@
 	outstanding int
 	penalty     time.Duration
 	quietUntil  time.Time
-	banned      bool
 }
 
 // flight is a chunk on its way.
@@ -223,8 +224,10 @@
 	s.usual += time.Duration(durationWeight * float64(d-s.usual))
 }
 
-// Lost says that a fetch failed. A peer that sent a corrupt chunk is not asked
-// again for this copy; one that was slow or gone is left alone for a while.
+// Lost says that a fetch failed. The peer is left alone for a while: a short
+// one when it was busy, a longer one each time when it was slow or gone, and
+// the longest when it sent a corrupt chunk. Nobody is left alone for good: in a
+// small domain a few flipped bits would then leave nobody to ask.
 func (s *Swarm) Lost(chunk int, from vm.ID, kind failure.Kind, now time.Time) {
 	s.land(chunk, from)
 	// A lease goes back to the coordinator, which gives it out again.
@@ -233,15 +236,15 @@
 	if n == nil {
 		return
 	}
+	first := firstPenalty
 	switch kind {
-	case failure.CorruptChunk:
-		n.banned = true
-		return
 	case failure.Overloaded:
 		n.quietUntil = now.Add(busyPause)
 		return
+	case failure.CorruptChunk:
+		first = corruptPenalty
 	}
-	n.penalty = min(max(2*n.penalty, firstPenalty), maxPenalty)
+	n.penalty = min(max(2*n.penalty, first), maxPenalty)
 	n.quietUntil = now.Add(n.penalty)
 }
 
--- a/pkg/spread/swarm_choice.go
+++ b/pkg/spread/swarm_choice.go
@@ -110,7 +110,7 @@
 }
 
 func (s *Swarm) mayAsk(n *neighbour, now time.Time) bool {
-	return !n.banned && n.outstanding < s.config.FetchesPerPeer && !now.Before(n.quietUntil)
+	return n.outstanding < s.config.FetchesPerPeer && !now.Before(n.quietUntil)
 }
 
 // chooseHedge starts a second fetch of the chunk that has been on its way the
