--- a/pkg/invariant/invariant.go
+++ b/pkg/invariant/invariant.go
@@ -16,16 +16,12 @@
 import (
 	"sync"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/metric"
 )
 
 // Broken counts broken invariants by name. Any value above zero is a defect.
-var Broken = prometheus.NewCounterVec(prometheus.CounterOpts{
-	Name: "tidepost_invariant_broken_total",
-	Help: "Checks of what must always hold that failed; any value above zero is a defect.",
-}, []string{"name"})
+var Broken = metric.NewCounters(metric.InvariantBroken, "name")
 
 var (
 	mu       sync.RWMutex
--- /dev/null
+++ b/pkg/metric/table.go
@@ -0,0 +1,79 @@
+// ================================================================
+// The table of metrics: names, kinds and meanings. The daemons make their
+// metrics from it, and docs/METRICS.md is printed from it.
+// ================================================================
+
+// Package metric holds the table of the metrics that the daemons export.
+package metric
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// Names of the metrics.
+const (
+	EntryRequests     = "tidepost_entry_requests_total"
+	EntryRetries      = "tidepost_entry_retries_total"
+	EntryForwarded    = "tidepost_entry_forwarded_total"
+	EntryUnsettled    = "tidepost_entry_unsettled_claims_total"
+	EntryAgents       = "tidepost_entry_agents"
+	ConfigRevision    = "tidepost_config_revision"
+	ControlLogTerm    = "tidepost_control_log_term"
+	ControlLogLeads   = "tidepost_control_log_leads"
+	ControlLogStopped = "tidepost_control_log_stopped"
+	AgentRequests     = "tidepost_agent_requests_total"
+	AgentChunksServed = "tidepost_agent_chunks_served_total"
+	AgentCorrupt      = "tidepost_agent_corrupt_chunks_total"
+	AgentRefusals     = "tidepost_agent_source_refusals_total"
+	InvariantBroken   = "tidepost_invariant_broken_total"
+)
+
+// Row describes one metric.
+type Row struct {
+	Name    string
+	Process string
+	Help    string
+	Remedy  string
+}
+
+var rows = []Row{
+	{EntryRequests, "entry", "Callers' requests by how they ended: answered, or the kind of failure.", "look the kind up in ERRORS.md"},
+	{EntryRetries, "entry", "Attempts after the first.", "many: an agent refuses or fails; see tidepost_agent_requests_total by VM"},
+	{EntryForwarded, "entry", "Requests that came from entries of other failure domains.", "lasting: the other domain lacks ready replicas"},
+	{EntryUnsettled, "entry", "Claims whose outcome could not be stored in time.", "their keys answer outcome_unknown; look for a lost quorum"},
+	{EntryAgents, "entry", "Agents of the failure domain that are heard of.", "falls: VMs were withdrawn, or a link is cut"},
+	{ConfigRevision, "entry", "Configuration revision in force here.", "differs between entries for more than 6 s: tidepost status names who lags"},
+	{ControlLogTerm, "entry", "Term of the control log, on voters.", "grows often: leaders are lost; look at disks and links of voters"},
+	{ControlLogLeads, "entry", "1 on the voter that leads the control log.", "sum over voters 0 for long: no quorum"},
+	{ControlLogStopped, "entry", "1 when the voter here has stopped, as after a disk error.", "read the log line, mend the disk, restart; or replace the voter"},
+	{AgentRequests, "agent", "Requests by how they ended: answered, or the kind of failure.", "look the kind up in ERRORS.md"},
+	{AgentChunksServed, "agent", "Chunks sent to other agents.", "0 on a VM that holds a copy in a burst: its link is stalled"},
+	{AgentCorrupt, "agent", "Chunks that came with another digest and were refused.", "the time line names the senders (chunk_refused); from the origin: apply the model again"},
+	{AgentRefusals, "agent", "Draws that the origin or the weight store refused.", "the source is over its rate; the copy goes on from other VMs"},
+	{InvariantBroken, "both", "Checks of what must always hold that failed; any value above zero is a defect.", "report it with tidepost timeline -o jsonl"},
+}
+
+// Rows returns the table.
+func Rows() []Row { return rows }
+
+func help(name string) string {
+	for _, r := range rows {
+		if r.Name == name {
+			return r.Help
+		}
+	}
+	return ""
+}
+
+// NewCounter returns the counter of a name in the table.
+func NewCounter(name string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help(name)})
+}
+
+// NewCounters returns the counters of a name in the table, by one label.
+func NewCounters(name, label string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help(name)}, []string{label})
+}
+
+// NewGauge returns the gauge of a name in the table.
+func NewGauge(name string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help(name)})
+}
--- a/pkg/operator/docs.go
+++ b/pkg/operator/docs.go
@@ -14,12 +14,13 @@
 	"github.com/spf13/cobra"
 
 	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/metric"
 	"github.com/tidepost/tidepost/pkg/settings"
 )
 
 var docsVerb = verb{
 	name:    "docs PAGE",
-	summary: "Print a reference page: settings, errors or commands",
+	summary: "Print a reference page: settings, errors, metrics or commands",
 	example: "  tidepost docs settings > docs/SETTINGS.md",
 	build:   buildDocs,
 }
@@ -28,6 +29,7 @@
 var docsPages = map[string]func(io.Writer){
 	"settings": writeSettingsPage,
 	"errors":   writeErrorsPage,
+	"metrics":  writeMetricsPage,
 }
 
 func init() {
@@ -37,11 +39,11 @@
 
 func buildDocs(c *cobra.Command, s *session) func(context.Context, []string) error {
 	c.Args = cobra.ExactArgs(1)
-	c.ValidArgs = []string{"settings", "errors", "commands"}
+	c.ValidArgs = []string{"settings", "errors", "metrics", "commands"}
 	return func(_ context.Context, arguments []string) error {
 		page := docsPages[arguments[0]]
 		if page == nil {
-			return usageError{fmt.Errorf("page %q is not settings, errors or commands", arguments[0])}
+			return usageError{fmt.Errorf("page %q is not settings, errors, metrics or commands", arguments[0])}
 		}
 		page(s.out)
 		return nil
@@ -73,6 +75,13 @@
 	}
 }
 
+func writeMetricsPage(w io.Writer) {
+	_, _ = fmt.Fprint(w, "# Metrics\n\nPrinted by `tidepost docs metrics` from the table in `pkg/metric`. Each process serves them\nat `/metrics` on `observe.listen`, beside those of the Go runtime.\n\n| metric | process | what it counts | what to do |\n| --- | --- | --- | --- |\n")
+	for _, r := range metric.Rows() {
+		_, _ = fmt.Fprintf(w, "| `%s` | %s | %s | %s |\n", r.Name, r.Process, r.Help, r.Remedy)
+	}
+}
+
 func writeCommandsPage(w io.Writer) {
 	_, _ = fmt.Fprint(w, "# Commands\n\nPrinted by `tidepost docs commands` from the commands' own help.\n")
 	root := newRoot(&session{out: w})
--- /dev/null
+++ b/test/docs_test.go
@@ -0,0 +1,31 @@
+// ================================================================
+// The reference pages are what the programs print: a page that differs fails,
+// and `go test ./test -update` writes it anew.
+// ================================================================
+
+package test
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+)
+
+var referencePages = map[string]string{
+	"settings": "SETTINGS.md",
+	"errors":   "ERRORS.md",
+	"metrics":  "METRICS.md",
+	"commands": "COMMANDS.md",
+}
+
+func TestReferencePages(t *testing.T) {
+	for page, file := range referencePages {
+		command := exec.Command(filepath.Join(binaries, "tidepost"), "docs", page)
+		command.Env = []string{}
+		output, err := command.Output()
+		if err != nil {
+			t.Fatalf("%s: %v", page, err)
+		}
+		compare(t, filepath.Join("..", "docs", file), output)
+	}
+}
