--- /dev/null
+++ b/prove/callers_test.go
@@ -0,0 +1,104 @@
+// ================================================================
+// What callers get for a request that cannot be served: a typed error that
+// says whether anything ran, as a golden file.
+// ================================================================
+
+package prove
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/tidepost/tidepost/pkg/entry"
+)
+
+var update = flag.Bool("update", false, "write the expected answers anew")
+
+const refusalsFile = "testdata/refusals.golden"
+
+// refusedCalls are calls that must be refused.
+var refusedCalls = []struct {
+	name, path, body string
+	headers          map[string]string
+}{
+	{"bad body", "/v1/chat/completions", "{", nil},
+	{"unknown model", "/v1/chat/completions", `{"model":"nothing"}`, nil},
+	{"unknown organisation", "/v1/chat/completions", `{"model":"menu"}`, map[string]string{entry.HeaderOrganisation: "nobody"}},
+	{"unknown service", "/services/nothing/x", "", nil},
+	{"unknown path", "/v2/elsewhere", "", nil},
+	{"body too large", "/v1/chat/completions", strings.Repeat("x", 2<<20), nil},
+	{"key too long", "/services/ordering/orders", "flour", map[string]string{entry.HeaderKey: strings.Repeat("k", 300)}},
+	{"deadline passed", "/v1/chat/completions", `{"model":"menu"}`, map[string]string{entry.HeaderDeadline: "1999-01-01T00:00:00Z"}},
+	{"deadline unreadable", "/v1/chat/completions", `{"model":"menu"}`, map[string]string{entry.HeaderDeadline: "soon"}},
+	{"repeatable unreadable", "/v1/chat/completions", `{"model":"menu"}`, map[string]string{entry.HeaderRepeatable: "perhaps"}},
+	{"priority unreadable", "/v1/chat/completions", `{"model":"menu"}`, map[string]string{entry.HeaderPriority: "high"}},
+}
+
+func TestRefusalsAreTypedAndTrue(t *testing.T) {
+	defer emptyPools()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		defer w.stop()
+		w.start()
+		w.eventually("the plain service", func() bool { return w.order("entry-1", "", "try").whole() })
+		before := w.ledger.count("flour")
+		var lines strings.Builder
+		for _, c := range refusedCalls {
+			fmt.Fprintf(&lines, "%s: %s\n", c.name, w.refusal(c.path, c.body, c.headers))
+		}
+		w.order("entry-1", "key-1", "flour")
+		fmt.Fprintf(&lines, "key used for another body: %s\n", w.refusal("/services/ordering/orders", "sugar", map[string]string{entry.HeaderKey: "key-1"}))
+		if n := w.ledger.count("flour") - before; n != 1 || w.ledger.count("sugar") != 0 {
+			t.Errorf("flour ran %d times, sugar %d", n, w.ledger.count("sugar"))
+		}
+		checkGolden(t, refusalsFile, lines.String())
+	})
+}
+
+// refusal returns what stands in a refusal, in one line.
+func (w *world) refusal(path, body string, headers map[string]string) string {
+	r := httptest.NewRequest("POST", path, strings.NewReader(body))
+	r.Header.Set(entry.HeaderOrganisation, "larder")
+	for k, v := range headers {
+		r.Header.Set(k, v)
+	}
+	recorder := httptest.NewRecorder()
+	w.mu.Lock()
+	e := w.entries["entry-1"]
+	w.mu.Unlock()
+	e.Handler().ServeHTTP(recorder, r)
+	var answer struct {
+		Error struct{ Type, Message, Remedy, Ran string }
+	}
+	if err := json.Unmarshal(recorder.Body.Bytes(), &answer); err != nil {
+		return fmt.Sprintf("%d %q", recorder.Code, recorder.Body.String())
+	}
+	a := answer.Error
+	return fmt.Sprintf("%d %s, ran=%s, %s; %s", recorder.Code, a.Type, a.Ran, a.Message, a.Remedy)
+}
+
+func checkGolden(t *testing.T, path, got string) {
+	t.Helper()
+	if *update {
+		if err := os.MkdirAll("testdata", 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s differs.\n--- got\n%s--- want\n%s", path, got, want)
+	}
+}
