--- a/bench/burst_test.go
+++ b/bench/burst_test.go
@@ -251,7 +251,7 @@
 func (v *burstVM) ask() {
 	for {
 		v.mu.Lock()
-		r := contract.NewSpreadReport(v.identity, digest, v.swarm.Held().Bytes(), v.drawn, !v.swarm.Done())
+		r := contract.NewSpreadReport(v.identity, digest, v.swarm.Held().Bytes(), v.drawn, !v.swarm.Done(), spread.HashOf(v.swarm.Neighbours()))
 		v.drawn = nil
 		v.again = false
 		v.mu.Unlock()
@@ -274,16 +274,15 @@
 }
 
 func (v *burstVM) take(plan contract.SpreadPlan) {
-	var identities []vm.Identity
-	for _, h := range plan.Peers() {
-		identities = append(identities, h.Peer())
-	}
 	v.mu.Lock()
 	if v.swarm.Done() || v.dead {
 		v.mu.Unlock()
 		return
 	}
-	v.swarm.SetNeighbours(identities)
+	if !plan.Unchanged() {
+		v.swarm.SetNeighbours(plan.Peers())
+	}
+	identities := v.swarm.Neighbours()
 	named := map[vm.ID]bool{}
 	for _, i := range identities {
 		named[i.ID()] = true
--- a/bench/capacity_test.go
+++ b/bench/capacity_test.go
@@ -146,7 +146,7 @@
 		}
 		heap = append(heap, point{float64(n), float64(heapOf(func() any {
 			for i := range n {
-				c.Report(contract.NewSpreadReport(identityOf(i), digest, held.Bytes(), nil, true), now)
+				c.Report(contract.NewSpreadReport(identityOf(i), digest, held.Bytes(), nil, true, 0), now)
 			}
 			return c
 		})) / 1024})
@@ -154,7 +154,7 @@
 		var plan contract.SpreadPlan
 		report = append(report, point{float64(n), microseconds(perCall(func() {
 			i++
-			plan = c.Report(contract.NewSpreadReport(identityOf(i%n), digest, held.Bytes(), nil, true), now)
+			plan = c.Report(contract.NewSpreadReport(identityOf(i%n), digest, held.Bytes(), nil, true, 0), now)
 		}))})
 		bytes = append(bytes, point{float64(n), float64(len(encoded(plan)) + frameOverhead)})
 	}
--- a/pkg/agent/copier.go
+++ b/pkg/agent/copier.go
@@ -180,7 +180,7 @@
 	c.reporting = true
 	c.reports++
 	report := contract.NewSpreadReport(c.agent.process.Identity, c.assignment.Digest,
-		c.swarm.Held().Bytes(), c.drawn, !c.swarm.Done())
+		c.swarm.Held().Bytes(), c.drawn, !c.swarm.Done(), spread.HashOf(c.swarm.Neighbours()))
 	c.drawn = nil
 	go func() {
 		plan, ok := c.agent.askCoordinator(ctx, report)
@@ -219,12 +219,10 @@
 	if c.swarm.Done() {
 		return
 	}
-	var identities []vm.Identity
-	for _, h := range plan.Peers() {
-		identities = append(identities, h.Peer())
+	if !plan.Unchanged() {
+		c.swarm.SetNeighbours(plan.Peers())
 	}
-	c.swarm.SetNeighbours(identities)
-	c.listen(ctx, identities)
+	c.listen(ctx, c.swarm.Neighbours())
 	for _, chunk := range plan.Draw() {
 		c.swarm.Lease(int(chunk), vm.Identity{})
 	}
--- a/pkg/contract/agent.go
+++ b/pkg/contract/agent.go
@@ -206,30 +206,25 @@
 	drawn []uint32
 	// wants says that the agent still lacks chunks.
 	wants bool
+	// neighbours is the hash of the neighbours that the agent has.
+	neighbours uint64
 }
 
 // SpreadPlan is the coordinator's answer to a report.
 //
 //wire:generate
 type SpreadPlan struct {
-	// peers are agents of the same failure domain to fetch from.
-	peers []Holder
+	// peers are agents of the same failure domain to fetch from; empty when
+	// they are those that the agent has.
+	peers []vm.Identity
+	// unchanged says that the agent keeps the neighbours that it has.
+	unchanged bool
 	// draw are the chunks that the agent is to draw from the origin.
 	draw []uint32
 	// imports are the chunks that the agent is to fetch from another domain.
 	imports []Import
 }
 
-// Holder is a peer and what it holds.
-//
-//wire:generate
-type Holder struct {
-	// peer is the agent.
-	peer vm.Identity
-	// held has a bit for each verified chunk, lowest first.
-	held []byte
-}
-
 // Import is a chunk to fetch from an agent of another failure domain.
 //
 //wire:generate
--- a/pkg/contract/wire_generated.go
+++ b/pkg/contract/wire_generated.go
@@ -859,45 +859,6 @@
 	return nil
 }
 
-// NewHolder returns a Holder with the given fields.
-func NewHolder(peer vm.Identity, held []byte) Holder {
-	return Holder{peer: peer, held: held}
-}
-
-// Peer is the agent.
-func (h Holder) Peer() vm.Identity { return h.peer }
-
-// Held has a bit for each verified chunk, lowest first.
-func (h Holder) Held() []byte { return h.held }
-
-// EncodeMsgpack writes the fields in order, as one array.
-func (h Holder) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(2); err != nil {
-		return err
-	}
-	return enc.EncodeMulti(h.peer, h.held)
-}
-
-// DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
-func (h *Holder) DecodeMsgpack(dec *msgpack.Decoder) error {
-	count, err := dec.DecodeArrayLen()
-	if err != nil {
-		return err
-	}
-	fields := []any{&h.peer, &h.held}
-	for i := 0; i < count; i++ {
-		if i >= len(fields) {
-			err = dec.Skip()
-		} else {
-			err = dec.Decode(fields[i])
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // NewImport returns a Import with the given fields.
 func NewImport(index uint32, holder vm.Identity) Import {
 	return Import{index: index, holder: holder}
@@ -1640,12 +1601,16 @@
 }
 
 // NewSpreadPlan returns a SpreadPlan with the given fields.
-func NewSpreadPlan(peers []Holder, draw []uint32, imports []Import) SpreadPlan {
-	return SpreadPlan{peers: peers, draw: draw, imports: imports}
+func NewSpreadPlan(peers []vm.Identity, unchanged bool, draw []uint32, imports []Import) SpreadPlan {
+	return SpreadPlan{peers: peers, unchanged: unchanged, draw: draw, imports: imports}
 }
 
-// Peers are agents of the same failure domain to fetch from.
-func (s SpreadPlan) Peers() []Holder { return s.peers }
+// Peers are agents of the same failure domain to fetch from; empty when
+// they are those that the agent has.
+func (s SpreadPlan) Peers() []vm.Identity { return s.peers }
+
+// Unchanged says that the agent keeps the neighbours that it has.
+func (s SpreadPlan) Unchanged() bool { return s.unchanged }
 
 // Draw are the chunks that the agent is to draw from the origin.
 func (s SpreadPlan) Draw() []uint32 { return s.draw }
@@ -1655,10 +1620,10 @@
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (s SpreadPlan) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(3); err != nil {
+	if err := enc.EncodeArrayLen(4); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(s.peers, s.draw, s.imports)
+	return enc.EncodeMulti(s.peers, s.unchanged, s.draw, s.imports)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -1667,7 +1632,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&s.peers, &s.draw, &s.imports}
+	fields := []any{&s.peers, &s.unchanged, &s.draw, &s.imports}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -1682,8 +1647,8 @@
 }
 
 // NewSpreadReport returns a SpreadReport with the given fields.
-func NewSpreadReport(from vm.Identity, digest Digest, held []byte, drawn []uint32, wants bool) SpreadReport {
-	return SpreadReport{from: from, digest: digest, held: held, drawn: drawn, wants: wants}
+func NewSpreadReport(from vm.Identity, digest Digest, held []byte, drawn []uint32, wants bool, neighbours uint64) SpreadReport {
+	return SpreadReport{from: from, digest: digest, held: held, drawn: drawn, wants: wants, neighbours: neighbours}
 }
 
 // From is the agent.
@@ -1701,12 +1666,15 @@
 // Wants says that the agent still lacks chunks.
 func (s SpreadReport) Wants() bool { return s.wants }
 
+// Neighbours is the hash of the neighbours that the agent has.
+func (s SpreadReport) Neighbours() uint64 { return s.neighbours }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (s SpreadReport) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(5); err != nil {
+	if err := enc.EncodeArrayLen(6); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(s.from, s.digest, s.held, s.drawn, s.wants)
+	return enc.EncodeMulti(s.from, s.digest, s.held, s.drawn, s.wants, s.neighbours)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -1715,7 +1683,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&s.from, &s.digest, &s.held, &s.drawn, &s.wants}
+	fields := []any{&s.from, &s.digest, &s.held, &s.drawn, &s.wants, &s.neighbours}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/spread/coordinator.go
+++ b/pkg/spread/coordinator.go
@@ -44,7 +44,7 @@
 	// stuckAfter is when a domain that brings in nothing loses its chunks.
 	stuckAfter = 10 * time.Second
 	// soleHolder is how long a chunk may stay with its first holder.
-	soleHolder = 20 * time.Second
+	soleHolder = 40 * time.Second
 	// domainTimeout is when another domain that is not heard of is dropped.
 	domainTimeout = 10 * time.Second
 )
@@ -134,7 +134,22 @@
 	m := c.update(r, now)
 	c.expire(now)
 	draw, imports := c.lend(m, now)
-	return contract.NewSpreadPlan(c.neighboursOf(m), draw, imports)
+	neighbours := c.neighboursOf(m)
+	if HashOf(neighbours) == r.Neighbours() {
+		// Two dozen identities a second to each agent were most of what a
+		// coordinator sent.
+		return contract.NewSpreadPlan(nil, true, draw, imports)
+	}
+	return contract.NewSpreadPlan(neighbours, false, draw, imports)
+}
+
+// HashOf tells one set of neighbours from another, whatever their order.
+func HashOf(neighbours []vm.Identity) uint64 {
+	hash := uint64(0)
+	for _, n := range neighbours {
+		hash += failuredomain.Rank(string(n.ID()), strconv.FormatUint(n.Incarnation(), 16))
+	}
+	return hash
 }
 
 func (c *Coordinator) update(r contract.SpreadReport, now time.Time) *member {
@@ -237,7 +252,7 @@
 
 // neighboursOf keeps an agent's neighbours, and fills up for those that went.
 // A random set keeps the domain connected without anybody knowing all of it.
-func (c *Coordinator) neighboursOf(m *member) []contract.Holder {
+func (c *Coordinator) neighboursOf(m *member) []vm.Identity {
 	var kept []vm.ID
 	chosen := map[vm.ID]bool{m.identity.ID(): true}
 	for _, id := range m.neighbours {
@@ -250,12 +265,12 @@
 		kept = append(kept, c.pickMembers(chosen, c.config.Neighbours-len(kept))...)
 	}
 	m.neighbours = kept
-	holders := make([]contract.Holder, 0, len(kept))
+	// What they hold comes from the neighbours themselves, sooner.
+	identities := make([]vm.Identity, 0, len(kept))
 	for _, id := range kept {
-		// What they hold comes from the neighbours themselves, sooner.
-		holders = append(holders, contract.NewHolder(c.members[id].identity, nil))
+		identities = append(identities, c.members[id].identity)
 	}
-	return holders
+	return identities
 }
 
 func (c *Coordinator) pickMembers(not map[vm.ID]bool, n int) []vm.ID {
--- a/pkg/spread/spread_test.go
+++ b/pkg/spread/spread_test.go
@@ -21,7 +21,7 @@
 }
 
 func reportOf(from vm.Identity, held Bitmap, wants bool) contract.SpreadReport {
-	return contract.NewSpreadReport(from, contract.DigestOf([]byte("x")), held.Bytes(), nil, wants)
+	return contract.NewSpreadReport(from, contract.DigestOf([]byte("x")), held.Bytes(), nil, wants, 0)
 }
 
 // drain has an agent take leases until it gets no more, as if each chunk
@@ -105,6 +105,21 @@
 	}
 }
 
+func TestKnownNeighboursAreNotSentAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := testCoordinator("a", now)
+	c.Report(reportOf(testIdentity("a1", "a"), NewBitmap(16), true), now)
+	first := c.Report(reportOf(testIdentity("a2", "a"), NewBitmap(16), true), now)
+	if first.Unchanged() || len(first.Peers()) != 1 {
+		t.Fatalf("first plan has %d neighbours", len(first.Peers()))
+	}
+	digest := contract.DigestOf([]byte("x"))
+	again := contract.NewSpreadReport(testIdentity("a2", "a"), digest, nil, nil, true, HashOf(first.Peers()))
+	if plan := c.Report(again, now); !plan.Unchanged() || len(plan.Peers()) != 0 {
+		t.Errorf("known neighbours were sent again: %d", len(plan.Peers()))
+	}
+}
+
 // TestCorruptSenderIsLeftAloneForAWhile was found by the bench: with 1% of
 // chunks corrupt, VMs of small domains had banned all their neighbours for
 // good and were never ready.
