--- /dev/null
+++ b/pkg/admission/admission_test.go
@@ -0,0 +1,67 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/failure"
+)
+
+var now = time.Unix(1000, 0)
+
+func admit(t *testing.T, c *Controller, name string, weight uint32, n int) (admitted int, last error) {
+	t.Helper()
+	for range n {
+		if _, err := c.Admit(Organisation{Name: name, Weight: weight}, now.Add(time.Minute), now); err != nil {
+			last = err
+		} else {
+			admitted++
+		}
+	}
+	return admitted, last
+}
+
+func TestLargeOrganisationLeavesRoomForASmallOne(t *testing.T) {
+	c := NewController(100)
+	alone, err := admit(t, c, "large", 9, 200)
+	if alone != 100 || !failure.Is(err, failure.Overloaded) {
+		t.Fatalf("alone it has %d places, %v", alone, err)
+	}
+	c = NewController(100)
+	if small, _ := admit(t, c, "small", 1, 1); small != 1 {
+		t.Fatal("the first request of a small organisation was refused")
+	}
+	large, err := admit(t, c, "large", 9, 200)
+	if large != 90 || !failure.Is(err, failure.ShareExceeded) {
+		t.Errorf("the large one got %d places beside a small one, %v", large, err)
+	}
+	if small, _ := admit(t, c, "small", 1, 20); small != 9 {
+		t.Errorf("the small one got %d more places of its 10", small)
+	}
+}
+
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
+	c := NewController(1)
+	admit(t, c, "larder", 1, 1)
+	_, err := c.Admit(Organisation{Name: "ladle", Weight: 1}, now.Add(time.Minute), now)
+	if f := failure.Of(err); f.RetryAfter() < leastRetryAfter || f.Ran() != failure.NotRun {
+		t.Errorf("refusal %v, come back in %s", f, f.RetryAfter())
+	}
+	if _, err := c.Admit(Organisation{Name: "ladle", Weight: 1}, now, now); !failure.Is(err, failure.DeadlineExceeded) {
+		t.Errorf("a request past its deadline: %v", err)
+	}
+}
+
+func TestReleaseTwiceGivesOnePlaceBack(t *testing.T) {
+	c := NewController(2)
+	ticket, err := c.Admit(Organisation{Name: "larder", Weight: 1}, now.Add(time.Minute), now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	admit(t, c, "larder", 1, 1)
+	ticket.Release(now)
+	ticket.Release(now)
+	if n := c.InFlight(); n != 1 {
+		t.Errorf("%d in flight", n)
+	}
+}
--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -96,6 +96,8 @@
 	ForgetAttempts bool
 	// DrainAtOnce leaves without waiting for what is in flight.
 	DrainAtOnce bool
+	// SkipQuiet gives orders right after a restart.
+	SkipQuiet bool
 	// TakeWhileDraining goes on taking requests.
 	TakeWhileDraining bool
 }
--- a/pkg/agent/loader.go
+++ b/pkg/agent/loader.go
@@ -60,7 +60,7 @@
 			interrupted = true
 		}
 	}
-	if interrupted && !a.settings.EngineFences() {
+	if interrupted && !a.settings.EngineFences() && !a.seams.Faults.SkipQuiet {
 		l.quiet = time.Now().Add(a.settings.OrderLimit())
 	}
 	return l
--- a/prove/backends_test.go
+++ b/prove/backends_test.go
@@ -68,11 +68,35 @@
 	loaded   map[string]string // digest to model
 	content  map[string]string // digest to what the weights really are
 	starts   int
+	given    int
+	busy     int
+	overlaps int
+	loadTime time.Duration
 	held     bool
 }
 
 func newModelEngine(l *ledger) *modelEngine {
-	return &modelEngine{ledger: l, loaded: map[string]string{}, content: map[string]string{}}
+	return &modelEngine{ledger: l, loaded: map[string]string{}, content: map[string]string{}, loadTime: 5 * step}
+}
+
+func (m *modelEngine) setLoadTime(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.loadTime = d
+}
+
+// orders counts the orders given so far, and overlapping those that came while
+// another was under way.
+func (m *modelEngine) orders() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.given
+}
+
+func (m *modelEngine) overlapping() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.overlaps
 }
 
 func (m *modelEngine) engine() *engine.Engine {
@@ -115,10 +139,38 @@
 
 // give loads without looking, as a trusting engine does; what it has loaded is
 // found out at once and remembered.
-func (m *modelEngine) give(_ context.Context, o engine.Order) (engine.State, error) {
-	time.Sleep(5 * step)
+func (m *modelEngine) give(ctx context.Context, o engine.Order) (engine.State, error) {
+	type answer struct {
+		state engine.State
+		err   error
+	}
+	done := make(chan answer, 1)
+	go func() {
+		s, err := m.carryOut(o)
+		done <- answer{s, err}
+	}()
+	select {
+	case a := <-done:
+		return a.state, a.err
+	case <-ctx.Done():
+		// The engine goes on with an order when the agent that gave it is gone.
+		return engine.State{}, failure.New(failure.BackendFailed, "%v", ctx.Err()).WithRan(failure.RanUnknown)
+	}
+}
+
+func (m *modelEngine) carryOut(o engine.Order) (engine.State, error) {
+	m.mu.Lock()
+	loadTime := m.loadTime
+	m.given++
+	m.busy++
+	if m.busy > 1 {
+		m.overlaps++
+	}
+	m.mu.Unlock()
+	time.Sleep(loadTime)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.busy--
 	if o.Fence <= m.fence {
 		return engine.State{}, failure.New(failure.StaleOrder, "fence %d is not above %d", o.Fence, m.fence)
 	}
--- a/prove/world_test.go
+++ b/prove/world_test.go
@@ -79,8 +79,10 @@
 
 	entryFaults entry.Faults
 	agentFaults agent.Faults
-	beforeSend  func(attempt string)
-	sendAnswer  func(send func(contract.Answer) error, part contract.Answer) error
+	// agentSettings are the lines of an agent's settings about its engine.
+	agentSettings string
+	beforeSend    func(attempt string)
+	sendAnswer    func(send func(contract.Answer) error, part contract.Answer) error
 	// mangle is for hooks that run beside the scenario, each under a lock of
 	// its own, so that random stays with the scenario.
 	mangle *rand.Rand
@@ -103,7 +105,8 @@
 		t: t, random: random, network: newNetwork(), folder: t.TempDir(), ledger: newLedger(),
 		origin:  newOrigin(rand.New(rand.NewPCG(seed, 2))),
 		engines: map[string]*modelEngine{}, processes: map[string]*process{}, entries: map[string]*entry.Entry{},
-		beforeSend: func(string) {}, agents: map[string]*agent.Agent{},
+		agentSettings: "engine: {url: \"http://127.0.0.1:1\", checks_fences: true}",
+		beforeSend:    func(string) {}, agents: map[string]*agent.Agent{},
 		mangle: rand.New(rand.NewPCG(seed, 3)),
 	}
 	w.service = &plainService{ledger: w.ledger}
@@ -220,9 +223,9 @@
 vm: {name: %s, region: %s, failure_domain: %s, labels: {purpose: menu, vm: %s}}
 data: {folder: %s}
 peers: {listen: "%s", entries: ["%s"]}
-engine: {url: "http://127.0.0.1:1", checks_fences: true}
+%s
 drain: {limit: 30s}
-`, name, p.domain, p.domain, name, filepath.Join(w.folder, name), p.address, strings.Join(entries, `", "`)))
+`, name, p.domain, p.domain, name, filepath.Join(w.folder, name), p.address, strings.Join(entries, `", "`), w.agentSettings))
 	s, err := settings.LoadAgent(path)
 	w.must(err)
 	w.mu.Lock()
