--- a/bench/burst_test.go
+++ b/bench/burst_test.go
@@ -676,3 +676,13 @@
 		b.print(fmt.Sprintf("uploads_%d", uploads))
 	}
 }
+
+// TestBurstDrawsAtScale looks for the number of draws at one time, where
+// sharing the origin's link between many delays the first chunks of all.
+func TestBurstDrawsAtScale(t *testing.T) {
+	for _, draws := range []int{8, 16} {
+		b := newBurst(440, 16, false, "", draws, 1)
+		play(t, b)
+		b.print(fmt.Sprintf("draws_%d", draws))
+	}
+}
