--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -5,11 +5,9 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -37,32 +35,16 @@
 }
 
 func (e *Entry) serveChat(w http.ResponseWriter, r *http.Request) {
-	now := time.Now()
-	c, err := e.readCaller(r, now)
-	if err != nil {
-		e.refuse(w, err)
-		return
-	}
-	raw, err := e.readBody(w, r)
-	if err != nil {
-		e.refuse(w, err)
-		return
-	}
-	body, err := e.readChat(raw)
-	if err != nil {
-		e.refuse(w, err)
-		return
-	}
-	ticket, err := e.admission.Admit(c.organisation, c.deadline, now)
-	if err != nil {
-		e.refuse(w, err)
-		return
-	}
-	defer func() { ticket.Release(time.Now()) }()
-	repeatable := c.repeatable == nil || *c.repeatable
-	request := contract.NewRequest(e.nextAttempt(), c.organisation.Name, body.Model, contract.Digest{}, "",
-		http.MethodPost, chatPath, jsonType, raw, c.deadline.UnixNano(), body.Stream, repeatable, c.priority)
-	e.serveWork(w, r, &work{request: request, prefix: prefixOf(body)}, c)
+	e.serveCall(w, r, func(c caller, raw []byte) (*work, error) {
+		body, err := e.readChat(raw)
+		if err != nil {
+			return nil, err
+		}
+		repeatable := c.repeatable == nil || *c.repeatable
+		request := contract.NewRequest(e.nextAttempt(), c.organisation.Name, body.Model, contract.Digest{}, "",
+			http.MethodPost, chatPath, jsonType, raw, c.deadline.UnixNano(), body.Stream, repeatable, c.priority)
+		return &work{request: request, prefix: prefixOf(body)}, nil
+	})
 }
 
 func (e *Entry) readChat(raw []byte) (chatBody, error) {
@@ -94,32 +76,3 @@
 	}
 	return strconv.FormatUint(h.Sum64(), 16)
 }
-
-// serveWork executes a request and answers its caller.
-func (e *Entry) serveWork(w http.ResponseWriter, r *http.Request, work *work, c caller) {
-	// The deadline bounds everything from here, the claim's quorum included.
-	ctx, cancel := context.WithDeadline(r.Context(), work.request.DeadlineTime())
-	defer cancel()
-	if c.key != "" && !work.request.Repeatable() {
-		e.serveClaimed(ctx, w, work, c.key)
-		return
-	}
-	out := e.stream(w)
-	err := e.execute(ctx, work, out)
-	e.finish(w, out, work.request.Stream(), err)
-}
-
-// serveClaimed answers a keyed request that may not be repeated. Its answer is
-// whole before it goes out, since the same bytes are stored for a resend.
-func (e *Entry) serveClaimed(ctx context.Context, w http.ResponseWriter, work *work, key string) {
-	outcome, err := e.executeClaimed(ctx, work, key)
-	if err != nil {
-		e.refuse(w, err)
-		return
-	}
-	e.metrics.requests.WithLabelValues("answered").Inc()
-	w.Header().Set("Content-Type", outcome.ContentType())
-	w.Header().Set(HeaderRan, failure.RanYes.String())
-	w.WriteHeader(outcome.Status())
-	_, _ = w.Write(outcome.Body())
-}
--- a/pkg/entry/services.go
+++ b/pkg/entry/services.go
@@ -8,7 +8,6 @@
 import (
 	"net/http"
 	"strings"
-	"time"
 
 	"github.com/go-chi/chi/v5"
 
@@ -17,36 +16,20 @@
 )
 
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
-	now := time.Now()
-	c, err := e.readCaller(r, now)
-	if err != nil {
-		e.refuse(w, err)
-		return
-	}
-	name := chi.URLParam(r, "service")
-	spec, ok := e.state.View().Service(name)
-	if !ok {
-		e.refuse(w, failure.New(failure.UnknownService, "service %q", name))
-		return
-	}
-	body, err := e.readBody(w, r)
-	if err != nil {
-		e.refuse(w, err)
-		return
-	}
-	ticket, err := e.admission.Admit(c.organisation, c.deadline, now)
-	if err != nil {
-		e.refuse(w, err)
-		return
-	}
-	defer func() { ticket.Release(time.Now()) }()
-	repeatable := spec.Repeatable()
-	if c.repeatable != nil {
-		repeatable = *c.repeatable
-	}
-	request := contract.NewRequest(e.nextAttempt(), c.organisation.Name, "", contract.Digest{}, name,
-		r.Method, servicePath(r, name), r.Header.Get("Content-Type"), body, c.deadline.UnixNano(), false, repeatable, c.priority)
-	e.serveWork(w, r, &work{request: request}, c)
+	e.serveCall(w, r, func(c caller, body []byte) (*work, error) {
+		name := chi.URLParam(r, "service")
+		spec, ok := e.state.View().Service(name)
+		if !ok {
+			return nil, failure.New(failure.UnknownService, "service %q", name)
+		}
+		repeatable := spec.Repeatable()
+		if c.repeatable != nil {
+			repeatable = *c.repeatable
+		}
+		request := contract.NewRequest(e.nextAttempt(), c.organisation.Name, "", contract.Digest{}, name,
+			r.Method, servicePath(r, name), r.Header.Get("Content-Type"), body, c.deadline.UnixNano(), false, repeatable, c.priority)
+		return &work{request: request}, nil
+	})
 }
 
 // servicePath is the path and query that the service sees.
