--- a/pkg/link/endpoint.go
+++ b/pkg/link/endpoint.go
@@ -13,6 +13,7 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -183,6 +184,7 @@
 
 func (e *Endpoint) serveStream(ctx context.Context, s *Stream) {
 	defer s.Close()
+	defer e.recoverStream(s)
 	var o opening
 	if err := s.Receive(&o); err != nil {
 		_ = s.Fail(failure.Of(err))
@@ -201,6 +203,15 @@
 	}
 }
 
+// recoverStream keeps a defect in one handler from ending the process with
+// everything else that is in flight. Whether anything ran is then not known.
+func (e *Endpoint) recoverStream(s *Stream) {
+	if r := recover(); r != nil {
+		_ = level.Error(e.config.Logger).Log("msg", "handler panicked", "panic", r, "stack", string(debug.Stack()))
+		_ = s.Fail(failure.New(failure.Internal, "a handler panicked: %v", r).WithRan(failure.RanUnknown))
+	}
+}
+
 // ----------------------------------------------------------------
 // Dialing
 
--- a/pkg/link/endpoint_test.go
+++ b/pkg/link/endpoint_test.go
@@ -98,3 +98,22 @@
 		t.Fatalf("a stream that broke off ended with %v", err)
 	}
 }
+
+// TestPanicEndsOneStreamOnly shows that a defect in a handler is an answer with
+// an unknown outcome, and that the process goes on.
+func TestPanicEndsOneStreamOnly(t *testing.T) {
+	server := testEndpoint("server", "", 0)
+	server.Handle(KindQuery, func(context.Context, *Stream) error { panic("a defect") })
+	server.Handle(KindStatus, func(_ context.Context, s *Stream) error { return s.Send("alive") })
+	address := serveEndpoint(t, server)
+	client := testEndpoint("client", "", 0)
+	defer client.Close()
+	var answer string
+	err := client.Call(context.Background(), address, KindQuery, "x", &answer)
+	if failure.Of(err).Ran() != failure.RanUnknown {
+		t.Errorf("a panic was answered with %v", err)
+	}
+	if err := client.Call(context.Background(), address, KindStatus, "x", &answer); err != nil || answer != "alive" {
+		t.Errorf("after a panic: %q, %v", answer, err)
+	}
+}
