--- a/pkg/contract/agent.go
+++ b/pkg/contract/agent.go
@@ -145,7 +145,7 @@
 	priority int
 }
 
-// Deadline as a time.
+// DeadlineTime returns the deadline as a time.
 func (r Request) DeadlineTime() time.Time { return time.Unix(0, r.deadline) }
 
 // Answer is one part of an answer. The first part has the status, the last
--- a/pkg/operator/apply.go
+++ b/pkg/operator/apply.go
@@ -44,7 +44,7 @@
 	wait bool
 }
 
-func buildApply(c *cobra.Command, s *session) func(context.Context, []string) error {
+func buildApply(c *cobra.Command, s *client) func(context.Context, []string) error {
 	var o applyOptions
 	c.Args = cobra.NoArgs
 	c.Flags().StringVarP(&o.file, "file", "f", "", "document, or - for standard input")
@@ -55,7 +55,7 @@
 	return func(ctx context.Context, _ []string) error { return runApply(ctx, s, o) }
 }
 
-func runApply(ctx context.Context, s *session, o applyOptions) error {
+func runApply(ctx context.Context, s *client, o applyOptions) error {
 	p, err := readDocument(o.file)
 	if err != nil {
 		return err
@@ -78,7 +78,7 @@
 	InForce  bool   `json:"in_force_everywhere" yaml:"in_force_everywhere"`
 }
 
-func (s *session) showApplied(revision uint64, waited bool) error {
+func (s *client) showApplied(revision uint64, waited bool) error {
 	note := fmt.Sprintf("accepted: revision %d", revision)
 	if waited {
 		note += ", in force on every VM"
@@ -87,7 +87,7 @@
 }
 
 // submit sends a change until it gets an answer or the time is up.
-func (s *session) submit(ctx context.Context, p parsed, id string, base int64) (contract.ChangeResult, error) {
+func (s *client) submit(ctx context.Context, p parsed, id string, base int64) (contract.ChangeResult, error) {
 	if id == "" {
 		id = uuid.NewString()
 	}
@@ -125,7 +125,7 @@
 	return elsewhere[kind] || kind == failure.NoQuorum || kind == failure.Overloaded
 }
 
-func (s *session) currentRevision(ctx context.Context) (uint64, error) {
+func (s *client) currentRevision(ctx context.Context) (uint64, error) {
 	var q contract.QueryResult
 	err := s.call(ctx, link.KindQuery, contract.NewQuery(contract.KindSource, "-", false), &q)
 	return q.Revision(), err
@@ -133,7 +133,7 @@
 
 // waitInForce waits until every agent and entry that an entry hears of has the
 // revision in force.
-func (s *session) waitInForce(ctx context.Context, revision uint64) error {
+func (s *client) waitInForce(ctx context.Context, revision uint64) error {
 	for {
 		lagging := []string{}
 		for _, address := range s.entries {
--- a/pkg/operator/check.go
+++ b/pkg/operator/check.go
@@ -27,7 +27,7 @@
 	"agent":    func(path string) error { _, err := settings.LoadAgent(path); return err },
 }
 
-func buildCheck(c *cobra.Command, s *session) func(context.Context, []string) error {
+func buildCheck(c *cobra.Command, s *client) func(context.Context, []string) error {
 	c.Args = cobra.ExactArgs(1)
 	as := c.Flags().String("as", "document", "document, entry or agent")
 	return func(_ context.Context, arguments []string) error {
--- a/pkg/operator/command.go
+++ b/pkg/operator/command.go
@@ -31,7 +31,7 @@
 	summary string
 	example string
 	// build adds flags and returns the work.
-	build func(c *cobra.Command, s *session) func(ctx context.Context, arguments []string) error
+	build func(c *cobra.Command, s *client) func(ctx context.Context, arguments []string) error
 }
 
 // verbs is the table of subcommands, in the order that help shows them.
@@ -79,7 +79,7 @@
 
 // Main runs the command line and returns its exit code.
 func Main(arguments []string, out, errOut io.Writer) int {
-	s := &session{out: out}
+	s := &client{out: out}
 	root := newRoot(s)
 	root.SetArgs(arguments)
 	root.SetOut(out)
@@ -98,7 +98,7 @@
 	return ExitFailed
 }
 
-func newRoot(s *session) *cobra.Command {
+func newRoot(s *client) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "tidepost",
 		Short:         "Spread model weights in bursts to borrowed VMs, and route requests to them",
@@ -121,7 +121,7 @@
 	return root
 }
 
-func newVerbCommand(v verb, s *session) *cobra.Command {
+func newVerbCommand(v verb, s *client) *cobra.Command {
 	c := &cobra.Command{Use: v.name, Short: v.summary, Example: v.example}
 	work := v.build(c, s)
 	if c.Args != nil {
@@ -153,10 +153,10 @@
 }
 
 // ----------------------------------------------------------------
-// Session
+// Client
 
-// session is what all verbs share: how to reach entries and where to write.
-type session struct {
+// client is what all verbs share: how to reach entries and where to write.
+type client struct {
 	entries        []string
 	keyFile        string
 	tlsCertificate string
@@ -168,7 +168,7 @@
 	endpoint       *link.Endpoint
 }
 
-func (s *session) close() {
+func (s *client) close() {
 	if s.endpoint != nil {
 		s.endpoint.Close()
 	}
@@ -182,7 +182,7 @@
 	return "operator"
 }
 
-func (s *session) open() (*link.Endpoint, error) {
+func (s *client) open() (*link.Endpoint, error) {
 	if s.endpoint != nil {
 		return s.endpoint, nil
 	}
@@ -209,7 +209,7 @@
 
 // call asks the entries in turn until one can be reached. A failure that says
 // something other than "go elsewhere" is final.
-func (s *session) call(ctx context.Context, kind link.Kind, request, answer any) error {
+func (s *client) call(ctx context.Context, kind link.Kind, request, answer any) error {
 	endpoint, err := s.open()
 	if err != nil {
 		return err
--- a/pkg/operator/docs.go
+++ b/pkg/operator/docs.go
@@ -37,7 +37,7 @@
 	docsPages["commands"] = writeCommandsPage
 }
 
-func buildDocs(c *cobra.Command, s *session) func(context.Context, []string) error {
+func buildDocs(c *cobra.Command, s *client) func(context.Context, []string) error {
 	c.Args = cobra.ExactArgs(1)
 	c.ValidArgs = []string{"settings", "errors", "metrics", "commands"}
 	return func(_ context.Context, arguments []string) error {
@@ -84,7 +84,7 @@
 
 func writeCommandsPage(w io.Writer) {
 	_, _ = fmt.Fprint(w, "# Commands\n\nPrinted by `tidepost docs commands` from the commands' own help.\n")
-	root := newRoot(&session{out: w})
+	root := newRoot(&client{out: w})
 	for _, c := range root.Commands() {
 		if c.Name() == "help" || c.Name() == "completion" {
 			continue
--- a/pkg/operator/drain.go
+++ b/pkg/operator/drain.go
@@ -22,7 +22,7 @@
 	build:   buildDrain,
 }
 
-func buildDrain(c *cobra.Command, s *session) func(context.Context, []string) error {
+func buildDrain(c *cobra.Command, s *client) func(context.Context, []string) error {
 	c.Args = cobra.ExactArgs(1)
 	reason := c.Flags().String("reason", "an operator asked", "reason, for the time line")
 	return func(ctx context.Context, arguments []string) error {
@@ -31,7 +31,7 @@
 }
 
 // runDrain asks each entry until one knows the VM.
-func runDrain(ctx context.Context, s *session, d contract.Drain) error {
+func runDrain(ctx context.Context, s *client, d contract.Drain) error {
 	endpoint, err := s.open()
 	if err != nil {
 		return err
--- a/pkg/operator/get.go
+++ b/pkg/operator/get.go
@@ -27,7 +27,7 @@
 	build:   buildGet,
 }
 
-func buildGet(c *cobra.Command, s *session) func(context.Context, []string) error {
+func buildGet(c *cobra.Command, s *client) func(context.Context, []string) error {
 	c.Args = cobra.MaximumNArgs(2)
 	for _, k := range contract.ObjectKinds() {
 		c.ValidArgs = append(c.ValidArgs, string(k))
@@ -36,7 +36,7 @@
 	return func(ctx context.Context, arguments []string) error { return runGet(ctx, s, arguments, *confirmed) }
 }
 
-func runGet(ctx context.Context, s *session, arguments []string, confirmed bool) error {
+func runGet(ctx context.Context, s *client, arguments []string, confirmed bool) error {
 	kind, name := "", ""
 	if len(arguments) > 0 {
 		kind = strings.TrimSuffix(arguments[0], "s")
--- a/pkg/operator/label.go
+++ b/pkg/operator/label.go
@@ -24,13 +24,13 @@
 	build:   buildLabel,
 }
 
-func buildLabel(c *cobra.Command, s *session) func(context.Context, []string) error {
+func buildLabel(c *cobra.Command, s *client) func(context.Context, []string) error {
 	c.Args = cobra.MinimumNArgs(2)
 	wait := c.Flags().Bool("wait", false, "return once the change is in force on every VM that is heard of")
 	return func(ctx context.Context, arguments []string) error { return runLabel(ctx, s, arguments, *wait) }
 }
 
-func runLabel(ctx context.Context, s *session, arguments []string, wait bool) error {
+func runLabel(ctx context.Context, s *client, arguments []string, wait bool) error {
 	id := arguments[0]
 	var q contract.QueryResult
 	if err := s.call(ctx, link.KindQuery, contract.NewQuery(contract.KindLabels, id, false), &q); err != nil {
--- a/pkg/operator/output.go
+++ b/pkg/operator/output.go
@@ -32,7 +32,7 @@
 	"jsonl": writeJSONLines,
 }
 
-func (s *session) show(r report) error { return formatters[s.format](s.out, r) }
+func (s *client) show(r report) error { return formatters[s.format](s.out, r) }
 
 func writeTable(w io.Writer, r report) error {
 	if len(r.columns) > 0 {
--- a/pkg/operator/replay.go
+++ b/pkg/operator/replay.go
@@ -22,12 +22,12 @@
 	build:   buildReplay,
 }
 
-func buildReplay(c *cobra.Command, s *session) func(context.Context, []string) error {
+func buildReplay(c *cobra.Command, s *client) func(context.Context, []string) error {
 	c.Args = cobra.ExactArgs(1)
 	return func(_ context.Context, arguments []string) error { return runReplay(s, arguments[0]) }
 }
 
-func runReplay(s *session, path string) error {
+func runReplay(s *client, path string) error {
 	f, err := os.Open(path)
 	if err != nil {
 		return failure.New(failure.BadDocument, "%v", err)
--- a/pkg/operator/status.go
+++ b/pkg/operator/status.go
@@ -24,13 +24,13 @@
 	build:   buildStatus,
 }
 
-func buildStatus(c *cobra.Command, s *session) func(context.Context, []string) error {
+func buildStatus(c *cobra.Command, s *client) func(context.Context, []string) error {
 	c.Args = cobra.NoArgs
 	return func(ctx context.Context, _ []string) error { return runStatus(ctx, s) }
 }
 
 // statusOf asks one entry.
-func (s *session) statusOf(ctx context.Context, address string) (contract.Status, error) {
+func (s *client) statusOf(ctx context.Context, address string) (contract.Status, error) {
 	endpoint, err := s.open()
 	if err != nil {
 		return contract.Status{}, err
@@ -72,7 +72,7 @@
 	Processes   []processView `json:"processes" yaml:"processes"`
 }
 
-func runStatus(ctx context.Context, s *session) error {
+func runStatus(ctx context.Context, s *client) error {
 	view := statusView{Voters: []string{}, Processes: []processView{}}
 	if _, err := s.open(); err != nil {
 		return err
--- a/pkg/operator/timeline.go
+++ b/pkg/operator/timeline.go
@@ -34,7 +34,7 @@
 	kind    string
 }
 
-func buildTimeline(c *cobra.Command, s *session) func(context.Context, []string) error {
+func buildTimeline(c *cobra.Command, s *client) func(context.Context, []string) error {
 	var o timelineOptions
 	c.Args = cobra.NoArgs
 	c.Flags().DurationVar(&o.since, "since", time.Hour, "how far back to look")
@@ -43,7 +43,7 @@
 	return func(ctx context.Context, _ []string) error { return runTimeline(ctx, s, o) }
 }
 
-func runTimeline(ctx context.Context, s *session, o timelineOptions) error {
+func runTimeline(ctx context.Context, s *client, o timelineOptions) error {
 	addresses, err := s.processAddresses(ctx)
 	if err != nil {
 		return err
@@ -63,7 +63,7 @@
 }
 
 // processAddresses returns the link addresses of all that the entries hear of.
-func (s *session) processAddresses(ctx context.Context) (map[string]string, error) {
+func (s *client) processAddresses(ctx context.Context) (map[string]string, error) {
 	addresses := map[string]string{}
 	var last error
 	for _, entry := range s.entries {
--- a/pkg/operator/voter.go
+++ b/pkg/operator/voter.go
@@ -33,12 +33,12 @@
 // voterPoll is the time between looks at whether a voter was promoted.
 const voterPoll = 100 * time.Millisecond
 
-func buildBootstrap(c *cobra.Command, s *session) func(context.Context, []string) error {
+func buildBootstrap(c *cobra.Command, s *client) func(context.Context, []string) error {
 	c.Args = cobra.MinimumNArgs(1)
 	return func(ctx context.Context, addresses []string) error { return runBootstrap(ctx, s, addresses) }
 }
 
-func runBootstrap(ctx context.Context, s *session, addresses []string) error {
+func runBootstrap(ctx context.Context, s *client, addresses []string) error {
 	s.entries = addresses
 	endpoint, err := s.open()
 	if err != nil {
@@ -62,7 +62,7 @@
 	return s.show(report{notes: notes, data: fields("result", note)})
 }
 
-func buildVoter(c *cobra.Command, s *session) func(context.Context, []string) error {
+func buildVoter(c *cobra.Command, s *client) func(context.Context, []string) error {
 	c.Args = cobra.ExactArgs(2)
 	c.ValidArgs = []string{"add", "remove"}
 	return func(ctx context.Context, arguments []string) error {
@@ -70,7 +70,7 @@
 	}
 }
 
-func runVoter(ctx context.Context, s *session, action, subject string) error {
+func runVoter(ctx context.Context, s *client, action, subject string) error {
 	switch contract.VoterAction(action) {
 	case contract.VoterAdd:
 		if err := s.addVoter(ctx, subject); err != nil {
@@ -89,7 +89,7 @@
 
 // addVoter adds a voter and waits until it votes and no earlier life of its VM
 // is left.
-func (s *session) addVoter(ctx context.Context, address string) error {
+func (s *client) addVoter(ctx context.Context, address string) error {
 	if err := s.changeVoters(ctx, contract.NewVoterChange(contract.VoterAdd, "", address, 0)); err != nil {
 		return err
 	}
@@ -104,7 +104,7 @@
 	}
 }
 
-func (s *session) promoted(ctx context.Context, address string) (bool, error) {
+func (s *client) promoted(ctx context.Context, address string) (bool, error) {
 	var status contract.Status
 	if err := s.call(ctx, link.KindStatus, contract.Acknowledgement{}, &status); err != nil {
 		return false, err
@@ -124,7 +124,7 @@
 }
 
 // changeVoters repeats a change that is only not safe yet.
-func (s *session) changeVoters(ctx context.Context, c contract.VoterChange) error {
+func (s *client) changeVoters(ctx context.Context, c contract.VoterChange) error {
 	for {
 		var a contract.Acknowledgement
 		err := s.call(ctx, link.KindVoterChange, c, &a)
