A late heartbeat of the same life is always ignored

Cause: found by reading. A heartbeat with an earlier number was ignored only after the agent had begun to drain; before that the last ones of a broken stream could put an older revision and load back in place. The test failed first.

--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -83,7 +83,7 @@
 		s.agents[b.From().ID()] = a
 		return Seen
 	}
-	if b.Sequence() <= old.Beat.Sequence() && old.Beat.Draining() {
+	if b.Sequence() <= old.Beat.Sequence() {
 		return Unchanged
 	}
 	old.Beat, old.Received = b, now
--- a/pkg/operator/status.go
+++ b/pkg/operator/status.go
@@ -149,9 +149,8 @@
 }
 
 func (v *statusView) countLag() {
-	for i, p := range v.Processes {
+	for _, p := range v.Processes {
 		v.Revision = max(v.Revision, p.Revision)
-		_ = i
 	}
 	for i := range v.Processes {
 		v.Processes[i].Lags = v.Revision - v.Processes[i].Revision
