A loaded copy that is wanted again stays in service

Cause: found by reading. A copy whose label was removed and put back while it was still loaded went back to verified, and was ordered anew. The test failed first.

--- a/pkg/agent/copier.go
+++ b/pkg/agent/copier.go
@@ -116,7 +116,7 @@
 				return err
 			}
 			completed = true
-			c.agent.copies.setPhase(c.assignment.Digest, contract.PhaseVerified)
+			c.agent.copies.verified(c.assignment.Digest)
 			c.agent.loader.wake()
 			c.report(ctx)
 		}
--- a/pkg/agent/copy_table.go
+++ b/pkg/agent/copy_table.go
@@ -105,6 +105,18 @@
 	return true
 }
 
+// verified notes that a copy is whole on disk. One that is loading or ready
+// stays so: it was whole all the time and only wanted again.
+func (t *copyTable) verified(d contract.Digest) {
+	t.mu.Lock()
+	c := t.copies[d]
+	further := c == nil || c.phase == contract.PhaseLoading || c.phase == contract.PhaseReady
+	t.mu.Unlock()
+	if !further {
+		t.setPhase(d, contract.PhaseVerified)
+	}
+}
+
 // pin keeps a ready copy loaded until unpin; false when it is not ready.
 func (t *copyTable) pin(d contract.Digest) bool {
 	t.mu.Lock()
