A caller's header can make a call stricter, never laxer

Cause: found by reading. X-Tidepost-Repeatable: true let a caller have an order run twice that the configuration says may not be repeated. The test failed first: with the old code the order ran twice.

--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -8,7 +8,8 @@
 //	X-Tidepost-Organisation: larder      who calls; required
 //	X-Tidepost-Deadline: 20s             time left, or an RFC 3339 time
 //	Idempotency-Key: order-4711          one run for all requests with it
-//	X-Tidepost-Repeatable: true          overrides the service's configuration
+//	X-Tidepost-Repeatable: false         may not run twice, whatever the service's
+//	                                     configuration allows
 //	X-Tidepost-Priority: 5               handed on to the engine
 // ================================================================
 
--- a/pkg/entry/services.go
+++ b/pkg/entry/services.go
@@ -22,10 +22,9 @@
 		if !ok {
 			return nil, failure.New(failure.UnknownService, "service %q", name)
 		}
-		repeatable := spec.Repeatable()
-		if c.repeatable != nil {
-			repeatable = *c.repeatable
-		}
+		// A caller may be stricter than the configuration, never laxer: a
+		// header set by mistake must not double an order.
+		repeatable := spec.Repeatable() && (c.repeatable == nil || *c.repeatable)
 		request := contract.NewRequest(e.nextAttempt(), c.organisation.Name, "", contract.Digest{}, name,
 			r.Method, servicePath(r, name), r.Header.Get("Content-Type"), body, c.deadline.UnixNano(), false, repeatable, c.priority)
 		return &work{request: request}, nil
--- a/pkg/operator/docs.go
+++ b/pkg/operator/docs.go
@@ -89,7 +89,10 @@
 		if c.Name() == "help" || c.Name() == "completion" {
 			continue
 		}
-		_, _ = fmt.Fprintf(w, "\n## tidepost %s\n\n%s.\n\n```\n%s\n```\n\n```\n%s```\n", c.Name(), c.Short, c.Example, c.LocalFlags().FlagUsages())
+		_, _ = fmt.Fprintf(w, "\n## tidepost %s\n\n%s.\n\n```\n%s\n```\n", c.Name(), c.Short, c.Example)
+		if flags := c.LocalFlags().FlagUsages(); flags != "" {
+			_, _ = fmt.Fprintf(w, "\n```\n%s```\n", flags)
+		}
 	}
 	_, _ = fmt.Fprintf(w, "\n## Flags of all commands\n\n```\n%s```\n\n%s\n", root.PersistentFlags().FlagUsages(), "```\n"+exitHelp+"\n```")
 }
--- a/prove/callers_test.go
+++ b/prove/callers_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/tidepost/tidepost/pkg/entry"
 )
@@ -102,3 +103,24 @@
 		t.Errorf("%s differs.\n--- got\n%s--- want\n%s", path, got, want)
 	}
 }
+
+// TestCallerCannotMakeAnOrderRepeatable shows that a header does not let an
+// order run twice that the configuration does not let.
+func TestCallerCannotMakeAnOrderRepeatable(t *testing.T) {
+	defer emptyPools()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		defer w.stop()
+		w.start()
+		w.eventually("the plain service in two failure domains", func() bool {
+			return w.order("entry-1", "", "try").whole() && w.order("entry-3", "", "try").whole()
+		})
+		// Entries hear of each other's services once a second.
+		time.Sleep(5 * time.Second)
+		w.service.setMode(modeLoseAnswer)
+		a := w.ask("entry-1", "/services/ordering/orders", "flour", map[string]string{entry.HeaderRepeatable: "true"})
+		if n := w.ledger.count("flour"); n != 1 || a.saysNotRun() {
+			t.Errorf("ran %d times, answer %+v", n, a)
+		}
+	})
+}
