Operators can remove a label of a VM's own settings

'tidepost label agent-2 purpose-' removed the operator's label only; the one of the VM's settings came back from under it, and the VM went on serving. Removed keys are now kept in the label set. The test fails without it: LabelsOf returned purpose=menu.

--- a/bench/capacity_test.go
+++ b/bench/capacity_test.go
@@ -105,7 +105,7 @@
 		objects = append(objects, o)
 	}
 	for i := range labels {
-		add(contract.KindLabels, string(identityOf(i).ID()), contract.NewLabelSet(vm.Labels{"purpose": "menu"}))
+		add(contract.KindLabels, string(identityOf(i).ID()), contract.NewLabelSet(vm.Labels{"purpose": "menu"}, nil))
 	}
 	s.ApplyChange(contract.NewChange("all", "ann", 0, objects, contract.Digest{}))
 	return s
@@ -119,7 +119,7 @@
 		i := 0
 		change = append(change, point{float64(n), microseconds(perCall(func() {
 			i++
-			o, err := contract.EncodeObject(contract.KindLabels, "larder-0001", contract.NewLabelSet(vm.Labels{"purpose": fmt.Sprint(i)}))
+			o, err := contract.EncodeObject(contract.KindLabels, "larder-0001", contract.NewLabelSet(vm.Labels{"purpose": fmt.Sprint(i)}, nil))
 			if err != nil {
 				panic(err)
 			}
--- a/bench/control_test.go
+++ b/bench/control_test.go
@@ -98,7 +98,7 @@
 }
 
 func labelChange(i int, base uint64) contract.Change {
-	o, err := contract.EncodeObject(contract.KindLabels, fmt.Sprint("vm-", i%2200), contract.NewLabelSet(vm.Labels{"n": fmt.Sprint(i)}))
+	o, err := contract.EncodeObject(contract.KindLabels, fmt.Sprint("vm-", i%2200), contract.NewLabelSet(vm.Labels{"n": fmt.Sprint(i)}, nil))
 	if err != nil {
 		panic(err)
 	}
--- a/pkg/configstate/view.go
+++ b/pkg/configstate/view.go
@@ -33,7 +33,7 @@
 	models        map[string]contract.Model
 	organisations map[string]contract.Organisation
 	services      map[string]service
-	labels        map[vm.ID]vm.Labels
+	labels        map[vm.ID]contract.LabelSet
 	sources       []contract.Source
 	digests       map[string]contract.Digest
 	servedDigests map[string][]contract.Digest
@@ -45,7 +45,7 @@
 		models:        map[string]contract.Model{},
 		organisations: map[string]contract.Organisation{},
 		services:      map[string]service{},
-		labels:        map[vm.ID]vm.Labels{},
+		labels:        map[vm.ID]contract.LabelSet{},
 		digests:       map[string]contract.Digest{},
 		servedDigests: map[string][]contract.Digest{},
 	}
@@ -79,7 +79,7 @@
 		v.addService(key.Name, o)
 	case contract.KindLabels:
 		if spec, err := contract.DecodeBody[contract.LabelSet](o); err == nil {
-			v.labels[vm.ID(key.Name)] = spec.Labels()
+			v.labels[vm.ID(key.Name)] = spec
 		}
 	case contract.KindSource:
 		if spec, err := contract.DecodeBody[contract.Source](o); err == nil {
@@ -161,8 +161,16 @@
 	return d, ok
 }
 
-// LabelsOf returns a VM's labels: its own with the operators' on top.
-func (v *View) LabelsOf(id vm.ID, own vm.Labels) vm.Labels { return own.Merge(v.labels[id]) }
+// LabelsOf returns a VM's labels: its own, less those that operators removed,
+// with the operators' on top.
+func (v *View) LabelsOf(id vm.ID, own vm.Labels) vm.Labels {
+	set := v.labels[id]
+	merged := own.Merge(nil)
+	for _, key := range set.Removed() {
+		delete(merged, key)
+	}
+	return merged.Merge(set.Labels())
+}
 
 // Assignment is a copy that a VM should carry, and in what role.
 type Assignment struct {
--- /dev/null
+++ b/pkg/configstate/view_test.go
@@ -0,0 +1,39 @@
+package configstate
+
+import (
+	"testing"
+
+	"github.com/tidepost/tidepost/pkg/contract"
+	"github.com/tidepost/tidepost/pkg/vm"
+)
+
+// TestOperatorCanRemoveAVMsOwnLabel was found in the demo: the label of the
+// VM's settings came back from under the operator's.
+func TestOperatorCanRemoveAVMsOwnLabel(t *testing.T) {
+	own := vm.Labels{"purpose": "menu", "rack": "r1"}
+	s := NewState()
+	base := uint64(0)
+	label := func(id string, labels vm.Labels, removed ...string) {
+		t.Helper()
+		o, err := contract.EncodeObject(contract.KindLabels, "vm-1", contract.NewLabelSet(labels, removed))
+		if err != nil {
+			t.Fatal(err)
+		}
+		result := s.ApplyChange(contract.NewChange(id, "ann", base, []contract.Object{o}, contract.Digest{}))
+		if result.Refusal() != nil {
+			t.Fatal(result.Refusal())
+		}
+		base = result.Revision()
+	}
+	label("a", vm.Labels{}, "purpose")
+	if got := s.View().LabelsOf("vm-1", own); len(got) != 1 || got["rack"] != "r1" {
+		t.Errorf("after the removal: %v", got)
+	}
+	label("b", vm.Labels{"purpose": "portal"})
+	if got := s.View().LabelsOf("vm-1", own); got["purpose"] != "portal" {
+		t.Errorf("after it was set: %v", got)
+	}
+	if got := s.View().LabelsOf("vm-2", own); got["purpose"] != "menu" {
+		t.Errorf("another VM: %v", got)
+	}
+}
--- a/pkg/contract/objects.go
+++ b/pkg/contract/objects.go
@@ -97,6 +97,8 @@
 type LabelSet struct {
 	// labels are the pairs.
 	labels vm.Labels
+	// removed are keys of the VM's own labels that do not count.
+	removed []string
 }
 
 // Source is where weights come from.
--- a/pkg/contract/wire_generated.go
+++ b/pkg/contract/wire_generated.go
@@ -899,19 +899,22 @@
 }
 
 // NewLabelSet returns a LabelSet with the given fields.
-func NewLabelSet(labels vm.Labels) LabelSet {
-	return LabelSet{labels: labels}
+func NewLabelSet(labels vm.Labels, removed []string) LabelSet {
+	return LabelSet{labels: labels, removed: removed}
 }
 
 // Labels are the pairs.
 func (l LabelSet) Labels() vm.Labels { return l.labels }
 
+// Removed are keys of the VM's own labels that do not count.
+func (l LabelSet) Removed() []string { return l.removed }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (l LabelSet) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(1); err != nil {
+	if err := enc.EncodeArrayLen(2); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(l.labels)
+	return enc.EncodeMulti(l.labels, l.removed)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -920,7 +923,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&l.labels}
+	fields := []any{&l.labels, &l.removed}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/operator/document.go
+++ b/pkg/operator/document.go
@@ -64,6 +64,8 @@
 	Labels []struct {
 		VM     string            `yaml:"vm"`
 		Labels map[string]string `yaml:"labels"`
+		// Removed are keys of the VM's own settings that do not count.
+		Removed []string `yaml:"removed"`
 	} `yaml:"labels"`
 	Delete []string `yaml:"delete"`
 }
@@ -200,7 +202,7 @@
 
 func (d document) addLabels(p *parsed) error {
 	for _, l := range d.Labels {
-		if err := p.put(contract.KindLabels, l.VM, contract.NewLabelSet(l.Labels)); err != nil {
+		if err := p.put(contract.KindLabels, l.VM, contract.NewLabelSet(l.Labels, l.Removed)); err != nil {
 			return err
 		}
 	}
--- a/pkg/operator/get.go
+++ b/pkg/operator/get.go
@@ -114,7 +114,11 @@
 	},
 	contract.KindLabels: func(o contract.Object) (string, any) {
 		l, _ := contract.DecodeBody[contract.LabelSet](o)
-		return labelText(l.Labels()), l.Labels()
+		text := labelText(l.Labels())
+		for _, key := range l.Removed() {
+			text += " " + key + "-"
+		}
+		return strings.TrimSpace(text), l.Labels()
 	},
 	contract.KindSource: func(o contract.Object) (string, any) {
 		v, _ := contract.DecodeBody[contract.Source](o)
--- a/pkg/operator/label.go
+++ b/pkg/operator/label.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"fmt"
+	"sort"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -36,19 +37,22 @@
 	if err := s.call(ctx, link.KindQuery, contract.NewQuery(contract.KindLabels, id, false), &q); err != nil {
 		return err
 	}
-	labels := vm.Labels{}
+	labels, removed := vm.Labels{}, map[string]bool{}
 	for _, o := range q.Objects() {
 		set, err := contract.DecodeBody[contract.LabelSet](o)
 		if err != nil {
 			return err
 		}
 		labels = labels.Merge(set.Labels())
+		for _, key := range set.Removed() {
+			removed[key] = true
+		}
 	}
-	if err := editLabels(labels, arguments[1:]); err != nil {
+	if err := editLabels(labels, removed, arguments[1:]); err != nil {
 		return err
 	}
 	var p parsed
-	if err := p.put(contract.KindLabels, id, contract.NewLabelSet(labels)); err != nil {
+	if err := p.put(contract.KindLabels, id, contract.NewLabelSet(labels, sortedKeys(removed))); err != nil {
 		return err
 	}
 	// The base is the revision that the labels were read at: two operators
@@ -65,10 +69,13 @@
 	return s.showApplied(result.Revision(), wait)
 }
 
-func editLabels(labels vm.Labels, edits []string) error {
+// editLabels sets and removes labels. A removed key is remembered, since the
+// VM's own settings may have it.
+func editLabels(labels vm.Labels, removed map[string]bool, edits []string) error {
 	for _, e := range edits {
 		if key, value, ok := strings.Cut(e, "="); ok && key != "" {
 			labels[key] = value
+			delete(removed, key)
 			continue
 		}
 		key, ok := strings.CutSuffix(e, "-")
@@ -76,6 +83,16 @@
 			return usageError{fmt.Errorf("%q is not KEY=VALUE or KEY-", e)}
 		}
 		delete(labels, key)
+		removed[key] = true
 	}
 	return nil
 }
+
+func sortedKeys(set map[string]bool) []string {
+	var keys []string
+	for key := range set {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- a/prove/promises_test.go
+++ b/prove/promises_test.go
@@ -410,7 +410,7 @@
 
 // changeLabel writes one object and resends through other entries.
 func (w *world) changeLabel(at []string, value string, base uint64) (contract.ChangeResult, bool) {
-	o, err := contract.EncodeObject(contract.KindLabels, "contested", contract.NewLabelSet(vm.Labels{"value": value}))
+	o, err := contract.EncodeObject(contract.KindLabels, "contested", contract.NewLabelSet(vm.Labels{"value": value}, nil))
 	w.must(err)
 	for range 3 {
 		for _, entry := range at {
