--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -187,4 +187,13 @@
 [ "$runs" = '{"flour 20kg":1}' ] || fail "the order ran otherwise than once: $runs"
 echo "the order ran once"
 
+if [ -z "${DEMO_KILL_AGENT:-}" ]; then
+  step "taking agent-2 out of the group by its label, and putting it back"
+  two_ready() { [ "$(ready_count)" -eq 2 ]; }
+  "$BIN/tidepost" label agent-2 purpose- --wait || fail "label"
+  wait_for 10 "agent-2 goes on serving without its label" two_ready
+  "$BIN/tidepost" label agent-2 purpose=menu --wait || fail "label"
+  wait_for 10 "agent-2 does not serve again" ready_is 3
+fi
+
 echo "demo: ok ready=$(ready_count)/$expected time_to_ready=$time_to_ready origin_copies=$origin_copies answer_bytes=$answer_bytes"
