--- a/pkg/entry/claims.go
+++ b/pkg/entry/claims.go
@@ -34,8 +34,11 @@
 	claim := contract.NewClaim(r.Organisation(), key, r.Attempt(), contract.DigestOf(append([]byte(r.Method()+" "+r.Path()+"\n"), r.Body()...)), r.Deadline())
 	var granted contract.ClaimResult
 	if err := e.proposals.propose(ctx, agreed.CommandClaim, claim, &granted); err != nil {
-		// Nothing was sent to an agent, whatever became of the claim.
-		return contract.Outcome{}, failure.Of(err).WithRan(failure.NotRun)
+		// This call sent nothing to an agent, whatever became of the claim. What
+		// an earlier call with the key did, nobody here can tell.
+		f := failure.Of(err)
+		return contract.Outcome{}, failure.New(f.Kind(),
+			"no claim for key %q: %s; this call did not run, whether an earlier one with the key did is not known here", key, f.Message())
 	}
 	if granted.Refusal() != nil {
 		return contract.Outcome{}, granted.Refusal()
