--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -16,12 +16,8 @@
 	"context"
 	"os"
 	"path/filepath"
-	"sort"
-	"time"
 
-	"github.com/go-kit/log/level"
 	"github.com/oklog/run"
-	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/time/rate"
 
 	"github.com/tidepost/tidepost/pkg/bus"
@@ -32,10 +28,8 @@
 	"github.com/tidepost/tidepost/pkg/disk"
 	"github.com/tidepost/tidepost/pkg/engine"
 	"github.com/tidepost/tidepost/pkg/event"
-	"github.com/tidepost/tidepost/pkg/failuredomain"
 	"github.com/tidepost/tidepost/pkg/link"
 	"github.com/tidepost/tidepost/pkg/settings"
-	"github.com/tidepost/tidepost/pkg/vm"
 	"github.com/tidepost/tidepost/pkg/weights"
 )
 
@@ -204,147 +198,3 @@
 	a.process.Bus.Close()
 	return err
 }
-
-// ----------------------------------------------------------------
-// Configuration
-
-func (a *Agent) follower() *configstate.Follower {
-	return &configstate.Follower{
-		Endpoint:  a.process.Endpoint,
-		State:     a.state,
-		Addresses: func() []string { return a.rankedEntries("config") },
-		Heard:     func(bool) {},
-	}
-}
-
-// rankedEntries returns the entries in the order that this agent prefers them
-// for a subject; agents spread over the entries by it.
-func (a *Agent) rankedEntries(subject string) []string {
-	entries := append([]string(nil), a.settings.Entries()...)
-	sort.Slice(entries, func(i, j int) bool {
-		return failuredomain.Rank(subject, entries[i]) > failuredomain.Rank(subject, entries[j])
-	})
-	return entries
-}
-
-// restoreConfig puts the configuration in force that was so before a restart,
-// so that an agent that is cut off goes on, and never goes back.
-func (a *Agent) restoreConfig() {
-	raw, err := a.folder.Read(configFile)
-	if err != nil {
-		return
-	}
-	var d contract.Delta
-	if err := msgpack.Unmarshal(raw, &d); err != nil {
-		_ = level.Warn(a.process.Logger).Log("msg", "stored configuration cannot be read; waiting for an entry's", "err", err)
-		return
-	}
-	a.state.ApplyDelta(d)
-}
-
-// onConfig stores the configuration and wakes the reconciler.
-func (a *Agent) onConfig() {
-	if d, ok := a.state.Since(0); ok {
-		if raw, err := msgpack.Marshal(d); err == nil {
-			if err := a.folder.Replace(configFile, raw); err != nil {
-				_ = level.Error(a.process.Logger).Log("msg", "configuration not stored", "err", err)
-			}
-		}
-	}
-	a.process.Recorder.Record(event.ConfigApplied, string(a.process.Identity.ID()), revisionText(a.state.Revision()))
-	a.wake()
-}
-
-func (a *Agent) wake() {
-	select {
-	case a.changed <- struct{}{}:
-	default:
-	}
-}
-
-// labels returns the labels in force on this VM.
-func (a *Agent) labels() vm.Labels {
-	return a.state.View().LabelsOf(a.process.Identity.ID(), a.settings.Labels())
-}
-
-// reconcileEvery bounds how long a missed wake-up can go unnoticed.
-const reconcileEvery = time.Second
-
-// reconcile starts and ends copies as the configuration says.
-func (a *Agent) reconcile(ctx context.Context) error {
-	ticker := time.NewTicker(reconcileEvery)
-	defer ticker.Stop()
-	running := map[contract.Digest]context.CancelFunc{}
-	for {
-		a.reconcileOnce(ctx, running)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-a.changed:
-		case <-ticker.C:
-		}
-	}
-}
-
-func (a *Agent) reconcileOnce(ctx context.Context, running map[contract.Digest]context.CancelFunc) {
-	view := a.state.View()
-	wanted := map[contract.Digest]configstate.Assignment{}
-	for _, assignment := range view.Assignments(a.labels()) {
-		if old, ok := wanted[assignment.Digest]; !ok || old.Role != contract.RoleServe {
-			wanted[assignment.Digest] = assignment
-		}
-	}
-	for digest, assignment := range wanted {
-		a.copies.want(assignment)
-		if running[digest] == nil {
-			copyContext, cancel := context.WithCancel(ctx)
-			running[digest] = cancel
-			go a.copyLoop(copyContext, assignment)
-		}
-	}
-	for digest, cancel := range running {
-		if _, ok := wanted[digest]; !ok {
-			cancel()
-			delete(running, digest)
-			a.copies.unwant(digest)
-		}
-	}
-	a.loader.wake()
-	a.evict(view, wanted)
-}
-
-// evict removes the copies that no configuration names any more. What a group
-// elsewhere carries stays: it may be asked of us, or come back.
-func (a *Agent) evict(view *configstate.View, wanted map[contract.Digest]configstate.Assignment) {
-	if view.Revision() == 0 {
-		return
-	}
-	for _, digest := range a.copies.evictable() {
-		if _, known := view.Manifest(digest); known {
-			continue
-		}
-		a.removeCopy(digest)
-	}
-	leftovers, err := a.store.Leftovers()
-	if err != nil {
-		return
-	}
-	for _, digest := range leftovers {
-		_, inUse := wanted[digest]
-		if _, known := view.Manifest(digest); !known && !inUse {
-			_ = a.store.RemoveLeftover(digest)
-		}
-	}
-}
-
-func (a *Agent) removeCopy(digest contract.Digest) {
-	if err := a.store.Remove(digest); err != nil {
-		_ = level.Error(a.process.Logger).Log("msg", "copy not removed", "digest", digest.Short(), "err", err)
-		return
-	}
-	a.copies.forget(digest)
-	a.process.Recorder.Record(event.CopyRemoved, digest.Short(), "no configuration names it")
-}
-
-// Revision returns the configuration revision in force here.
-func (a *Agent) Revision() uint64 { return a.state.Revision() }
--- /dev/null
+++ b/pkg/weights/copy.go
@@ -0,0 +1,207 @@
+// ================================================================
+// One copy on the VM: chunks arrive at their offsets, each verified against its
+// digest; a full one is synced, read back and renamed into place.
+// ================================================================
+
+package weights
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/tidepost/tidepost/pkg/contract"
+	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/spread"
+)
+
+func (c *Copy) path(suffix string) string {
+	return filepath.Join(c.folder, c.digest.String()+suffix)
+}
+
+func (c *Copy) matches(i int, data []byte) bool {
+	return contract.DigestOf(data) == c.manifest.Chunks()[i]
+}
+
+// Path returns where the whole copy lies.
+func (c *Copy) Path() string { return c.path(wholeSuffix) }
+
+// Manifest returns the manifest of the copy.
+func (c *Copy) Manifest() contract.Manifest { return c.manifest }
+
+// Digest returns the manifest's digest.
+func (c *Copy) Digest() contract.Digest { return c.digest }
+
+// open reads what the disk holds, whole or partial.
+func (c *Copy) open() error {
+	if f, err := os.OpenFile(c.path(wholeSuffix), os.O_RDWR, fileMode); err == nil {
+		c.file = f
+		c.verifyAll()
+		c.whole = c.held.Full()
+		if c.whole {
+			return nil
+		}
+		// The disk damaged what was whole: what still verifies is kept.
+		if err := os.Rename(c.path(wholeSuffix), c.path(partialSuffix)); err != nil {
+			return failure.New(failure.DiskFailed, "rename damaged copy: %v", err)
+		}
+		return nil
+	}
+	f, err := os.OpenFile(c.path(partialSuffix), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return failure.New(failure.DiskFailed, "open copy: %v", err)
+	}
+	c.file = f
+	c.verifyAll()
+	if err := f.Truncate(c.manifest.Size()); err != nil {
+		return failure.New(failure.DiskFailed, "reserve %d bytes: %v", c.manifest.Size(), err)
+	}
+	return nil
+}
+
+// verifyAll reads every chunk from disk and holds those that verify.
+func (c *Copy) verifyAll() {
+	info, err := c.file.Stat()
+	if err != nil || info.Size() == 0 {
+		return
+	}
+	for i := range c.manifest.Chunks() {
+		if _, err := c.readVerified(i); err == nil {
+			c.held.Add(i)
+		}
+	}
+}
+
+// Write verifies and stores a chunk. Bytes with another digest are refused
+// with CorruptChunk and nothing is written.
+func (c *Copy) Write(i int, data []byte) error {
+	if i < 0 || i >= len(c.manifest.Chunks()) {
+		return failure.New(failure.BadRequest, "chunk %d of %d", i, len(c.manifest.Chunks()))
+	}
+	if !c.verify(i, data) {
+		return failure.New(failure.CorruptChunk, "chunk %d of %s", i, c.digest.Short())
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held.Has(i) {
+		return nil
+	}
+	offset, _ := c.manifest.ChunkRange(i)
+	if _, err := c.file.WriteAt(data, offset); err != nil {
+		return failure.New(failure.DiskFailed, "write chunk %d of %s: %v", i, c.digest.Short(), err)
+	}
+	c.held.Add(i)
+	return nil
+}
+
+// Has tells whether a chunk is verified here.
+func (c *Copy) Has(i int) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.held.Has(i)
+}
+
+// Held returns the verified chunks.
+func (c *Copy) Held() spread.Bitmap {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return spread.BitmapOf(c.held.Bytes(), c.held.Total())
+}
+
+// Read returns a held chunk, verified once more: a disk may have damaged it,
+// and a bad chunk is never passed on.
+func (c *Copy) Read(i int) ([]byte, error) {
+	if !c.Has(i) {
+		return nil, failure.New(failure.NotReady, "chunk %d of %s is not here", i, c.digest.Short())
+	}
+	return c.readVerified(i)
+}
+
+func (c *Copy) readVerified(i int) ([]byte, error) {
+	offset, length := c.manifest.ChunkRange(i)
+	data := make([]byte, length)
+	if _, err := c.file.ReadAt(data, offset); err != nil {
+		return nil, failure.New(failure.DiskFailed, "read chunk %d of %s: %v", i, c.digest.Short(), err)
+	}
+	if !c.verify(i, data) {
+		return nil, failure.New(failure.CorruptChunk, "chunk %d of %s on this VM's disk", i, c.digest.Short())
+	}
+	return data, nil
+}
+
+// Whole tells whether the copy is complete and renamed into place.
+func (c *Copy) Whole() bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.whole
+}
+
+// Complete syncs a full copy and renames it into place. Every chunk is read
+// back and verified first, since it is the file that the engine will load.
+func (c *Copy) Complete() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.whole {
+		return nil
+	}
+	if !c.held.Full() {
+		return failure.New(failure.NotReady, "%d of %d chunks of %s are here", c.held.Count(), c.held.Total(), c.digest.Short())
+	}
+	if err := c.file.Sync(); err != nil {
+		return failure.New(failure.DiskFailed, "sync %s: %v", c.digest.Short(), err)
+	}
+	if err := c.dropDamaged(); err != nil {
+		return err
+	}
+	if err := os.Rename(c.path(partialSuffix), c.path(wholeSuffix)); err != nil {
+		return failure.New(failure.DiskFailed, "rename %s: %v", c.digest.Short(), err)
+	}
+	if err := syncFolder(c.folder); err != nil {
+		return err
+	}
+	c.whole = true
+	return nil
+}
+
+// dropDamaged forgets held chunks that no longer verify.
+func (c *Copy) dropDamaged() error {
+	good := spread.NewBitmap(c.held.Total())
+	for i := range c.manifest.Chunks() {
+		if _, err := c.readVerified(i); err == nil {
+			good.Add(i)
+		}
+	}
+	c.held = good
+	if !good.Full() {
+		return failure.New(failure.CorruptChunk, "%d chunks of %s were damaged on this VM's disk",
+			good.Total()-good.Count(), c.digest.Short())
+	}
+	return nil
+}
+
+func (c *Copy) remove() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.file != nil {
+		_ = c.file.Close()
+	}
+	c.whole = false
+	c.held = spread.NewBitmap(c.held.Total())
+	for _, suffix := range []string{partialSuffix, wholeSuffix} {
+		if err := os.Remove(c.path(suffix)); err != nil && !os.IsNotExist(err) {
+			return failure.New(failure.DiskFailed, "remove %s: %v", c.digest.Short(), err)
+		}
+	}
+	return nil
+}
+
+func syncFolder(path string) error {
+	d, err := os.Open(path)
+	if err != nil {
+		return failure.New(failure.DiskFailed, "open %s: %v", path, err)
+	}
+	defer d.Close()
+	if err := d.Sync(); err != nil {
+		return failure.New(failure.DiskFailed, "sync %s: %v", path, err)
+	}
+	return nil
+}
