Dead code removed; tests of whole programs are never taken from the cache

Cause: found by reading. ./test builds the programs in a child process, which Go's test cache does not see: a change of a program left its old pass standing. Removed: an internal message channel and a publishing recorder that nothing used, and whose banner said that events travel by it.

--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,10 @@
 demo: build
 	scripts/demo.sh
 
+# Not from the cache: the tests of whole programs build them, which the cache
+# does not see.
 test:
-	go test ./...
+	go test -count=1 ./...
 
 # One proof for each promise, with fixed seeds.
 prove:
--- a/pkg/bus/bus.go
+++ b/pkg/bus/bus.go
@@ -1,9 +1,9 @@
 // ================================================================
 // The message router of a process: watermill, with typed messages.
 //
-// A handler names a topic and a type; payloads are msgpack. Topics from other
-// processes come through a link.Subscriber, those from within through a Go
-// channel; the handler cannot tell which.
+// A handler names a topic and a type; payloads are msgpack. Topics come from
+// other processes through a link.Subscriber. Nothing that stays within a process
+// goes this way: a call is shorter, typed, and in order.
 // ================================================================
 
 // Package bus wires typed handlers into a watermill router.
@@ -15,7 +15,6 @@
 	"github.com/ThreeDotsLabs/watermill"
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/ThreeDotsLabs/watermill/message/router/middleware"
-	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/vmihailenco/msgpack/v5"
@@ -29,24 +28,19 @@
 	TopicHave      = "have"
 )
 
-const channelBuffer = 256
-
 // Bus is the router of one process.
 type Bus struct {
-	router   *message.Router
-	internal *gochannel.GoChannel
+	router *message.Router
 }
 
 // New returns a bus without handlers.
 func New(logger log.Logger) (*Bus, error) {
-	adapter := logAdapter{logger: logger}
-	router, err := message.NewRouter(message.RouterConfig{}, adapter)
+	router, err := message.NewRouter(message.RouterConfig{}, logAdapter{logger: logger})
 	if err != nil {
 		return nil, err
 	}
 	router.AddMiddleware(middleware.Recoverer)
-	internal := gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: channelBuffer}, adapter)
-	return &Bus{router: router, internal: internal}, nil
+	return &Bus{router: router}, nil
 }
 
 // Handle has f called with every T of a topic that subscriber receives. A
@@ -63,20 +57,6 @@
 	})
 }
 
-// HandleInternal is Handle for what this process publishes itself.
-func HandleInternal[T any](b *Bus, name, topic string, f func(T)) {
-	Handle(b, name, topic, b.internal, f)
-}
-
-// Publish hands v to the handlers of a topic in this process.
-func (b *Bus) Publish(topic string, v any) error {
-	payload, err := msgpack.Marshal(v)
-	if err != nil {
-		return err
-	}
-	return b.internal.Publish(topic, message.NewMessage(watermill.NewShortUUID(), payload))
-}
-
 // Run routes messages until the context ends.
 func (b *Bus) Run(ctx context.Context) error {
 	// A router without handlers does not notice the end of its context.
@@ -90,7 +70,6 @@
 
 // Close ends the routing.
 func (b *Bus) Close() {
-	_ = b.internal.Close()
 	_ = b.router.Close()
 }
 
--- a/pkg/event/recorder.go
+++ b/pkg/event/recorder.go
@@ -2,9 +2,9 @@
 // The recorder of one process: a bounded ring in memory, and a file of JSON
 // lines where the VM has a disk.
 //
-// Inside a process events travel as watermill messages: whatever records one
-// publishes on Topic, and the recorder is a subscriber like any other. Record
-// stamps before it publishes, so that the order is the order of the calls.
+// An event is stamped and kept in the call that records it, and does not go
+// through the message router: the order of the time line is then the order of
+// the calls, and an event that precedes a crash is in the file.
 // ================================================================
 
 package event
@@ -15,8 +15,6 @@
 	"sort"
 	"sync"
 	"time"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Ring sizes.
@@ -119,7 +117,6 @@
 type Recorder struct {
 	clock   *Clock
 	process string
-	publish func(payload []byte)
 
 	mu   sync.Mutex
 	ring []Event
@@ -135,22 +132,12 @@
 // MirrorTo also writes each event to w as a JSON line.
 func (r *Recorder) MirrorTo(w io.Writer) { r.file = w }
 
-// PublishTo also hands each event, encoded, to publish.
-func (r *Recorder) PublishTo(publish func(payload []byte)) { r.publish = publish }
-
 // Clock returns the recorder's clock.
 func (r *Recorder) Clock() *Clock { return r.clock }
 
 // Record stamps and keeps an event.
 func (r *Recorder) Record(kind Kind, subject, detail string) {
-	e := Event{stamp: r.clock.Next(), process: r.process, kind: kind, subject: subject, detail: detail}
-	r.keep(e)
-	if r.publish == nil {
-		return
-	}
-	if payload, err := msgpack.Marshal(e); err == nil {
-		r.publish(payload)
-	}
+	r.keep(Event{stamp: r.clock.Next(), process: r.process, kind: kind, subject: subject, detail: detail})
 }
 
 func (r *Recorder) keep(e Event) {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -168,16 +168,6 @@
 	return usable
 }
 
-// ReadyDigest tells whether the agent serves the digest now.
-func (a Agent) ReadyDigest(d contract.Digest) bool {
-	for _, c := range a.Beat.Copies() {
-		if c.Digest() == d && c.Phase() == contract.PhaseReady {
-			return true
-		}
-	}
-	return false
-}
-
 // ReadyModel returns the digests that the agent serves of a model.
 func (a Agent) ReadyModel(model string) []contract.Digest {
 	var digests []contract.Digest
--- a/pkg/spread/coordinator.go
+++ b/pkg/spread/coordinator.go
@@ -246,9 +246,6 @@
 	}
 }
 
-// Drop forgets an agent that is known to be gone.
-func (c *Coordinator) Drop(id vm.ID) { c.drop(id) }
-
 func (c *Coordinator) drop(id vm.ID) {
 	m := c.members[id]
 	if m == nil {
--- a/pkg/spread/coordinator_domains.go
+++ b/pkg/spread/coordinator_domains.go
@@ -67,13 +67,3 @@
 	}
 	return 0
 }
-
-// Progress returns how many agents report, and how many of them hold all.
-func (c *Coordinator) Progress() (agents, whole int) {
-	for _, m := range c.members {
-		if m.held.Full() {
-			whole++
-		}
-	}
-	return len(c.members), whole
-}
