Read once more: hooks that nothing used, work done twice, twins made one

Removed: three seeded faults (SkipPin, ForgetAttempts, TakeOlder) that no proof used; each was a way round a safeguard in the product. Less work: an announcement of a chunk walked all chunks and copied the bitmap for its length; an agent read its folder of copies every second and now does so once a revision. Made one: waiting for the other side of a stream to go (entry and agent), the fixed seed of random tests (control log and proofs), a kill and restart in the proofs' world.

--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -58,6 +58,9 @@
 	uploads  chan struct{}
 	traffic  traffic
 	metrics  *metrics
+	// swept is the revision that leftover files were looked for at; only the
+	// reconciler uses it.
+	swept uint64
 
 	changed chan struct{}
 	drained chan string
@@ -84,10 +87,6 @@
 type Faults struct {
 	// SkipVerify stores chunks whatever their digest.
 	SkipVerify bool
-	// SkipPin serves a request with whatever version is loaded.
-	SkipPin bool
-	// ForgetAttempts runs an attempt as often as it comes.
-	ForgetAttempts bool
 	// DrainAtOnce leaves without waiting for what is in flight.
 	DrainAtOnce bool
 	// SkipQuiet gives orders right after a restart.
@@ -140,7 +139,7 @@
 	}
 	store.SkipVerify = seams.Faults.SkipVerify
 	a.gate = newGate(s.MaxInFlight())
-	a.gate.forget, a.gate.takeDraining = seams.Faults.ForgetAttempts, seams.Faults.TakeWhileDraining
+	a.gate.takeDraining = seams.Faults.TakeWhileDraining
 	a.connectBackends()
 	a.loader = newLoader(a, fresh)
 	a.restoreConfig()
--- a/pkg/agent/configuration.go
+++ b/pkg/agent/configuration.go
@@ -137,10 +137,21 @@
 		}
 		a.removeCopy(digest)
 	}
+	a.sweepLeftovers(view, wanted)
+}
+
+// sweepLeftovers removes files of copies that no configuration names. What is
+// left over changes with the configuration only, so the folder is read once a
+// revision and not once a second.
+func (a *Agent) sweepLeftovers(view *configstate.View, wanted map[contract.Digest]configstate.Assignment) {
+	if a.swept == view.Revision() {
+		return
+	}
 	leftovers, err := a.store.Leftovers()
 	if err != nil {
 		return
 	}
+	a.swept = view.Revision()
 	for _, digest := range leftovers {
 		_, inUse := wanted[digest]
 		if _, known := view.Manifest(digest); !known && !inUse {
--- a/pkg/agent/copier_fetches.go
+++ b/pkg/agent/copier_fetches.go
@@ -61,7 +61,7 @@
 		c.cancel(other)
 	}
 	c.agent.traffic.add(f.Peer.ID() == spread.Origin, size)
-	c.agent.copies.progress(c.assignment.Digest, c.swarm.Held().Count())
+	c.agent.copies.progress(c.assignment.Digest, c.swarm.Count())
 	if c.leased(f) {
 		c.drawn = append(c.drawn, uint32(f.Chunk))
 		c.report(ctx)
--- a/pkg/agent/copier_neighbours.go
+++ b/pkg/agent/copier_neighbours.go
@@ -58,7 +58,9 @@
 			return
 		}
 		c.post(ctx, func(time.Time) {
-			c.swarm.PeerHolds(n.ID(), spread.BitmapOf(h.Held(), c.swarm.Held().Total()))
+			if len(h.Held()) > 0 {
+				c.swarm.PeerHolds(n.ID(), spread.BitmapOf(h.Held(), c.swarm.Total()))
+			}
 			for _, chunk := range h.Added() {
 				c.swarm.PeerHas(n.ID(), int(chunk))
 			}
--- a/pkg/agent/gate.go
+++ b/pkg/agent/gate.go
@@ -28,8 +28,7 @@
 // gate admits requests; safe for use by several goroutines.
 type gate struct {
 	limit int
-	// forget and takeDraining are seeded faults.
-	forget       bool
+	// takeDraining is a seeded fault.
 	takeDraining bool
 
 	mu       sync.Mutex
@@ -55,7 +54,7 @@
 		return failure.New(failure.Draining, "this VM is leaving: %s", g.draining)
 	case !now.Before(r.DeadlineTime()):
 		return failure.New(failure.DeadlineExceeded, "the deadline passed %s before execution", now.Sub(r.DeadlineTime()))
-	case g.known[r.Attempt()] && !g.forget:
+	case g.known[r.Attempt()]:
 		return failure.New(failure.DuplicateAttempt, "attempt %q", r.Attempt()).WithRan(failure.RanUnknown)
 	case g.inFlight >= g.limit || len(g.known) >= maxRemembered:
 		return failure.New(failure.Overloaded, "%d requests in flight on this VM", g.inFlight)
--- a/pkg/agent/requests.go
+++ b/pkg/agent/requests.go
@@ -42,7 +42,7 @@
 	if r.Repeatable() {
 		// A caller that went away frees the engine. What may not be repeated
 		// runs to its end, so that its outcome is known.
-		go cancelWhenGone(s, cancel)
+		s.OnGone(cancel)
 	}
 	err = a.execute(ctx, s, backend, r)
 	result := "answered"
@@ -53,13 +53,6 @@
 	return err
 }
 
-// cancelWhenGone cancels when the entry closes its side of the stream.
-func cancelWhenGone(s *link.Stream, cancel context.CancelFunc) {
-	var nothing contract.Acknowledgement
-	_ = s.Receive(&nothing)
-	cancel()
-}
-
 // admit makes every check, and returns what the request goes to. Nothing has
 // been sent to a backend server when it fails.
 func (a *Agent) admit(r contract.Request) (*engine.Engine, func(), error) {
@@ -92,9 +85,6 @@
 		}
 		return backend, false, nil
 	}
-	if a.seams.Faults.SkipPin && a.engine != nil {
-		return a.engine, false, nil
-	}
 	if a.engine == nil || !a.copies.pin(r.Digest()) {
 		return nil, false, failure.New(failure.WrongVersion, "%s is not ready on this VM", r.Digest().Short())
 	}
--- a/pkg/configstate/state.go
+++ b/pkg/configstate/state.go
@@ -92,8 +92,6 @@
 type Faults struct {
 	// SkipBaseCheck accepts a change whatever it was made against.
 	SkipBaseCheck bool
-	// TakeOlder puts a delta in force that goes back.
-	TakeOlder bool
 }
 
 // SetFaults leaves safeguards out. Call it before the state is fed.
@@ -235,7 +233,7 @@
 	s.mu.Lock()
 	full := d.From() == 0
 	fits := d.Revision() > s.revision && (full || d.From() <= s.revision)
-	if !fits && !s.faults.TakeOlder {
+	if !fits {
 		s.mu.Unlock()
 		return false
 	}
--- a/pkg/configstate/view_test.go
+++ b/pkg/configstate/view_test.go
@@ -37,3 +37,20 @@
 		t.Errorf("another VM: %v", got)
 	}
 }
+
+// TestOlderDeltaIsRefused: what is in force never goes back, and a gap is not
+// jumped.
+func TestOlderDeltaIsRefused(t *testing.T) {
+	s := NewState()
+	for _, c := range []struct {
+		from, revision uint64
+		taken          bool
+	}{{0, 5, true}, {0, 4, false}, {4, 5, false}, {6, 7, false}, {5, 6, true}, {0, 6, false}} {
+		if taken := s.ApplyDelta(contract.NewDelta(c.from, c.revision, nil, true)); taken != c.taken {
+			t.Errorf("delta from %d to %d: taken %t", c.from, c.revision, taken)
+		}
+	}
+	if s.Revision() != 6 {
+		t.Errorf("revision %d", s.Revision())
+	}
+}
--- a/pkg/controllog/agreement_test.go
+++ b/pkg/controllog/agreement_test.go
@@ -6,7 +6,6 @@
 package controllog
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -14,21 +13,16 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/tidepost/tidepost/internal/fixedseed"
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
 // TestMain fixes rapid's seed, unless a soak names one.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("TIDEPOST_SEED")
-	if seed == "" {
-		seed = "20261202"
-	}
-	if err := flag.Set("rapid.seed", seed); err != nil {
+	if err := fixedseed.Set(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
--- a/pkg/entry/forwarded.go
+++ b/pkg/entry/forwarded.go
@@ -28,11 +28,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.DeadlineTime())
 	defer cancel()
 	if r.Repeatable() {
-		go func() {
-			var nothing contract.Acknowledgement
-			_ = s.Receive(&nothing)
-			cancel()
-		}()
+		s.OnGone(cancel)
 	}
 	e.metrics.forwarded.Inc()
 	out := &sink{take: func(part contract.Answer) error { return s.Send(part) }}
--- a/pkg/link/stream.go
+++ b/pkg/link/stream.go
@@ -85,6 +85,16 @@
 	}
 }
 
+// OnGone calls f, from a goroutine of its own, once the other side has closed
+// the stream or the stream broke. It is for a side that expects no more
+// messages: whatever comes ends the wait too.
+func (s *Stream) OnGone(f func()) {
+	go func() {
+		_, _ = readFrame(s.conn)
+		f()
+	}()
+}
+
 // SetDeadline bounds every later read and write.
 func (s *Stream) SetDeadline(t time.Time) { _ = s.conn.SetDeadline(t) }
 
--- a/pkg/spread/swarm.go
+++ b/pkg/spread/swarm.go
@@ -113,6 +113,13 @@
 // Held returns the chunks that are here.
 func (s *Swarm) Held() Bitmap { return BitmapOf(s.held.bytes, s.held.total) }
 
+// Total returns how many chunks there are, and Count how many are here, without
+// the copy that Held makes.
+func (s *Swarm) Total() int { return s.config.Total }
+
+// Count returns how many chunks are here.
+func (s *Swarm) Count() int { return s.held.Count() }
+
 // Done tells whether all chunks are here.
 func (s *Swarm) Done() bool { return s.held.Full() }
 
--- a/prove/faults_test.go
+++ b/prove/faults_test.go
@@ -10,25 +10,19 @@
 func (w *world) note() { w.faults++ }
 
 // killAgentFor kills an agent, and starts it again after a while.
-func (w *world) killAgentFor(name string, d time.Duration) {
-	if !w.up(name) {
-		return
-	}
-	w.note()
-	w.kill(name)
-	time.Sleep(d)
-	w.startAgent(name)
-}
+func (w *world) killAgentFor(name string, d time.Duration) { w.killFor(name, d, w.startAgent) }
 
 // killEntryFor kills an entry, and starts it again after a while.
-func (w *world) killEntryFor(name string, d time.Duration) {
+func (w *world) killEntryFor(name string, d time.Duration) { w.killFor(name, d, w.startEntry) }
+
+func (w *world) killFor(name string, d time.Duration, start func(name string)) {
 	if !w.up(name) {
 		return
 	}
 	w.note()
 	w.kill(name)
 	time.Sleep(d)
-	w.startEntry(name)
+	start(name)
 }
 
 // cutFor cuts the link between two hosts without a word.
--- a/prove/prove_test.go
+++ b/prove/prove_test.go
@@ -15,20 +15,16 @@
 	"testing/synctest"
 
 	"pgregory.net/rapid"
+
+	"github.com/tidepost/tidepost/internal/fixedseed"
 )
 
 // TestMain fixes rapid's seed, unless a soak names one.
 func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := os.Getenv("TIDEPOST_SEED")
-	if seed == "" {
-		seed = "20261202"
-	}
-	if err := flag.Set("rapid.seed", seed); err != nil {
+	if err := fixedseed.Set(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	_ = flag.Set("rapid.nofailfile", "true")
 	if flag.Lookup("rapid.checks").Value.String() == "100" {
 		_ = flag.Set("rapid.checks", runsPerProof)
 	}
