--- a/pkg/staging/copy.go
+++ b/pkg/staging/copy.go
@@ -10,6 +10,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"sync"
+	"sync/atomic"
 
 	"github.com/tidepost/tidepost/pkg/failure"
 )
@@ -17,6 +18,8 @@
 // weightsCopy is a copy in memory. It is safe for concurrent use.
 type weightsCopy struct {
 	manifest Manifest
+	// beside says that the chunks may lie beside the engine here.
+	beside atomic.Bool
 
 	mu       sync.Mutex
 	chunks   [][]byte
--- a/pkg/staging/exchange.go
+++ b/pkg/staging/exchange.go
@@ -11,7 +11,6 @@
 	"context"
 	"time"
 
-	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/link"
 )
 
@@ -55,7 +54,7 @@
 		return err
 	}
 	if q.number == manifestNumber {
-		return stream.Send(reply{manifest: s.knownManifest(q.model, q.version)})
+		return stream.Send(reply{manifest: s.manifestFor(ctx, q)})
 	}
 	ctx, cancel := context.WithTimeout(ctx, waitForChunk)
 	defer cancel()
@@ -65,12 +64,21 @@
 // chunkFor returns a chunk for another stager; nil when it does not come.
 func (s *Stager) chunkFor(ctx context.Context, q question) []byte {
 	c := s.copyOf(q.model, q.version)
+	if c == nil {
+		c = s.adopt(ctx, q.model, q.version)
+	}
 	if c == nil || q.number < 0 || q.number >= len(c.chunks) {
 		return nil
 	}
 	if data := c.get(q.number); data != nil {
 		return data
 	}
+	if c.beside.Load() {
+		s.takeFromEngine(ctx, c, q.number)
+	}
+	if data := c.get(q.number); data != nil {
+		return data
+	}
 	if q.draw {
 		s.drawSoon(c, q.number)
 	}
@@ -86,13 +94,27 @@
 	return r, err
 }
 
-// askManifest asks the stagers in turn for a manifest.
-func (s *Stager) askManifest(ctx context.Context, addresses []string, model string, version uint64) (Manifest, error) {
-	for _, address := range addresses {
-		r, err := s.ask(ctx, address, question{model: model, version: version, number: manifestNumber})
-		if err == nil && r.manifest != nil && r.manifest.version == version {
-			return *r.manifest, nil
-		}
+// adopt makes a copy known that lies beside the engine here and was brought
+// there by an earlier life of this stager, or before it; nil when there is none.
+func (s *Stager) adopt(ctx context.Context, model string, version uint64) *weightsCopy {
+	if s.served.Load() != version {
+		return nil
+	}
+	m, err := s.findManifest(ctx, model, version)
+	if err != nil {
+		return nil
+	}
+	c := s.keep(m)
+	if c != nil {
+		c.beside.Store(true)
+	}
+	return c
+}
+
+// takeFromEngine reads a chunk that lies beside the engine.
+func (s *Stager) takeFromEngine(ctx context.Context, c *weightsCopy, number int) {
+	data, err := s.readBack(ctx, c.manifest.model, number)
+	if err == nil {
+		s.take(c, number, data, sourceEngine, s.settings.Engine())
 	}
-	return Manifest{}, failure.New(failure.UnknownObject, "no stager has the manifest of %s version %d", model, version)
 }
--- a/pkg/staging/gather.go
+++ b/pkg/staging/gather.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -27,8 +26,6 @@
 	drawTimeout = 4 * time.Second
 	// retryPause lies between two tries for a chunk that did not come.
 	retryPause = 150 * time.Millisecond
-	// manifestOwners is how many stagers draw the manifest by themselves.
-	manifestOwners = 1
 )
 
 // gather brings all chunks of a copy here, or ends with the context.
@@ -186,11 +183,8 @@
 	number int
 }
 
-// drawSoon draws a chunk that another stager asks for, unless it comes anyway.
+// drawSoon draws a chunk that another stager asks for.
 func (s *Stager) drawSoon(c *weightsCopy, number int) {
-	if slices.Contains(s.holders(c.manifest.model, c.manifest.version), s.process.Identity.Address()) {
-		return
-	}
 	go s.draw(s.running, c, number)
 }
 
@@ -200,30 +194,3 @@
 		s.withdrawn.Store(c.manifest.version)
 	}
 }
-
-// findManifest asks the stagers and, where this one is to, the origin.
-func (s *Stager) findManifest(ctx context.Context, model string, version uint64) (Manifest, error) {
-	own := s.process.Identity.Address()
-	order := ranked(s.members(), model, version, manifestNumber)
-	position := slices.Index(order, own)
-	others := slices.DeleteFunc(slices.Clone(order), func(a string) bool { return a == own || s.failing.rests(a) })
-	if position >= manifestOwners && len(others) > 0 {
-		m, err := s.askManifest(ctx, others[:min(len(others), 3)], model, version)
-		if err == nil {
-			return m, nil
-		}
-		if s.manifestTries < position {
-			// Whoever stands before this one in the order draws it first.
-			s.manifestTries++
-			return Manifest{}, err
-		}
-	}
-	s.manifestTries = 0
-	origin := s.origin()
-	if origin == "" {
-		return Manifest{}, failure.New(failure.SourceRefused, "the configuration names no origin")
-	}
-	ctx, cancel := context.WithTimeout(ctx, drawTimeout)
-	defer cancel()
-	return s.protocol.Manifest(ctx, origin, model, version)
-}
--- a/pkg/staging/serve.go
+++ b/pkg/staging/serve.go
@@ -147,14 +147,3 @@
 		}
 	}
 }
-
-// fromEngine fills a copy with the chunks that lie beside the engine.
-func (s *Stager) fromEngine(ctx context.Context, c *weightsCopy) {
-	for _, number := range c.absent() {
-		data, err := s.readBack(ctx, c.manifest.model, number)
-		if err != nil {
-			continue
-		}
-		s.take(c, number, data, sourceEngine, s.settings.Engine())
-	}
-}
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -53,8 +53,11 @@
 	index    atomic.Pointer[serviceconfig.Index]
 	wake     chan struct{}
 
-	withdrawn     atomic.Uint64
-	manifestTries int
+	withdrawn atomic.Uint64
+	served    atomic.Uint64 // the version that the engine served last
+
+	manifestLock   sync.Mutex
+	drawnManifests map[string]Manifest // the newest, by model
 
 	drawing  sync.Mutex
 	underWay map[drawKey]bool
@@ -81,7 +84,7 @@
 	s := &Stager{
 		settings: c, process: process, protocol: protocol, registry: registry.NewTable(nil), failing: newFailingPeers(),
 		metrics: newMetrics(process.Registry), wake: make(chan struct{}, 1), running: context.Background(),
-		underWay: map[drawKey]bool{}, named: map[string]named{}, copies: map[string]*weightsCopy{},
+		drawnManifests: map[string]Manifest{}, underWay: map[drawKey]bool{}, named: map[string]named{}, copies: map[string]*weightsCopy{},
 	}
 	s.seeds = daemon.NewReloaded(path, c.Seeds(), func(path string) ([]string, error) {
 		again, err := settings.LoadStaging(path)
@@ -191,6 +194,7 @@
 	layers := max(service.Engine().Layers(), 1)
 	serves := wholeVersion(report.Holdings, model, layers)
 	s.metrics.version.Set(float64(serves))
+	s.served.Store(serves)
 	if serves >= want.version {
 		return true
 	}
@@ -248,7 +252,9 @@
 			_ = level.Info(s.process.Logger).Log("msg", "manifest not found", "model", model, "version", want.version, "err", err)
 			return
 		}
-		c = s.keep(m)
+		if c = s.keep(m); c == nil {
+			return
+		}
 	}
 	if !c.isComplete() {
 		started := time.Now()
@@ -282,10 +288,17 @@
 	}
 }
 
-// keep makes room for a copy; the one before is given up.
+// keep makes room for a copy; the one before is given up. It returns the copy
+// that is there already, and nil when there is a later one.
 func (s *Stager) keep(m Manifest) *weightsCopy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if held := s.copies[m.model]; held != nil && held.manifest.version >= m.version {
+		if held.manifest.version > m.version {
+			return nil
+		}
+		return held
+	}
 	c := newCopy(m)
 	s.copies[m.model] = c
 	return c
