Chunks cross between failure domains once each; one upload at a time

Cause: 22 chunks at once on a VM's link held its engine's events up for over half a second, and most chunks crossed regions 13 times.

--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -21,8 +21,10 @@
 	// firstRest and longestRest bound how long a failing backend server rests.
 	firstRest   = 300 * time.Millisecond
 	longestRest = 5 * time.Second
-	// fullRest is how long one that said it is full gets nothing more.
-	fullRest = 60 * time.Millisecond
+	// fullRest is how long one that said it is full gets nothing more; twice
+	// as long each time it says so again, up to longestFullRest.
+	fullRest        = 50 * time.Millisecond
+	longestFullRest = 400 * time.Millisecond
 	// failureWeight is the share of a new outcome in the failure rate.
 	failureWeight = 0.15
 	// paceWeight is the share of a new measurement in the pace.
@@ -41,6 +43,7 @@
 	failures     int           // in a row
 	restUntil    time.Time
 	fullUntil    time.Time
+	refusals     int // in a row
 	failureRate  float64
 	pace         float64 // measured over expected time of its answers; 0 unknown
 	version      uint64  // of the weights, as its answers say; 0 unknown
@@ -145,7 +148,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.failureRate -= failureWeight * b.failureRate
-	b.failures = 0
+	b.failures, b.refusals = 0, 0
 	b.restUntil = time.Time{}
 }
 
@@ -154,7 +157,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.failures = 0
-	b.fullUntil = now.Add(fullRest)
+	b.fullUntil = now.Add(min(fullRest<<min(b.refusals, 8), longestFullRest))
+	b.refusals++
 }
 
 // isGone notes that another backend server has the address.
--- a/pkg/staging/exchange.go
+++ b/pkg/staging/exchange.go
@@ -32,7 +32,7 @@
 	version uint64
 	// number is the chunk's, or manifestNumber.
 	number int
-	// draw has the one asked draw it from the origin if need be.
+	// draw has the one asked bring it there if need be.
 	draw bool
 }
 
@@ -56,9 +56,33 @@
 	if q.number == manifestNumber {
 		return stream.Send(reply{manifest: s.manifestFor(ctx, q)})
 	}
-	ctx, cancel := context.WithTimeout(ctx, waitForChunk)
+	waiting, cancel := context.WithTimeout(ctx, waitForChunk)
 	defer cancel()
-	return stream.Send(reply{data: s.chunkFor(ctx, q)})
+	data := s.chunkFor(waiting, q)
+	if data == nil {
+		return stream.Send(reply{})
+	}
+	return s.upload(ctx, stream, data)
+}
+
+// upload sends a chunk when it is its turn, and waits until it has arrived: the
+// VM's link is the engine's too, and events of its streams must not wait behind
+// more than a chunk or two.
+func (s *Stager) upload(ctx context.Context, stream *link.Stream, data []byte) error {
+	select {
+	case s.uploads <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(waitForChunk):
+		return stream.Send(reply{})
+	}
+	defer func() { <-s.uploads }()
+	if err := stream.Send(reply{data: data}); err != nil {
+		return err
+	}
+	// The other side closes the stream once it has all.
+	_ = stream.Receive(&reply{})
+	return nil
 }
 
 // chunkFor returns a chunk for another stager; nil when it does not come.
@@ -80,7 +104,7 @@
 		return data
 	}
 	if q.draw {
-		s.drawSoon(c, q.number)
+		s.fetchSoon(c, q.number)
 	}
 	return c.wait(ctx, q.number)
 }
--- a/pkg/staging/gather.go
+++ b/pkg/staging/gather.go
@@ -1,7 +1,6 @@
 // ================================================================
-// Gathering a copy: the chunks that this stager owns are drawn from the origin,
-// the others are asked of their owners, a few at a time from each, in an order
-// of its own so that not all ask for the same one.
+// Gathering a copy: each chunk is asked of whom the plan names, a few at a time
+// of each, in an order of its own so that not all ask for the same one.
 // ================================================================
 
 package staging
@@ -13,27 +12,25 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-
-	"github.com/tidepost/tidepost/pkg/failure"
 )
 
 const (
 	// drawsAtOnce bounds what one stager draws from the origin at one time.
-	drawsAtOnce = 2
+	drawsAtOnce = 1
 	// asksAtOnce bounds what is asked of one stager at one time.
 	asksAtOnce = 2
 	// drawTimeout bounds one draw from the origin.
 	drawTimeout = 4 * time.Second
 	// retryPause lies between two tries for a chunk that did not come.
 	retryPause = 150 * time.Millisecond
+	// roundsOfOthers is how often others are asked before the origin is.
+	roundsOfOthers = 4
 )
 
 // gather brings all chunks of a copy here, or ends with the context.
 func (s *Stager) gather(ctx context.Context, c *weightsCopy) {
-	for ctx.Err() == nil && !c.isComplete() {
-		round, cancel := context.WithCancel(ctx)
-		s.gatherRound(round, c)
-		cancel()
+	for round := 0; ctx.Err() == nil && !c.isComplete(); round++ {
+		s.gatherRound(ctx, c, round >= roundsOfOthers)
 		if c.isComplete() {
 			return
 		}
@@ -44,82 +41,111 @@
 	}
 }
 
-// gatherRound tries once for each chunk that is not here.
-func (s *Stager) gatherRound(ctx context.Context, c *weightsCopy) {
-	model, version := c.manifest.model, c.manifest.version
-	holders := s.holders(model, version)
-	sources, draw := holders, false
-	if len(holders) == 0 {
-		sources, draw = s.members(), true
-	}
-	own := s.process.Identity.Address()
-	assigned := owners(sources, model, version, len(c.manifest.digests))
-	byOwner := map[string][]int{}
+// gatherRound tries once for each chunk that is not here: at whom the plan
+// names, or at the origin when others were asked in vain.
+func (s *Stager) gatherRound(ctx context.Context, c *weightsCopy, fromOrigin bool) {
+	p := s.planFor(c)
+	bySource := map[string][]int{}
 	for _, number := range c.absent() {
-		owner := assigned[number]
-		if owner == "" || s.failing.rests(owner) {
-			owner = s.substitute(sources, model, version, number)
+		source := p.source(number)
+		if fromOrigin && len(p.holders) == 0 {
+			source = p.own
 		}
-		byOwner[owner] = append(byOwner[owner], number)
+		bySource[source] = append(bySource[source], number)
 	}
 	var group sync.WaitGroup
-	for owner, numbers := range byOwner {
+	for source, numbers := range bySource {
 		rand.Shuffle(len(numbers), func(i, j int) { numbers[i], numbers[j] = numbers[j], numbers[i] })
-		atOnce := asksAtOnce
-		if owner == own {
-			atOnce = drawsAtOnce
-		}
 		queue := make(chan int, len(numbers))
 		for _, n := range numbers {
 			queue <- n
 		}
 		close(queue)
+		atOnce := asksAtOnce
+		if source == p.own {
+			atOnce = drawsAtOnce
+		}
 		for range min(atOnce, len(numbers)) {
-			group.Add(1)
-			go func() {
-				defer group.Done()
-				s.gatherFrom(ctx, c, owner, queue, draw)
-			}()
+			group.Go(func() { s.gatherFrom(ctx, c, source, queue) })
 		}
 	}
 	group.Wait()
 }
 
-// substitute returns the next stager in the order of claims that answers; this
-// one itself when none does.
-func (s *Stager) substitute(sources []string, model string, version uint64, number int) string {
-	for _, a := range ranked(sources, model, version, number) {
-		if !s.failing.rests(a) {
-			return a
-		}
-	}
-	return s.process.Identity.Address()
+// planFor returns the plan of this stager for a copy, as things are now.
+func (s *Stager) planFor(c *weightsCopy) plan {
+	model, version := c.manifest.model, c.manifest.version
+	return newPlan(s.process.Identity.Address(), model, version, len(c.manifest.digests), s.domains(),
+		s.holders(model, version), s.failing.rests)
 }
 
-// gatherFrom takes chunks of a queue from one owner.
-func (s *Stager) gatherFrom(ctx context.Context, c *weightsCopy, owner string, queue <-chan int, draw bool) {
-	own := s.process.Identity.Address()
+// gatherFrom takes chunks of a queue from one source.
+func (s *Stager) gatherFrom(ctx context.Context, c *weightsCopy, source string, queue <-chan int) {
 	for number := range queue {
 		if ctx.Err() != nil || c.get(number) != nil {
 			continue
 		}
-		if owner == own {
-			s.draw(ctx, c, number)
-			continue
-		}
-		r, err := s.ask(ctx, owner, question{c.manifest.model, c.manifest.version, number, draw})
-		if err != nil {
-			s.failing.failed(owner)
-			_ = level.Info(s.process.Logger).Log("msg", "stager lost", "address", owner, "chunk", number, "err", err)
+		if !s.fetch(ctx, c, source, number) {
 			return
 		}
-		if r.data == nil {
-			continue
-		}
-		s.take(c, number, r.data, sourcePeer, owner)
 	}
 }
 
+// fetch brings one chunk here, once however many ask for it. It returns false
+// when the source does not answer.
+func (s *Stager) fetch(ctx context.Context, c *weightsCopy, source string, number int) bool {
+	key := fetchKey{c, number}
+	if !s.claimFetch(key) {
+		waiting, cancel := context.WithTimeout(ctx, waitForChunk)
+		defer cancel()
+		c.wait(waiting, number)
+		return true
+	}
+	defer s.releaseFetch(key)
+	if source == s.process.Identity.Address() {
+		s.draw(ctx, c, number)
+		return true
+	}
+	r, err := s.ask(ctx, source, question{c.manifest.model, c.manifest.version, number, true})
+	if err != nil {
+		s.failing.failed(source)
+		_ = level.Info(s.process.Logger).Log("msg", "stager lost", "address", source, "chunk", number, "err", err)
+		return false
+	}
+	if r.data != nil {
+		s.take(c, number, r.data, sourcePeer, source)
+	}
+	return true
+}
+
+// fetchKey is a fetch under way.
+type fetchKey struct {
+	copy   *weightsCopy
+	number int
+}
+
+func (s *Stager) claimFetch(k fetchKey) bool {
+	s.fetching.Lock()
+	defer s.fetching.Unlock()
+	if s.underWay[k] {
+		return false
+	}
+	s.underWay[k] = true
+	return true
+}
+
+func (s *Stager) releaseFetch(k fetchKey) {
+	s.fetching.Lock()
+	defer s.fetching.Unlock()
+	delete(s.underWay, k)
+}
+
+// fetchSoon brings a chunk here that another stager asks for.
+func (s *Stager) fetchSoon(c *weightsCopy, number int) {
+	source := s.planFor(c).source(number)
+	go s.fetch(s.running, c, source, number)
+}
+
 // chunkSource is where a chunk came from.
 type chunkSource string
 
@@ -144,24 +170,8 @@
 	return true
 }
 
-// draw draws a chunk from the origin, once however many ask for it.
+// draw draws a chunk from the origin.
 func (s *Stager) draw(ctx context.Context, c *weightsCopy, number int) {
-	key := drawKey{c, number}
-	s.drawing.Lock()
-	if s.underWay[key] {
-		s.drawing.Unlock()
-		waiting, cancel := context.WithTimeout(ctx, drawTimeout)
-		defer cancel()
-		c.wait(waiting, number)
-		return
-	}
-	s.underWay[key] = true
-	s.drawing.Unlock()
-	defer func() {
-		s.drawing.Lock()
-		delete(s.underWay, key)
-		s.drawing.Unlock()
-	}()
 	origin := s.origin()
 	if origin == "" {
 		return
@@ -171,26 +181,7 @@
 	data, err := s.protocol.Draw(ctx, origin, c.manifest.model, c.manifest.version, number)
 	if err != nil {
 		_ = level.Info(s.process.Logger).Log("msg", "draw failed", "chunk", number, "origin", origin, "err", err)
-		s.noteWithdrawn(c, err)
 		return
 	}
 	s.take(c, number, data, sourceOrigin, origin)
 }
-
-// drawKey is a draw under way.
-type drawKey struct {
-	copy   *weightsCopy
-	number int
-}
-
-// drawSoon draws a chunk that another stager asks for.
-func (s *Stager) drawSoon(c *weightsCopy, number int) {
-	go s.draw(s.running, c, number)
-}
-
-// noteWithdrawn ends a copy whose version the origin does not have any more.
-func (s *Stager) noteWithdrawn(c *weightsCopy, err error) {
-	if failure.Is(err, failure.VersionChanged) {
-		s.withdrawn.Store(c.manifest.version)
-	}
-}
--- a/pkg/staging/owners.go
+++ b/pkg/staging/owners.go
@@ -1,11 +1,16 @@
 // ================================================================
-// Who is asked for a chunk. Where stagers already hold the version, one of them
-// is; for a version that is new to all, each chunk has an owner by rendezvous
-// hash, who draws it from the origin, and the others ask the owner. So each
-// chunk leaves the origin once, and every stager gives about what it takes.
+// Who is asked for a chunk. Chunks cross between failure domains once each:
 //
-// Rejected: rarest first among all. Owners that draw in any order give the same
-// time here, and nobody has to tell the others what it holds.
+//	origin -> owner            of the chunk, one among all stagers
+//	owner  -> importer         of the chunk in each other failure domain
+//	importer -> the others     of its failure domain
+//
+// All are chosen by rendezvous hash, so nobody has to be told, and each stager
+// gives about as much as it takes. Where engines serve the version already,
+// their stagers stand in for owner and importer.
+//
+// Rejected: rarest first among all. It takes every stager's list of chunks, and
+// lets most chunks cross between failure domains many times.
 // ================================================================
 
 package staging
@@ -60,9 +65,9 @@
 	return order
 }
 
-// owners assigns chunks to addresses so that each gets about as many as the
+// shareOut assigns chunks to addresses so that each gets about as many as the
 // others: in the order of their claims, but none more than its share.
-func owners(addresses []string, model string, version uint64, chunks int) []string {
+func shareOut(addresses []string, model string, version uint64, chunks int) []string {
 	if len(addresses) == 0 {
 		return make([]string, chunks)
 	}
@@ -80,3 +85,67 @@
 	}
 	return assigned
 }
+
+// plan says whom one stager asks for each chunk of a version.
+type plan struct {
+	own       string
+	domain    map[string]string // of each stager
+	holders   map[string]bool   // serve the version already
+	importers []string          // by chunk, in the own failure domain
+	owners    []string          // by chunk, among all
+}
+
+// newPlan makes the plan of the stager own among members. Stagers for which
+// rests is true are not asked.
+func newPlan(own, model string, version uint64, chunks int, domain map[string]string, holders map[string]bool, rests func(string) bool) plan {
+	p := plan{own: own, domain: domain, holders: holders}
+	var near, far, nearHolders, farHolders []string
+	for _, a := range sortedKeys(domain) {
+		if a != own && rests(a) {
+			continue
+		}
+		far = append(far, a)
+		if domain[a] == domain[own] {
+			near = append(near, a)
+		}
+		if holders[a] && a != own {
+			farHolders = append(farHolders, a)
+			if domain[a] == domain[own] {
+				nearHolders = append(nearHolders, a)
+			}
+		}
+	}
+	if len(nearHolders) > 0 {
+		near = nearHolders
+	}
+	if len(farHolders) > 0 {
+		far = farHolders
+	}
+	p.importers = shareOut(near, model, version, chunks)
+	p.owners = shareOut(far, model, version, chunks)
+	for number, owner := range p.owners {
+		if domain[owner] == domain[own] && len(nearHolders) == 0 {
+			// An owner of this failure domain needs no importer.
+			p.importers[number] = owner
+		}
+	}
+	return p
+}
+
+// source returns whom to ask for a chunk; the stager's own address means the
+// origin.
+func (p plan) source(number int) string {
+	if p.importers[number] != p.own {
+		return p.importers[number]
+	}
+	return p.owners[number]
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- a/pkg/staging/serve.go
+++ b/pkg/staging/serve.go
@@ -115,13 +115,10 @@
 // turnOrder returns the stagers in an order that goes over the failure domains
 // in turn.
 func (s *Stager) turnOrder() []string {
-	domains := map[string]string{s.process.Identity.Address(): s.process.Identity.Domain()}
-	for address, p := range s.follower.Peers() {
-		domains[address] = p.Domain()
-	}
+	domains := s.domains()
 	seen := map[string]int{}
 	position := map[string]int{}
-	members := s.members()
+	members := sortedKeys(domains)
 	for _, a := range members {
 		position[a] = seen[domains[a]]
 		seen[domains[a]]++
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -9,7 +9,6 @@
 	"context"
 	"os"
 	"runtime/debug"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +32,8 @@
 	busyLook = 100 * time.Millisecond
 	// engineTimeout bounds a call of the engine.
 	engineTimeout = 2 * time.Second
+	// uploadsAtOnce bounds the chunks on their way to others at one time.
+	uploadsAtOnce = 1
 	// firstVersion is served where none was named.
 	firstVersion = 1
 	// goMemoryShare of the process's memory is the collector's limit.
@@ -53,14 +54,14 @@
 	index    atomic.Pointer[serviceconfig.Index]
 	wake     chan struct{}
 
-	withdrawn atomic.Uint64
-	served    atomic.Uint64 // the version that the engine served last
+	served atomic.Uint64 // the version that the engine served last
 
 	manifestLock   sync.Mutex
 	drawnManifests map[string]Manifest // the newest, by model
 
-	drawing  sync.Mutex
-	underWay map[drawKey]bool
+	uploads  chan struct{}
+	fetching sync.Mutex
+	underWay map[fetchKey]bool
 
 	mu     sync.Mutex
 	named  map[string]named
@@ -84,7 +85,7 @@
 	s := &Stager{
 		settings: c, process: process, protocol: protocol, registry: registry.NewTable(nil), failing: newFailingPeers(),
 		metrics: newMetrics(process.Registry), wake: make(chan struct{}, 1), running: context.Background(),
-		drawnManifests: map[string]Manifest{}, underWay: map[drawKey]bool{}, named: map[string]named{}, copies: map[string]*weightsCopy{},
+		drawnManifests: map[string]Manifest{}, uploads: make(chan struct{}, uploadsAtOnce), underWay: map[fetchKey]bool{}, named: map[string]named{}, copies: map[string]*weightsCopy{},
 	}
 	s.seeds = daemon.NewReloaded(path, c.Seeds(), func(path string) ([]string, error) {
 		again, err := settings.LoadStaging(path)
@@ -321,35 +322,35 @@
 	return nil
 }
 
-// members returns the link addresses of the stagers of this service, this one
-// included, sorted.
-func (s *Stager) members() []string {
-	own := s.process.Identity.Address()
-	addresses := []string{own}
+// domains returns the failure domain of each stager of this service by link
+// address, this one included.
+func (s *Stager) domains() map[string]string {
+	domains := map[string]string{}
 	for address, p := range s.follower.Peers() {
-		if address != own && p.Service() == s.settings.Service() {
-			addresses = append(addresses, address)
+		if p.Service() == s.settings.Service() {
+			domains[address] = p.Domain()
 		}
 	}
-	sort.Strings(addresses)
-	return addresses
+	domains[s.process.Identity.Address()] = s.process.Identity.Domain()
+	return domains
 }
 
+// members returns the link addresses of the stagers of this service, sorted.
+func (s *Stager) members() []string { return sortedKeys(s.domains()) }
+
 // holders returns the other stagers whose engine serves a version.
-func (s *Stager) holders(model string, version uint64) []string {
+func (s *Stager) holders(model string, version uint64) map[string]bool {
 	serving := map[string]bool{}
 	for _, r := range s.registry.All() {
 		if r.State() == registry.Ready && r.Version(model, 0) == version {
 			serving[r.Address()] = true
 		}
 	}
-	own := s.process.Identity.Address()
-	var addresses []string
+	holders := map[string]bool{}
 	for address, p := range s.follower.Peers() {
-		if address != own && p.Service() == s.settings.Service() && serving[p.Engine()] && !s.failing.rests(address) {
-			addresses = append(addresses, address)
+		if address != s.process.Identity.Address() && p.Service() == s.settings.Service() && serving[p.Engine()] && !s.failing.rests(address) {
+			holders[address] = true
 		}
 	}
-	sort.Strings(addresses)
-	return addresses
+	return holders
 }
