--- a/pkg/staging/copy.go
+++ b/pkg/staging/copy.go
@@ -9,6 +9,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"sync"
 	"sync/atomic"
 
@@ -26,6 +27,7 @@
 	arrived  []chan struct{} // closed when the chunk is here
 	missing  int
 	complete chan struct{}
+	at       []map[string]bool // by chunk: the stagers known to have it
 }
 
 func newCopy(m Manifest) *weightsCopy {
@@ -36,6 +38,7 @@
 	for i := range c.arrived {
 		c.arrived[i] = make(chan struct{})
 	}
+	c.at = make([]map[string]bool, len(m.digests))
 	return c
 }
 
@@ -103,3 +106,48 @@
 		return false
 	}
 }
+
+// ----------------------------------------------------------------
+// What others have
+
+// held returns the chunks that are here, one bit each.
+func (c *weightsCopy) held() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	bits := make([]byte, (len(c.chunks)+7)/8)
+	for i, data := range c.chunks {
+		if data != nil {
+			bits[i/8] |= 1 << (i % 8)
+		}
+	}
+	return bits
+}
+
+// learn notes which chunks another stager has.
+func (c *weightsCopy) learn(address string, bits []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range min(len(c.at), 8*len(bits)) {
+		if bits[i/8]&(1<<(i%8)) == 0 {
+			continue
+		}
+		if c.at[i] == nil {
+			c.at[i] = map[string]bool{}
+		}
+		c.at[i][address] = true
+	}
+}
+
+// unlearn notes that a stager did not have a chunk after all.
+func (c *weightsCopy) unlearn(address string, number int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.at[number], address)
+}
+
+// knownAt returns a copy of the stagers known to have a chunk.
+func (c *weightsCopy) knownAt(number int) map[string]bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.at[number])
+}
--- a/pkg/staging/exchange.go
+++ b/pkg/staging/exchange.go
@@ -34,6 +34,8 @@
 	number int
 	// draw has the one asked bring it there if need be.
 	draw bool
+	// held are the chunks that the asker has, one bit each.
+	held []byte
 }
 
 // reply carries what was asked for; empty when it is not there.
@@ -44,6 +46,8 @@
 	manifest *Manifest
 	// data is the chunk.
 	data []byte
+	// held are the chunks that the one asked has, one bit each.
+	held []byte
 }
 
 // serveQuestion answers another stager.
@@ -59,25 +63,30 @@
 	waiting, cancel := context.WithTimeout(ctx, waitForChunk)
 	defer cancel()
 	data := s.chunkFor(waiting, q)
+	var held []byte
+	if c := s.copyOf(q.model, q.version); c != nil {
+		c.learn(stream.Peer().Address(), q.held)
+		held = c.held()
+	}
 	if data == nil {
-		return stream.Send(reply{})
+		return stream.Send(reply{held: held})
 	}
-	return s.upload(ctx, stream, data)
+	return s.upload(ctx, stream, reply{data: data, held: held})
 }
 
 // upload sends a chunk when it is its turn, and waits until it has arrived: the
 // VM's link is the engine's too, and events of its streams must not wait behind
 // more than a chunk or two.
-func (s *Stager) upload(ctx context.Context, stream *link.Stream, data []byte) error {
+func (s *Stager) upload(ctx context.Context, stream *link.Stream, r reply) error {
 	select {
 	case s.uploads <- struct{}{}:
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-time.After(waitForChunk):
-		return stream.Send(reply{})
+		return stream.Send(reply{held: r.held})
 	}
 	defer func() { <-s.uploads }()
-	if err := stream.Send(reply{data: data}); err != nil {
+	if err := stream.Send(r); err != nil {
 		return err
 	}
 	// The other side closes the stream once it has all.
--- a/pkg/staging/gather.go
+++ b/pkg/staging/gather.go
@@ -1,13 +1,14 @@
 // ================================================================
-// Gathering a copy: each chunk is asked of whom the plan names, a few at a time
-// of each, in an order of its own so that not all ask for the same one.
+// Gathering a copy: a few questions are under way at one time, each for a chunk
+// that is not here, at a stager of this failure domain that is known to have
+// it, or else at the one that the plan names. Every answer says which chunks
+// the one asked has, so load moves to whoever is idle.
 // ================================================================
 
 package staging
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -15,61 +16,41 @@
 )
 
 const (
-	// drawsAtOnce bounds what one stager draws from the origin at one time.
-	drawsAtOnce = 1
-	// asksAtOnce bounds what is asked of one stager at one time.
-	asksAtOnce = 2
+	// asksAtOnce bounds the questions of one stager under way.
+	asksAtOnce = 8
 	// drawTimeout bounds one draw from the origin.
 	drawTimeout = 4 * time.Second
-	// retryPause lies between two tries for a chunk that did not come.
-	retryPause = 150 * time.Millisecond
-	// roundsOfOthers is how often others are asked before the origin is.
-	roundsOfOthers = 4
+	// missPause is how long a chunk rests that a source did not have.
+	missPause = 150 * time.Millisecond
+	// idlePause is how long a gatherer waits that finds nothing to ask.
+	idlePause = 30 * time.Millisecond
 )
 
 // gather brings all chunks of a copy here, or ends with the context.
 func (s *Stager) gather(ctx context.Context, c *weightsCopy) {
-	for round := 0; ctx.Err() == nil && !c.isComplete(); round++ {
-		s.gatherRound(ctx, c, round >= roundsOfOthers)
-		if c.isComplete() {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryPause):
-		}
+	g := newGatherer(c, func() plan { return s.planFor(c) })
+	var group sync.WaitGroup
+	for range asksAtOnce {
+		group.Go(func() { s.gatherOne(ctx, c, g) })
 	}
+	group.Wait()
 }
 
-// gatherRound tries once for each chunk that is not here: at whom the plan
-// names, or at the origin when others were asked in vain.
-func (s *Stager) gatherRound(ctx context.Context, c *weightsCopy, fromOrigin bool) {
-	p := s.planFor(c)
-	bySource := map[string][]int{}
-	for _, number := range c.absent() {
-		source := p.source(number)
-		if fromOrigin && len(p.holders) == 0 {
-			source = p.own
-		}
-		bySource[source] = append(bySource[source], number)
-	}
-	var group sync.WaitGroup
-	for source, numbers := range bySource {
-		rand.Shuffle(len(numbers), func(i, j int) { numbers[i], numbers[j] = numbers[j], numbers[i] })
-		queue := make(chan int, len(numbers))
-		for _, n := range numbers {
-			queue <- n
-		}
-		close(queue)
-		atOnce := asksAtOnce
-		if source == p.own {
-			atOnce = drawsAtOnce
-		}
-		for range min(atOnce, len(numbers)) {
-			group.Go(func() { s.gatherFrom(ctx, c, source, queue) })
+// gatherOne asks one question after the other.
+func (s *Stager) gatherOne(ctx context.Context, c *weightsCopy, g *gatherer) {
+	for ctx.Err() == nil && !c.isComplete() {
+		next, ok := g.next(time.Now())
+		if !ok {
+			select {
+			case <-ctx.Done():
+			case <-c.complete:
+			case <-time.After(idlePause):
+			}
+			continue
 		}
+		answered := s.fetch(ctx, c, next.source, next.number)
+		g.done(next, answered, time.Now())
 	}
-	group.Wait()
 }
 
 // planFor returns the plan of this stager for a copy, as things are now.
@@ -79,18 +60,6 @@
 		s.holders(model, version), s.failing.rests)
 }
 
-// gatherFrom takes chunks of a queue from one source.
-func (s *Stager) gatherFrom(ctx context.Context, c *weightsCopy, source string, queue <-chan int) {
-	for number := range queue {
-		if ctx.Err() != nil || c.get(number) != nil {
-			continue
-		}
-		if !s.fetch(ctx, c, source, number) {
-			return
-		}
-	}
-}
-
 // fetch brings one chunk here, once however many ask for it. It returns false
 // when the source does not answer.
 func (s *Stager) fetch(ctx context.Context, c *weightsCopy, source string, number int) bool {
@@ -106,12 +75,13 @@
 		s.draw(ctx, c, number)
 		return true
 	}
-	r, err := s.ask(ctx, source, question{c.manifest.model, c.manifest.version, number, true})
+	r, err := s.ask(ctx, source, question{c.manifest.model, c.manifest.version, number, true, c.held()})
 	if err != nil {
 		s.failing.failed(source)
 		_ = level.Info(s.process.Logger).Log("msg", "stager lost", "address", source, "chunk", number, "err", err)
 		return false
 	}
+	c.learn(source, r.held)
 	if r.data != nil {
 		s.take(c, number, r.data, sourcePeer, source)
 	}
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -33,7 +33,7 @@
 	// engineTimeout bounds a call of the engine.
 	engineTimeout = 2 * time.Second
 	// uploadsAtOnce bounds the chunks on their way to others at one time.
-	uploadsAtOnce = 1
+	uploadsAtOnce = 2
 	// firstVersion is served where none was named.
 	firstVersion = 1
 	// goMemoryShare of the process's memory is the collector's limit.
--- a/pkg/staging/wire_generated.go
+++ b/pkg/staging/wire_generated.go
@@ -49,16 +49,16 @@
 }
 
 // newQuestion returns a question with the given fields.
-func newQuestion(model string, version uint64, number int, draw bool) question {
-	return question{model: model, version: version, number: number, draw: draw}
+func newQuestion(model string, version uint64, number int, draw bool, held []byte) question {
+	return question{model: model, version: version, number: number, draw: draw, held: held}
 }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (q question) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(4); err != nil {
+	if err := enc.EncodeArrayLen(5); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(q.model, q.version, q.number, q.draw)
+	return enc.EncodeMulti(q.model, q.version, q.number, q.draw, q.held)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&q.model, &q.version, &q.number, &q.draw}
+	fields := []any{&q.model, &q.version, &q.number, &q.draw, &q.held}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -82,16 +82,16 @@
 }
 
 // newReply returns a reply with the given fields.
-func newReply(manifest *Manifest, data []byte) reply {
-	return reply{manifest: manifest, data: data}
+func newReply(manifest *Manifest, data []byte, held []byte) reply {
+	return reply{manifest: manifest, data: data, held: held}
 }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (r reply) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(2); err != nil {
+	if err := enc.EncodeArrayLen(3); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(r.manifest, r.data)
+	return enc.EncodeMulti(r.manifest, r.data, r.held)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -100,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&r.manifest, &r.data}
+	fields := []any{&r.manifest, &r.data, &r.held}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
