--- a/pkg/staging/gather.go
+++ b/pkg/staging/gather.go
@@ -17,7 +17,7 @@
 
 const (
 	// asksAtOnce bounds the questions of one stager under way.
-	asksAtOnce = 8
+	asksAtOnce = 12
 	// drawTimeout bounds one draw from the origin.
 	drawTimeout = 4 * time.Second
 	// missPause is how long a chunk rests that a source did not have.
--- a/pkg/staging/gatherer.go
+++ b/pkg/staging/gatherer.go
@@ -15,6 +15,9 @@
 	// those to the origin.
 	perSource = 2
 	perOrigin = 1
+	// perPlan bounds the questions under way for chunks that nobody near is
+	// known to have: they may wait for long.
+	perPlan = 6
 	// missesBeforeOrigin is how often a chunk is asked of others in vain before
 	// it is drawn here.
 	missesBeforeOrigin = 5
@@ -26,6 +29,8 @@
 type step struct {
 	number int
 	source string
+	// planned says that the plan named the source; it may not have the chunk.
+	planned bool
 }
 
 // gatherer decides what one stager asks for a copy. It is safe for concurrent
@@ -39,6 +44,7 @@
 	planned  time.Time
 	underWay map[int]bool
 	load     map[string]int // questions under way by source
+	waiting  int            // questions under way to sources that the plan named
 	misses   map[int]int
 	restsTo  map[int]time.Time
 }
@@ -65,41 +71,43 @@
 		if g.underWay[number] || now.Before(g.restsTo[number]) {
 			continue
 		}
-		source, cost, ok := g.sourceOf(number)
+		candidate, cost, ok := g.sourceOf(number)
 		if ok && (!found || cost < least) {
-			best, least, found = step{number, source}, cost, true
+			best, least, found = candidate, cost, true
 		}
 	}
 	if found {
 		g.underWay[best.number] = true
 		g.load[best.source]++
+		if best.planned {
+			g.waiting++
+		}
 	}
 	return best, found
 }
 
 // sourceOf returns whom to ask for a chunk and what that costs; false when all
 // who could be asked are asked enough.
-func (g *gatherer) sourceOf(number int) (source string, cost int, ok bool) {
+func (g *gatherer) sourceOf(number int) (best step, cost int, ok bool) {
 	for address := range g.copy.knownAt(number) {
 		if address == g.plan.own || g.plan.domain[address] != g.plan.domain[g.plan.own] || g.load[address] >= perSource {
 			continue
 		}
 		if c := 2 * g.load[address]; !ok || c < cost {
-			source, cost, ok = address, c, true
+			best, cost, ok = step{number, address, false}, c, true
 		}
 	}
 	if ok {
-		return source, cost, true
+		return best, cost, true
 	}
-	source = g.plan.source(number)
+	source := g.plan.source(number)
 	if g.misses[number] >= missesBeforeOrigin && len(g.plan.holders) == 0 {
 		source = g.plan.own
 	}
-	limit := perSource
 	if source == g.plan.own {
-		limit = perOrigin
+		return step{number, source, false}, 0, g.load[source] < perOrigin
 	}
-	return source, 2*g.load[source] + 1, g.load[source] < limit
+	return step{number, source, true}, 2*g.load[source] + 1, g.load[source] < perSource && g.waiting < perPlan
 }
 
 // done notes how a question ended. One whose source did not answer has a new
@@ -109,6 +117,9 @@
 	defer g.mu.Unlock()
 	delete(g.underWay, s.number)
 	g.load[s.source]--
+	if s.planned {
+		g.waiting--
+	}
 	if !answered {
 		g.planned = time.Time{}
 	}
