--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -104,7 +104,7 @@
 	for _, r := range u.Registrations() {
 		g.backends.hear(r)
 	}
-	g.versions.hear(u.Weights())
+	g.versions.hear(u.Weights(), time.Now())
 	d := u.Document()
 	if d == nil {
 		return
--- a/pkg/gateway/versions.go
+++ b/pkg/gateway/versions.go
@@ -24,44 +24,54 @@
 	since   time.Time
 }
 
-// versionTable holds the named version of each model.
+// versionTable holds the named versions of each model, oldest first: a version
+// that was named before the last one is still due at its own time.
 type versionTable struct {
 	mu     sync.RWMutex
-	models map[string]namedWeights
+	models map[string][]namedWeights
 }
 
-func newVersionTable() *versionTable { return &versionTable{models: map[string]namedWeights{}} }
+func newVersionTable() *versionTable { return &versionTable{models: map[string][]namedWeights{}} }
 
-// hear takes the versions that a control node told.
-func (t *versionTable) hear(all []feed.Weights) {
+// maxNamed bounds the versions that are remembered of a model.
+const maxNamed = 16
+
+// hear takes the newest versions, as a control node told.
+func (t *versionTable) hear(all []feed.Weights, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, w := range all {
-		held := t.models[w.Model()]
-		since := time.Now().Add(-w.Age())
+		since := now.Add(-w.Age())
+		named := t.models[w.Model()]
+		last := len(named) - 1
 		switch {
-		case w.Version() > held.version:
-			t.models[w.Model()] = namedWeights{w.Version(), since}
-		case w.Version() == held.version && since.Before(held.since):
-			// Another node applied it earlier.
-			t.models[w.Model()] = namedWeights{w.Version(), since}
+		case last < 0 || w.Version() > named[last].version:
+			named = append(named, namedWeights{w.Version(), since})
+			t.models[w.Model()] = named[max(0, len(named)-maxNamed):]
+		case w.Version() == named[last].version && since.Before(named[last].since):
+			// This node applied it earlier than the one heard first.
+			named[last].since = since
 		}
 	}
 }
 
-func (t *versionTable) named(model string) namedWeights {
+// due returns the newest version of a model that was named at least age ago; 0
+// when there is none.
+func (t *versionTable) due(model string, age time.Duration, now time.Time) uint64 {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return t.models[model]
+	var version uint64
+	for _, n := range t.models[model] {
+		if now.Sub(n.since) >= age {
+			version = n.version
+		}
+	}
+	return version
 }
 
 // leastVersion returns the least version that a request of a model may use.
 func (g *Gateway) leastVersion(model string) uint64 {
-	named := g.versions.named(model)
-	if named.version == 0 || time.Since(named.since) < g.settings.WeightsWithin()-versionMargin {
-		return 0
-	}
-	return named.version
+	return g.versions.due(model, g.settings.WeightsWithin()-versionMargin, time.Now())
 }
 
 // expectedVersion returns the version that a backend server is told to insist
