--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -53,7 +53,7 @@
 	b.begin(work)
 	defer b.end(work)
 	x := &exchange{gateway: g, request: q, backend: b, conn: conn}
-	stop := context.AfterFunc(q.ctx, conn.Close)
+	stop := context.AfterFunc(q.ctx, conn.Abort)
 	defer stop()
 	return x.run()
 }
@@ -113,7 +113,7 @@
 
 // broken notes an attempt whose outcome is not known.
 func (x *exchange) broken(why string) bool {
-	x.conn.Close()
+	x.conn.Abort()
 	q := x.request
 	q.mayHaveRun = true
 	q.runs++
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -87,7 +87,7 @@
 		_, err = io.Copy(q.writer, progressReader{answer.Body, x.watch})
 	}
 	if err != nil {
-		x.conn.Close()
+		x.conn.Abort()
 		x.gateway.end(q, outcomeBroken, err.Error())
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -34,7 +34,7 @@
 		}
 		pace.saw()
 		if err := q.passOn(answer, events); err != nil {
-			x.conn.Close()
+			x.conn.Abort()
 			x.gateway.end(q, outcomeGone, "the caller left the stream")
 			return true
 		}
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -66,7 +66,7 @@
 	silent := time.Since(w.exchange.started) - time.Duration(w.last.Load())
 	if silent > w.limit() {
 		w.barked.Store(true)
-		w.exchange.conn.Close()
+		w.exchange.conn.Abort()
 		return
 	}
 	w.timer.Reset(lookAfter)
--- a/pkg/upstream/connection.go
+++ b/pkg/upstream/connection.go
@@ -64,6 +64,15 @@
 	})
 }
 
+// Abort closes the connection at once: what is not sent yet never arrives, so
+// a request that was given up on is not begun later.
+func (c *Connection) Abort() {
+	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // quiet tells whether nothing has come on a resting connection: neither its
 // end nor bytes that belong to no request.
 func (c *Connection) quiet() bool {
