Chunks are pushed on by whom they pass; orders in turn from 52% to 83% of the time

Cause: askers learnt late that a chunk was there; uplinks carried 4 chunks in 250 ms of 9 possible, downlinks up to 10, so the link is not shared by both ways (ruled out: half duplex).

--- a/pkg/link/kinds.go
+++ b/pkg/link/kinds.go
@@ -36,6 +36,7 @@
 	KindControlCall
 	KindJoin
 	KindChunkOf
+	KindChunkPush
 )
 
 // opening is the first frame of a stream.
--- a/pkg/staging/copy.go
+++ b/pkg/staging/copy.go
@@ -12,6 +12,7 @@
 	"maps"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/tidepost/tidepost/pkg/failure"
 )
@@ -22,12 +23,13 @@
 	// beside says that the chunks may lie beside the engine here.
 	beside atomic.Bool
 
-	mu       sync.Mutex
-	chunks   [][]byte
-	arrived  []chan struct{} // closed when the chunk is here
-	missing  int
-	complete chan struct{}
-	at       []map[string]bool // by chunk: the stagers known to have it
+	mu        sync.Mutex
+	chunks    [][]byte
+	arrived   []chan struct{} // closed when the chunk is here
+	missing   int
+	lastAdded time.Time
+	complete  chan struct{}
+	at        []map[string]bool // by chunk: the stagers known to have it
 }
 
 func newCopy(m Manifest) *weightsCopy {
@@ -48,23 +50,32 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// add takes a chunk; it fails with CorruptChunk when its digest is another.
-func (c *weightsCopy) add(number int, data []byte) error {
+// add takes a chunk and tells whether it was not here before; it fails with
+// CorruptChunk when its digest is another.
+func (c *weightsCopy) add(number int, data []byte) (fresh bool, err error) {
 	if digestOf(data) != c.manifest.digests[number] {
-		return failure.New(failure.CorruptChunk, "chunk %d of %s version %d", number, c.manifest.model, c.manifest.version)
+		return false, failure.New(failure.CorruptChunk, "chunk %d of %s version %d", number, c.manifest.model, c.manifest.version)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.chunks[number] != nil {
-		return nil
+		return false, nil
 	}
+	c.lastAdded = time.Now()
 	c.chunks[number] = data
 	close(c.arrived[number])
 	c.missing--
 	if c.missing == 0 {
 		close(c.complete)
 	}
-	return nil
+	return true, nil
+}
+
+// restedFor returns how long ago the last chunk came.
+func (c *weightsCopy) restedFor(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.lastAdded)
 }
 
 // get returns a chunk; nil when it is not here.
@@ -149,5 +160,14 @@
 func (c *weightsCopy) knownAt(number int) map[string]bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return maps.Clone(c.at[number])
+	known := make(map[string]bool, len(c.at[number]))
+	maps.Copy(known, c.at[number])
+	return known
+}
+
+// knownBy tells whether a stager is known to have a chunk.
+func (c *weightsCopy) knownBy(address string, number int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at[number][address]
 }
--- a/pkg/staging/exchange.go
+++ b/pkg/staging/exchange.go
@@ -16,9 +16,10 @@
 
 const (
 	// waitForChunk is how long one asked waits for a chunk on its way to it.
-	waitForChunk = 1500 * time.Millisecond
-	// askTimeout bounds a question to a stager.
-	askTimeout = 4 * time.Second
+	waitForChunk = 400 * time.Millisecond
+	// askTimeout bounds a question to a stager; one that takes longer has a
+	// narrow link or is gone.
+	askTimeout = 1500 * time.Millisecond
 	// manifestNumber asks for the manifest in place of a chunk.
 	manifestNumber = -1
 )
@@ -82,7 +83,7 @@
 	case s.uploads <- struct{}{}:
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-time.After(waitForChunk):
+	case <-time.After(askTimeout / 2):
 		return stream.Send(reply{held: r.held})
 	}
 	defer func() { <-s.uploads }()
--- a/pkg/staging/gather.go
+++ b/pkg/staging/gather.go
@@ -1,8 +1,7 @@
 // ================================================================
-// Gathering a copy: a few questions are under way at one time, each for a chunk
-// that is not here, at a stager of this failure domain that is known to have
-// it, or else at the one that the plan names. Every answer says which chunks
-// the one asked has, so load moves to whoever is idle.
+// Gathering a copy: this stager draws the chunks that it owns, and asks for
+// those that are not pushed to it in time, a few questions at one time. Every
+// answer says which chunks the one asked has, so load moves to whoever is idle.
 // ================================================================
 
 package staging
@@ -128,7 +127,8 @@
 
 // take checks a chunk and keeps it.
 func (s *Stager) take(c *weightsCopy, number int, data []byte, from chunkSource, address string) bool {
-	if err := c.add(number, data); err != nil {
+	fresh, err := c.add(number, data)
+	if err != nil {
 		s.metrics.chunks.WithLabelValues(string(sourceSpoilt)).Inc()
 		_ = level.Warn(s.process.Logger).Log("msg", "chunk refused", "chunk", number, "from", address, "err", err)
 		if from == sourcePeer {
@@ -137,6 +137,9 @@
 		return false
 	}
 	s.metrics.chunks.WithLabelValues(string(from)).Inc()
+	if fresh {
+		s.pushOn(c, number)
+	}
 	return true
 }
 
--- a/pkg/staging/gatherer.go
+++ b/pkg/staging/gatherer.go
@@ -15,13 +15,15 @@
 	// those to the origin.
 	perSource = 2
 	perOrigin = 1
-	// perPlan bounds the questions under way for chunks that nobody near is
-	// known to have: they may wait for long.
-	perPlan = 6
-	// missesBeforeOrigin is how often a chunk is asked of others in vain before
-	// it is drawn here.
-	missesBeforeOrigin = 5
-	// planFor is how long a plan is used before it is made anew.
+	// overdueAfter is how long no chunk may come before those that are missing
+	// are asked for.
+	overdueAfter = 300 * time.Millisecond
+	// missesBeforeOthers is how often the plan's source of a chunk is asked in
+	// vain before its owner is, and missesBeforeOrigin how often others are
+	// before the chunk is drawn here.
+	missesBeforeOthers = 1
+	missesBeforeOrigin = 4
+	// planLife is how long a plan is used before it is made anew.
 	planLife = 500 * time.Millisecond
 )
 
@@ -29,8 +31,6 @@
 type step struct {
 	number int
 	source string
-	// planned says that the plan named the source; it may not have the chunk.
-	planned bool
 }
 
 // gatherer decides what one stager asks for a copy. It is safe for concurrent
@@ -39,14 +39,13 @@
 	copy     *weightsCopy
 	makePlan func() plan
 
-	mu       sync.Mutex
-	plan     plan
-	planned  time.Time
-	underWay map[int]bool
-	load     map[string]int // questions under way by source
-	waiting  int            // questions under way to sources that the plan named
-	misses   map[int]int
-	restsTo  map[int]time.Time
+	mu        sync.Mutex
+	plan      plan
+	plannedAt time.Time
+	underWay  map[int]bool
+	load      map[string]int // questions under way by source
+	misses    map[int]int
+	restsTo   map[int]time.Time
 }
 
 func newGatherer(c *weightsCopy, makePlan func() plan) *gatherer {
@@ -62,15 +61,19 @@
 	rand.Shuffle(len(absent), func(i, j int) { absent[i], absent[j] = absent[j], absent[i] })
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if now.Sub(g.planned) > planLife {
-		g.plan, g.planned = g.makePlan(), now
+	if now.Sub(g.plannedAt) > planLife {
+		g.plan, g.plannedAt = g.makePlan(), now
 	}
+	overdue := len(g.plan.holders) > 0 || g.copy.restedFor(now) > overdueAfter
 	var best step
 	found, least := false, 0
 	for _, number := range absent {
 		if g.underWay[number] || now.Before(g.restsTo[number]) {
 			continue
 		}
+		if !overdue && g.plan.owners[number] != g.plan.own {
+			continue
+		}
 		candidate, cost, ok := g.sourceOf(number)
 		if ok && (!found || cost < least) {
 			best, least, found = candidate, cost, true
@@ -79,9 +82,6 @@
 	if found {
 		g.underWay[best.number] = true
 		g.load[best.source]++
-		if best.planned {
-			g.waiting++
-		}
 	}
 	return best, found
 }
@@ -89,25 +89,40 @@
 // sourceOf returns whom to ask for a chunk and what that costs; false when all
 // who could be asked are asked enough.
 func (g *gatherer) sourceOf(number int) (best step, cost int, ok bool) {
-	for address := range g.copy.knownAt(number) {
-		if address == g.plan.own || g.plan.domain[address] != g.plan.domain[g.plan.own] || g.load[address] >= perSource {
+	known := g.copy.knownAt(number)
+	for _, address := range g.plan.near {
+		known[address] = true
+	}
+	for address := range known {
+		near := g.plan.domain[address] == g.plan.domain[g.plan.own] || len(g.plan.near) > 0
+		if address == g.plan.own || !near || g.plan.domain[address] == "" || g.load[address] >= perSource {
 			continue
 		}
 		if c := 2 * g.load[address]; !ok || c < cost {
-			best, cost, ok = step{number, address, false}, c, true
+			best, cost, ok = step{number, address}, c, true
 		}
 	}
-	if ok {
-		return best, cost, true
-	}
-	source := g.plan.source(number)
-	if g.misses[number] >= missesBeforeOrigin && len(g.plan.holders) == 0 {
-		source = g.plan.own
+	if ok || len(g.plan.near) > 0 {
+		return best, cost, ok
 	}
+	source := g.planned(number)
+	limit := perSource
 	if source == g.plan.own {
-		return step{number, source, false}, 0, g.load[source] < perOrigin
+		limit = perOrigin
+	}
+	return step{number, source}, 2*g.load[source] + 1, g.load[source] < limit
+}
+
+// planned returns the source of a chunk that nobody near is known to have.
+func (g *gatherer) planned(number int) string {
+	switch misses := g.misses[number]; {
+	case misses < missesBeforeOthers:
+		return g.plan.source(number)
+	case misses < missesBeforeOrigin:
+		return g.plan.owners[number]
+	default:
+		return g.plan.own
 	}
-	return step{number, source, true}, 2*g.load[source] + 1, g.load[source] < perSource && g.waiting < perPlan
 }
 
 // done notes how a question ended. One whose source did not answer has a new
@@ -117,11 +132,8 @@
 	defer g.mu.Unlock()
 	delete(g.underWay, s.number)
 	g.load[s.source]--
-	if s.planned {
-		g.waiting--
-	}
 	if !answered {
-		g.planned = time.Time{}
+		g.plannedAt = time.Time{}
 	}
 	if g.copy.get(s.number) == nil {
 		g.misses[s.number]++
--- a/pkg/staging/owners.go
+++ b/pkg/staging/owners.go
@@ -1,13 +1,14 @@
 // ================================================================
-// Who is asked for a chunk. Chunks cross between failure domains once each:
+// The ways of chunks. Each crosses between failure domains once:
 //
 //	origin -> owner            of the chunk, one among all stagers
 //	owner  -> importer         of the chunk in each other failure domain
 //	importer -> the others     of its failure domain
 //
 // All are chosen by rendezvous hash, so nobody has to be told, and each stager
-// gives about as much as it takes. Where engines serve the version already,
-// their stagers stand in for owner and importer.
+// gives about as much as it takes. Whoever gets a chunk on its way pushes it
+// on; what was not pushed in time is asked for. Where engines serve the version
+// already, their stagers are asked in place of owner and importer.
 //
 // Rejected: rarest first among all. It takes every stager's list of chunks, and
 // lets most chunks cross between failure domains many times.
@@ -86,61 +87,90 @@
 	return assigned
 }
 
-// plan says whom one stager asks for each chunk of a version.
+// plan is the ways of one version's chunks, as one stager sees them.
 type plan struct {
 	own       string
-	domain    map[string]string // of each stager
-	holders   map[string]bool   // serve the version already
-	importers []string          // by chunk, in the own failure domain
-	owners    []string          // by chunk, among all
+	domain    map[string]string   // of each stager that is not avoided
+	holders   map[string]bool     // others that serve the version already
+	importers map[string][]string // by failure domain, by chunk
+	owners    []string            // by chunk
+	near      []string            // holders of the own failure domain, or all holders
 }
 
-// newPlan makes the plan of the stager own among members. Stagers for which
-// rests is true are not asked.
+// newPlan makes the plan of the stager own. Stagers for which rests is true are
+// left out.
 func newPlan(own, model string, version uint64, chunks int, domain map[string]string, holders map[string]bool, rests func(string) bool) plan {
-	p := plan{own: own, domain: domain, holders: holders}
-	var near, far, nearHolders, farHolders []string
+	p := plan{own: own, domain: map[string]string{}, holders: holders, importers: map[string][]string{}}
+	members := map[string][]string{}
+	var all []string
 	for _, a := range sortedKeys(domain) {
 		if a != own && rests(a) {
 			continue
 		}
-		far = append(far, a)
-		if domain[a] == domain[own] {
-			near = append(near, a)
-		}
-		if holders[a] && a != own {
-			farHolders = append(farHolders, a)
-			if domain[a] == domain[own] {
-				nearHolders = append(nearHolders, a)
+		p.domain[a] = domain[a]
+		all = append(all, a)
+		members[domain[a]] = append(members[domain[a]], a)
+	}
+	p.owners = shareOut(all, model, version, chunks)
+	for d, near := range members {
+		p.importers[d] = shareOut(near, model, version, chunks)
+		for number, owner := range p.owners {
+			if domain[owner] == d {
+				// An owner of the failure domain needs no importer.
+				p.importers[d][number] = owner
 			}
 		}
 	}
-	if len(nearHolders) > 0 {
-		near = nearHolders
-	}
-	if len(farHolders) > 0 {
-		far = farHolders
-	}
-	p.importers = shareOut(near, model, version, chunks)
-	p.owners = shareOut(far, model, version, chunks)
-	for number, owner := range p.owners {
-		if domain[owner] == domain[own] && len(nearHolders) == 0 {
-			// An owner of this failure domain needs no importer.
-			p.importers[number] = owner
+	p.near = p.nearHolders()
+	return p
+}
+
+// nearHolders returns the holders of the own failure domain, or all where it
+// has none.
+func (p plan) nearHolders() []string {
+	var near, far []string
+	for _, a := range sortedKeys(p.holders) {
+		if p.domain[a] == p.domain[p.own] {
+			near = append(near, a)
+		} else if p.domain[a] != "" {
+			far = append(far, a)
 		}
 	}
-	return p
+	if len(near) > 0 {
+		return near
+	}
+	return far
 }
 
 // source returns whom to ask for a chunk; the stager's own address means the
 // origin.
 func (p plan) source(number int) string {
-	if p.importers[number] != p.own {
-		return p.importers[number]
+	if importer := p.importers[p.domain[p.own]][number]; importer != p.own {
+		return importer
 	}
 	return p.owners[number]
 }
 
+// targets returns whom this stager pushes a chunk to.
+func (p plan) targets(number int) []string {
+	var targets []string
+	if p.owners[number] == p.own {
+		for _, d := range sortedKeys(p.importers) {
+			if d != p.domain[p.own] {
+				targets = append(targets, p.importers[d][number])
+			}
+		}
+	}
+	if p.importers[p.domain[p.own]][number] == p.own {
+		for _, a := range sortedKeys(p.domain) {
+			if a != p.own && p.domain[a] == p.domain[p.own] {
+				targets = append(targets, a)
+			}
+		}
+	}
+	return targets
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for k := range m {
--- a/pkg/staging/serve.go
+++ b/pkg/staging/serve.go
@@ -20,8 +20,8 @@
 const (
 	// firstTurn and lastTurn are the shares of the agreed time within which
 	// the orders are given.
-	firstTurn = 0.35
-	lastTurn  = 0.75
+	firstTurn = 0.52
+	lastTurn  = 0.83
 	// obeyWithin is how long an order is waited for before it is given again.
 	obeyWithin = 6 * time.Second
 )
