--- a/pkg/link/kinds.go
+++ b/pkg/link/kinds.go
@@ -36,7 +36,7 @@
 	KindControlCall
 	KindJoin
 	KindChunkOf
-	KindChunkPush
+	KindChunkNotice
 )
 
 // opening is the first frame of a stream.
--- a/pkg/staging/copy.go
+++ b/pkg/staging/copy.go
@@ -29,18 +29,24 @@
 	missing   int
 	lastAdded time.Time
 	complete  chan struct{}
+	news      chan struct{}     // closed at the next word of what others have
 	at        []map[string]bool // by chunk: the stagers known to have it
 }
 
 func newCopy(m Manifest) *weightsCopy {
 	c := &weightsCopy{
-		manifest: m, chunks: make([][]byte, len(m.digests)), missing: len(m.digests),
-		arrived: make([]chan struct{}, len(m.digests)), complete: make(chan struct{}),
+		manifest:  m,
+		chunks:    make([][]byte, len(m.digests)),
+		arrived:   make([]chan struct{}, len(m.digests)),
+		missing:   len(m.digests),
+		lastAdded: time.Now(),
+		complete:  make(chan struct{}),
+		news:      make(chan struct{}),
+		at:        make([]map[string]bool, len(m.digests)),
 	}
 	for i := range c.arrived {
 		c.arrived[i] = make(chan struct{})
 	}
-	c.at = make([]map[string]bool, len(m.digests))
 	return c
 }
 
@@ -138,6 +144,8 @@
 func (c *weightsCopy) learn(address string, bits []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	close(c.news)
+	c.news = make(chan struct{})
 	for i := range min(len(c.at), 8*len(bits)) {
 		if bits[i/8]&(1<<(i%8)) == 0 {
 			continue
@@ -149,6 +157,14 @@
 	}
 }
 
+// nextNews returns a channel that is closed at the next word of what others
+// have.
+func (c *weightsCopy) nextNews() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.news
+}
+
 // unlearn notes that a stager did not have a chunk after all.
 func (c *weightsCopy) unlearn(address string, number int) {
 	c.mu.Lock()
--- a/pkg/staging/gather.go
+++ b/pkg/staging/gather.go
@@ -1,6 +1,6 @@
 // ================================================================
-// Gathering a copy: this stager draws the chunks that it owns, and asks for
-// those that are not pushed to it in time, a few questions at one time. Every
+// Gathering a copy: this stager draws the chunks that it owns, and asks for the
+// others once it knows of somebody near who has them, a few at one time. Every
 // answer says which chunks the one asked has, so load moves to whoever is idle.
 // ================================================================
 
@@ -16,13 +16,13 @@
 
 const (
 	// asksAtOnce bounds the questions of one stager under way.
-	asksAtOnce = 12
+	asksAtOnce = 8
 	// drawTimeout bounds one draw from the origin.
 	drawTimeout = 4 * time.Second
 	// missPause is how long a chunk rests that a source did not have.
 	missPause = 150 * time.Millisecond
 	// idlePause is how long a gatherer waits that finds nothing to ask.
-	idlePause = 30 * time.Millisecond
+	idlePause = 100 * time.Millisecond
 )
 
 // gather brings all chunks of a copy here, or ends with the context.
@@ -38,17 +38,20 @@
 // gatherOne asks one question after the other.
 func (s *Stager) gatherOne(ctx context.Context, c *weightsCopy, g *gatherer) {
 	for ctx.Err() == nil && !c.isComplete() {
+		news := c.nextNews()
 		next, ok := g.next(time.Now())
 		if !ok {
 			select {
 			case <-ctx.Done():
 			case <-c.complete:
+			case <-news:
 			case <-time.After(idlePause):
 			}
 			continue
 		}
+		started := time.Now()
 		answered := s.fetch(ctx, c, next.source, next.number)
-		g.done(next, answered, time.Now())
+		g.done(next, answered, time.Since(started), time.Now())
 	}
 }
 
@@ -138,7 +141,7 @@
 	}
 	s.metrics.chunks.WithLabelValues(string(from)).Inc()
 	if fresh {
-		s.pushOn(c, number)
+		s.notify(c, number)
 	}
 	return true
 }
--- a/pkg/staging/gatherer.go
+++ b/pkg/staging/gatherer.go
@@ -23,6 +23,10 @@
 	// before the chunk is drawn here.
 	missesBeforeOthers = 1
 	missesBeforeOrigin = 4
+	// narrowAfter is the time of a question that shows a narrow link, over which
+	// narrowAsks are under way at one time.
+	narrowAfter = 700 * time.Millisecond
+	narrowAsks  = 1
 	// planLife is how long a plan is used before it is made anew.
 	planLife = 500 * time.Millisecond
 )
@@ -44,6 +48,7 @@
 	plannedAt time.Time
 	underWay  map[int]bool
 	load      map[string]int // questions under way by source
+	narrow    bool           // the last question took long
 	misses    map[int]int
 	restsTo   map[int]time.Time
 }
@@ -64,17 +69,17 @@
 	if now.Sub(g.plannedAt) > planLife {
 		g.plan, g.plannedAt = g.makePlan(), now
 	}
-	overdue := len(g.plan.holders) > 0 || g.copy.restedFor(now) > overdueAfter
+	overdue := len(g.plan.near) > 0 || g.copy.restedFor(now) > overdueAfter
+	if g.narrow && len(g.underWay) >= narrowAsks {
+		return step{}, false
+	}
 	var best step
 	found, least := false, 0
 	for _, number := range absent {
 		if g.underWay[number] || now.Before(g.restsTo[number]) {
 			continue
 		}
-		if !overdue && g.plan.owners[number] != g.plan.own {
-			continue
-		}
-		candidate, cost, ok := g.sourceOf(number)
+		candidate, cost, ok := g.sourceOf(number, overdue)
 		if ok && (!found || cost < least) {
 			best, least, found = candidate, cost, true
 		}
@@ -87,15 +92,15 @@
 }
 
 // sourceOf returns whom to ask for a chunk and what that costs; false when all
-// who could be asked are asked enough.
-func (g *gatherer) sourceOf(number int) (best step, cost int, ok bool) {
+// who could be asked are asked enough, or nobody is known to have it and it is
+// not overdue.
+func (g *gatherer) sourceOf(number int, overdue bool) (best step, cost int, ok bool) {
 	known := g.copy.knownAt(number)
 	for _, address := range g.plan.near {
 		known[address] = true
 	}
 	for address := range known {
-		near := g.plan.domain[address] == g.plan.domain[g.plan.own] || len(g.plan.near) > 0
-		if address == g.plan.own || !near || g.plan.domain[address] == "" || g.load[address] >= perSource {
+		if address == g.plan.own || !g.mayAsk(address, number) || g.load[address] >= perSource {
 			continue
 		}
 		if c := 2 * g.load[address]; !ok || c < cost {
@@ -105,6 +110,9 @@
 	if ok || len(g.plan.near) > 0 {
 		return best, cost, ok
 	}
+	if !overdue && g.plan.owners[number] != g.plan.own {
+		return best, 0, false
+	}
 	source := g.planned(number)
 	limit := perSource
 	if source == g.plan.own {
@@ -113,6 +121,20 @@
 	return step{number, source}, 2*g.load[source] + 1, g.load[source] < limit
 }
 
+// mayAsk tells whether a chunk is asked of a stager that has it: one of this
+// failure domain, one that serves the version where none here does, or from
+// another domain by the importer.
+func (g *gatherer) mayAsk(address string, number int) bool {
+	own := g.plan.domain[g.plan.own]
+	switch {
+	case g.plan.domain[address] == "":
+		return false
+	case g.plan.domain[address] == own || len(g.plan.near) > 0:
+		return true
+	}
+	return g.plan.importers[own][number] == g.plan.own
+}
+
 // planned returns the source of a chunk that nobody near is known to have.
 func (g *gatherer) planned(number int) string {
 	switch misses := g.misses[number]; {
@@ -127,9 +149,10 @@
 
 // done notes how a question ended. One whose source did not answer has a new
 // plan made.
-func (g *gatherer) done(s step, answered bool, now time.Time) {
+func (g *gatherer) done(s step, answered bool, took time.Duration, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.narrow = took > narrowAfter
 	delete(g.underWay, s.number)
 	g.load[s.source]--
 	if !answered {
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -59,10 +59,10 @@
 	manifestLock   sync.Mutex
 	drawnManifests map[string]Manifest // the newest, by model
 
-	deliveries *deliveries
-	uploads    chan struct{}
-	fetching   sync.Mutex
-	underWay   map[fetchKey]bool
+	notices  *link.Messenger[notice]
+	uploads  chan struct{}
+	fetching sync.Mutex
+	underWay map[fetchKey]bool
 
 	mu     sync.Mutex
 	named  map[string]named
@@ -86,7 +86,7 @@
 	s := &Stager{
 		settings: c, process: process, protocol: protocol, registry: registry.NewTable(nil), failing: newFailingPeers(),
 		metrics: newMetrics(process.Registry), wake: make(chan struct{}, 1), running: context.Background(),
-		drawnManifests: map[string]Manifest{}, deliveries: newDeliveries(), uploads: make(chan struct{}, uploadsAtOnce), underWay: map[fetchKey]bool{}, named: map[string]named{}, copies: map[string]*weightsCopy{},
+		drawnManifests: map[string]Manifest{}, notices: link.NewMessenger[notice](process.Endpoint, link.KindChunkNotice), uploads: make(chan struct{}, uploadsAtOnce), underWay: map[fetchKey]bool{}, named: map[string]named{}, copies: map[string]*weightsCopy{},
 	}
 	s.seeds = daemon.NewReloaded(path, c.Seeds(), func(path string) ([]string, error) {
 		again, err := settings.LoadStaging(path)
@@ -106,7 +106,7 @@
 		Logger: process.Logger,
 	}
 	process.Endpoint.Handle(link.KindChunkOf, s.serveQuestion)
-	process.Endpoint.Handle(link.KindChunkPush, s.servePush)
+	process.Endpoint.Handle(link.KindChunkNotice, s.serveNotices)
 	return s, nil
 }
 
@@ -115,6 +115,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer s.process.Endpoint.Close()
+	defer s.notices.Close()
 	s.running = ctx
 	s.process.LogStart()
 	var group run.Group
@@ -128,7 +129,6 @@
 	add(s.follower.Run)
 	add(s.seeds.Run)
 	add(s.loop)
-	add(s.deliver)
 	add(func(ctx context.Context) error { return daemon.WaitSignal(ctx, signals) })
 	err := group.Run()
 	s.process.LogStop(err)
--- a/pkg/staging/wire_generated.go
+++ b/pkg/staging/wire_generated.go
@@ -48,59 +48,26 @@
 	return nil
 }
 
-// newPush returns a push with the given fields.
-func newPush(model string, version uint64, number int, data []byte, held []byte) push {
-	return push{model: model, version: version, number: number, data: data, held: held}
+// newNotice returns a notice with the given fields.
+func newNotice(model string, version uint64, held []byte) notice {
+	return notice{model: model, version: version, held: held}
 }
 
 // EncodeMsgpack writes the fields in order, as one array.
-func (p push) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(5); err != nil {
-		return err
-	}
-	return enc.EncodeMulti(p.model, p.version, p.number, p.data, p.held)
-}
-
-// DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
-func (p *push) DecodeMsgpack(dec *msgpack.Decoder) error {
-	count, err := dec.DecodeArrayLen()
-	if err != nil {
-		return err
-	}
-	fields := []any{&p.model, &p.version, &p.number, &p.data, &p.held}
-	for i := 0; i < count; i++ {
-		if i >= len(fields) {
-			err = dec.Skip()
-		} else {
-			err = dec.Decode(fields[i])
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// newPushed returns a pushed with the given fields.
-func newPushed(held []byte) pushed {
-	return pushed{held: held}
-}
-
-// EncodeMsgpack writes the fields in order, as one array.
-func (p pushed) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(1); err != nil {
+func (n notice) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(3); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(p.held)
+	return enc.EncodeMulti(n.model, n.version, n.held)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
-func (p *pushed) DecodeMsgpack(dec *msgpack.Decoder) error {
+func (n *notice) DecodeMsgpack(dec *msgpack.Decoder) error {
 	count, err := dec.DecodeArrayLen()
 	if err != nil {
 		return err
 	}
-	fields := []any{&p.held}
+	fields := []any{&n.model, &n.version, &n.held}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
