Engines' loads told to gateways by way of the control nodes; no wait that costs the objective

Cause: gateways saw neither other gateways' requests nor a full or switching engine. Requests that would wait for a place longer than half their objective are refused at once with a time to come back. The commit index lasts with each write, and the first election after a start comes early.

--- a/pkg/controllog/replica.go
+++ b/pkg/controllog/replica.go
@@ -179,6 +179,9 @@
 	r.stable = r.log.last()
 	r.rebuildHistory()
 	r.becomeFollower(r.hard.term, "")
+	// After a restart there is most likely no leader, or one that is heard of
+	// soon; the pre-vote keeps an early campaign from deposing it.
+	r.timeout = 2 + c.Random.IntN(c.ElectionTicks)
 	return r
 }
 
--- a/pkg/controllog/store.go
+++ b/pkg/controllog/store.go
@@ -177,14 +177,15 @@
 // ----------------------------------------------------------------
 // Writing
 
-// Save writes a hard state (when changed) and entries, and syncs them.
+// Save writes a hard state (when changed, and with entries, so that the commit
+// index on disk lags by no more than one write) and entries, and syncs them.
 func (s *Store) Save(hard HardState, changed bool, entries []Entry) error {
 	if s.broken != nil {
 		return s.broken
 	}
 	var buffer []byte
 	var err error
-	if changed {
+	if changed || len(entries) > 0 {
 		if buffer, err = appendRecord(buffer, recordHardState, hard); err != nil {
 			return s.stop(err)
 		}
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -50,6 +50,7 @@
 	active   map[string]context.CancelFunc
 	gateways map[string]int
 	peers    map[string][]Peer
+	streams  map[string]*link.Stream
 	asked    uint64
 	askedAt  time.Time
 }
@@ -59,6 +60,7 @@
 	f.mu.Lock()
 	f.told, f.active = map[string][]string{}, map[string]context.CancelFunc{}
 	f.gateways, f.peers = map[string]int{}, map[string][]Peer{}
+	f.streams = map[string]*link.Stream{}
 	f.mu.Unlock()
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
@@ -148,10 +150,10 @@
 			return err
 		}
 		stream.SetDeadline(time.Now().Add(silence))
-		f.note(address, u)
+		f.note(address, stream, u)
 		f.Take(address, u)
 		if f.shouldAsk(u) {
-			if err := stream.Send(NewAsk(u.number)); err != nil {
+			if err := stream.Send(Word{ask: true}); err != nil {
 				return err
 			}
 		}
@@ -174,7 +176,7 @@
 	return true
 }
 
-func (f *Follower) note(address string, u Update) {
+func (f *Follower) note(address string, stream *link.Stream, u Update) {
 	if !u.whole {
 		return
 	}
@@ -182,6 +184,7 @@
 	defer f.mu.Unlock()
 	f.told[address] = u.nodes
 	f.gateways[address] = u.gateways
+	f.streams[address] = stream
 	f.peers[address] = u.peers
 }
 
@@ -191,9 +194,28 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.gateways, address)
+	delete(f.streams, address)
 	delete(f.peers, address)
 }
 
+// Tell tells one node that is heard the load of the engine here. Which one does
+// not matter: gateways follow all.
+func (f *Follower) Tell(l Load) {
+	f.mu.Lock()
+	var first string
+	for address := range f.streams {
+		if first == "" || address < first {
+			first = address
+		}
+	}
+	stream := f.streams[first]
+	f.mu.Unlock()
+	if stream != nil {
+		// A failure shows in the reading, which then forgets the stream.
+		_ = stream.Send(Word{load: &l})
+	}
+}
+
 // Gateways returns the largest number of gateways that a node told of.
 func (f *Follower) Gateways() int {
 	f.mu.Lock()
--- a/pkg/feed/messages.go
+++ b/pkg/feed/messages.go
@@ -4,7 +4,7 @@
 // hides a change. Documents are large and come from one node only: nodes say
 // the number that they hold, and the follower asks one of them for it.
 //
-//	follower -> node   Hello, then Ask for each newer number it learns of
+//	follower -> node   Hello, then Words: asking for a document, telling a load
 //	node -> follower   Update at each change, and one each second without
 // ================================================================
 
@@ -45,14 +45,39 @@
 	engine string
 }
 
-// Ask asks for the document that the node holds.
+// Word is what a follower tells a node after its Hello.
 //
 //wire:generate
-type Ask struct {
-	// number is the number that the node named.
-	number uint64
+type Word struct {
+	// ask asks for the document that the node holds.
+	ask bool
+	// load is the load of the engine beside a stager; nil otherwise.
+	load *Load
 }
 
+// Load is the state of an engine, read on its own VM.
+//
+//wire:generate
+type Load struct {
+	// service is the engine's service.
+	service string
+	// engine is the engine's address.
+	engine string
+	// model and version are what it serves; 0 while it serves nothing whole.
+	model   string
+	version uint64
+	// running and queued count its requests.
+	running int
+	queued  int
+	// pace is its time for a step over the usual one; 0 when not known.
+	pace float64
+	// busy says that an order is under way: it takes nothing new.
+	busy bool
+}
+
+// Urgent tells whether followers should hear of l at once after old.
+func (l Load) Urgent(old Load) bool { return l.version != old.version || l.busy != old.busy }
+
 // Weights is a named version of a model.
 //
 //wire:generate
@@ -100,6 +125,8 @@
 	gateways int
 	// peers are the stagers that follow this node.
 	peers []Peer
+	// loads are those of engines that changed.
+	loads []Load
 	// confirmed says that the node heard of a quorum's leader lately.
 	confirmed bool
 }
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -20,6 +20,8 @@
 const (
 	// beat is the time between Updates when nothing changes.
 	beat = time.Second
+	// loadPause is how long loads wait for others to be told with them.
+	loadPause = 80 * time.Millisecond
 	// sendTimeout bounds one Update; a follower that takes longer is cut off.
 	sendTimeout = 3 * time.Second
 	// maxFollowers bounds the streams that a node serves.
@@ -49,22 +51,25 @@
 
 	mu          sync.Mutex
 	subscribers map[*subscriber]bool
+	loads       map[string]Load // the newest, by engine
 }
 
 // subscriber is one follower's queue.
 type subscriber struct {
 	hello Hello
-	wake  chan struct{}
+	wake  chan struct{} // something is to be told at once
+	soon  chan struct{} // something may wait for more
 
 	mu      sync.Mutex
 	pending map[string]registry.Registration
+	loads   map[string]Load // by engine
 	asked   bool
 	whole   bool
 }
 
 // NewPublisher returns a publisher without followers.
 func NewPublisher(s Source) *Publisher {
-	return &Publisher{source: s, subscribers: map[*subscriber]bool{}}
+	return &Publisher{source: s, subscribers: map[*subscriber]bool{}, loads: map[string]Load{}}
 }
 
 // Registered queues a word for every follower.
@@ -79,6 +84,35 @@
 	})
 }
 
+// loaded queues a load for the gateways.
+func (p *Publisher) loaded(l Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	urgent := l.Urgent(p.loads[l.engine])
+	p.loads[l.engine] = l
+	for s := range p.subscribers {
+		if s.hello.role != RoleGateway {
+			continue
+		}
+		s.mu.Lock()
+		s.loads[l.engine] = l
+		s.mu.Unlock()
+		if urgent {
+			signal(s.wake)
+		} else {
+			signal(s.soon)
+		}
+	}
+}
+
+// signal wakes whoever waits for a channel of one place.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // Changed wakes every follower: the document or the weights changed.
 func (p *Publisher) Changed() { p.each(func(*subscriber) {}) }
 
@@ -97,10 +131,7 @@
 	s.mu.Lock()
 	change(s)
 	s.mu.Unlock()
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
+	signal(s.wake)
 }
 
 // Serve serves one follower until its stream breaks.
@@ -110,7 +141,8 @@
 	if err := stream.Receive(&hello); err != nil {
 		return err
 	}
-	s := &subscriber{hello: hello, wake: make(chan struct{}, 1), pending: map[string]registry.Registration{}, whole: true}
+	s := &subscriber{hello: hello, wake: make(chan struct{}, 1), soon: make(chan struct{}, 1),
+		pending: map[string]registry.Registration{}, loads: map[string]Load{}, whole: true}
 	for _, r := range p.source.Registrations() {
 		s.pending[r.Incarnation()] = r
 	}
@@ -120,7 +152,7 @@
 	defer p.remove(s)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go s.takeQuestions(stream, cancel)
+	go p.takeWords(stream, s, cancel)
 	return p.send(ctx, stream, s)
 }
 
@@ -142,15 +174,20 @@
 	p.NodesChanged()
 }
 
-// takeQuestions reads what the follower asks; the end of the stream ends it.
-func (s *subscriber) takeQuestions(stream *link.Stream, cancel func()) {
+// takeWords reads what the follower tells; the end of the stream ends it.
+func (p *Publisher) takeWords(stream *link.Stream, s *subscriber, cancel func()) {
 	defer cancel()
 	for {
-		var a Ask
-		if err := stream.Receive(&a); err != nil {
+		var w Word
+		if err := stream.Receive(&w); err != nil {
 			return
 		}
-		s.change(func(s *subscriber) { s.asked = true })
+		if w.load != nil {
+			p.loaded(*w.load)
+		}
+		if w.ask {
+			s.change(func(s *subscriber) { s.asked = true })
+		}
 	}
 }
 
@@ -167,6 +204,13 @@
 			return nil
 		case <-s.wake:
 		case <-ticker.C:
+		case <-s.soon:
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-s.wake:
+			case <-time.After(loadPause):
+			}
 		}
 	}
 }
@@ -175,12 +219,17 @@
 func (p *Publisher) update(s *subscriber) Update {
 	s.mu.Lock()
 	pending, asked, whole := s.pending, s.asked, s.whole
+	loads := s.loads
 	s.pending, s.asked, s.whole = map[string]registry.Registration{}, false, false
+	s.loads = map[string]Load{}
 	s.mu.Unlock()
 	u := Update{number: p.source.Number(), weights: p.source.Weights(), confirmed: p.source.Confirmed()}
 	if asked {
 		u.document = p.source.Document()
 	}
+	for _, l := range loads {
+		u.loads = append(u.loads, l)
+	}
 	for _, r := range pending {
 		u.registrations = append(u.registrations, r)
 	}
--- a/pkg/feed/wire_generated.go
+++ b/pkg/feed/wire_generated.go
@@ -12,29 +12,38 @@
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
-// NewAsk returns a Ask with the given fields.
-func NewAsk(number uint64) Ask {
-	return Ask{number: number}
+// NewHello returns a Hello with the given fields.
+func NewHello(role Role, self vm.Identity, service string, engine string) Hello {
+	return Hello{role: role, self: self, service: service, engine: engine}
 }
 
-// Number is the number that the node named.
-func (a Ask) Number() uint64 { return a.number }
+// Role is what the follower is.
+func (h Hello) Role() Role { return h.role }
+
+// Self is who it is.
+func (h Hello) Self() vm.Identity { return h.self }
+
+// Service is the engine's service, of a stager.
+func (h Hello) Service() string { return h.service }
+
+// Engine is the engine's address, of a stager.
+func (h Hello) Engine() string { return h.engine }
 
 // EncodeMsgpack writes the fields in order, as one array.
-func (a Ask) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(1); err != nil {
+func (h Hello) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(4); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(a.number)
+	return enc.EncodeMulti(h.role, h.self, h.service, h.engine)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
-func (a *Ask) DecodeMsgpack(dec *msgpack.Decoder) error {
+func (h *Hello) DecodeMsgpack(dec *msgpack.Decoder) error {
 	count, err := dec.DecodeArrayLen()
 	if err != nil {
 		return err
 	}
-	fields := []any{&a.number}
+	fields := []any{&h.role, &h.self, &h.service, &h.engine}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -48,38 +57,50 @@
 	return nil
 }
 
-// NewHello returns a Hello with the given fields.
-func NewHello(role Role, self vm.Identity, service string, engine string) Hello {
-	return Hello{role: role, self: self, service: service, engine: engine}
+// NewLoad returns a Load with the given fields.
+func NewLoad(service string, engine string, model string, version uint64, running int, queued int, pace float64, busy bool) Load {
+	return Load{service: service, engine: engine, model: model, version: version, running: running, queued: queued, pace: pace, busy: busy}
 }
 
-// Role is what the follower is.
-func (h Hello) Role() Role { return h.role }
+// Service is the engine's service.
+func (l Load) Service() string { return l.service }
 
-// Self is who it is.
-func (h Hello) Self() vm.Identity { return h.self }
+// Engine is the engine's address.
+func (l Load) Engine() string { return l.engine }
 
-// Service is the engine's service, of a stager.
-func (h Hello) Service() string { return h.service }
+// Model and version are what it serves; 0 while it serves nothing whole.
+func (l Load) Model() string { return l.model }
 
-// Engine is the engine's address, of a stager.
-func (h Hello) Engine() string { return h.engine }
+// Version returns the field of that name.
+func (l Load) Version() uint64 { return l.version }
+
+// Running and queued count its requests.
+func (l Load) Running() int { return l.running }
+
+// Queued returns the field of that name.
+func (l Load) Queued() int { return l.queued }
+
+// Pace is its time for a step over the usual one; 0 when not known.
+func (l Load) Pace() float64 { return l.pace }
+
+// Busy says that an order is under way: it takes nothing new.
+func (l Load) Busy() bool { return l.busy }
 
 // EncodeMsgpack writes the fields in order, as one array.
-func (h Hello) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(4); err != nil {
+func (l Load) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(8); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(h.role, h.self, h.service, h.engine)
+	return enc.EncodeMulti(l.service, l.engine, l.model, l.version, l.running, l.queued, l.pace, l.busy)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
-func (h *Hello) DecodeMsgpack(dec *msgpack.Decoder) error {
+func (l *Load) DecodeMsgpack(dec *msgpack.Decoder) error {
 	count, err := dec.DecodeArrayLen()
 	if err != nil {
 		return err
 	}
-	fields := []any{&h.role, &h.self, &h.service, &h.engine}
+	fields := []any{&l.service, &l.engine, &l.model, &l.version, &l.running, &l.queued, &l.pace, &l.busy}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -139,8 +160,8 @@
 }
 
 // NewUpdate returns a Update with the given fields.
-func NewUpdate(number uint64, document *serviceconfig.Document, weights []Weights, registrations []registry.Registration, whole bool, nodes []string, gateways int, peers []Peer, confirmed bool) Update {
-	return Update{number: number, document: document, weights: weights, registrations: registrations, whole: whole, nodes: nodes, gateways: gateways, peers: peers, confirmed: confirmed}
+func NewUpdate(number uint64, document *serviceconfig.Document, weights []Weights, registrations []registry.Registration, whole bool, nodes []string, gateways int, peers []Peer, loads []Load, confirmed bool) Update {
+	return Update{number: number, document: document, weights: weights, registrations: registrations, whole: whole, nodes: nodes, gateways: gateways, peers: peers, loads: loads, confirmed: confirmed}
 }
 
 // Number is the newest document applied at the node; 0 is none.
@@ -167,15 +188,18 @@
 // Peers are the stagers that follow this node.
 func (u Update) Peers() []Peer { return u.peers }
 
+// Loads are those of engines that changed.
+func (u Update) Loads() []Load { return u.loads }
+
 // Confirmed says that the node heard of a quorum's leader lately.
 func (u Update) Confirmed() bool { return u.confirmed }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (u Update) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(9); err != nil {
+	if err := enc.EncodeArrayLen(10); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(u.number, u.document, u.weights, u.registrations, u.whole, u.nodes, u.gateways, u.peers, u.confirmed)
+	return enc.EncodeMulti(u.number, u.document, u.weights, u.registrations, u.whole, u.nodes, u.gateways, u.peers, u.loads, u.confirmed)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -184,7 +208,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&u.number, &u.document, &u.weights, &u.registrations, &u.whole, &u.nodes, &u.gateways, &u.peers, &u.confirmed}
+	fields := []any{&u.number, &u.document, &u.weights, &u.registrations, &u.whole, &u.nodes, &u.gateways, &u.peers, &u.loads, &u.confirmed}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -239,3 +263,42 @@
 	}
 	return nil
 }
+
+// NewWord returns a Word with the given fields.
+func NewWord(ask bool, load *Load) Word {
+	return Word{ask: ask, load: load}
+}
+
+// Ask asks for the document that the node holds.
+func (w Word) Ask() bool { return w.ask }
+
+// Load is the load of the engine beside a stager; nil otherwise.
+func (w Word) Load() *Load { return w.load }
+
+// EncodeMsgpack writes the fields in order, as one array.
+func (w Word) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(2); err != nil {
+		return err
+	}
+	return enc.EncodeMulti(w.ask, w.load)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
+func (w *Word) DecodeMsgpack(dec *msgpack.Decoder) error {
+	count, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := []any{&w.ask, &w.load}
+	for i := 0; i < count; i++ {
+		if i >= len(fields) {
+			err = dec.Skip()
+		} else {
+			err = dec.Decode(fields[i])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/upstream"
 )
@@ -25,6 +26,8 @@
 	// as long each time it says so again, up to longestFullRest.
 	fullRest        = 50 * time.Millisecond
 	longestFullRest = 400 * time.Millisecond
+	// toldLife is how long the load that a stager told counts.
+	toldLife = 2500 * time.Millisecond
 	// failureWeight is the share of a new outcome in the failure rate.
 	failureWeight = 0.15
 	// paceWeight is the share of a new measurement in the pace.
@@ -34,6 +37,7 @@
 // backend is one incarnation of a backend server.
 type backend struct {
 	pool    *upstream.Pool
+	address string
 	heardAt atomic.Int64 // unix nanoseconds of the last bytes from it
 
 	mu           sync.Mutex
@@ -47,6 +51,15 @@
 	failureRate  float64
 	pace         float64 // measured over expected time of its answers; 0 unknown
 	version      uint64  // of the weights, as its answers say; 0 unknown
+	told         toldLoad
+}
+
+// toldLoad is the load that a stager told, and what was sent from here since.
+type toldLoad struct {
+	load feed.Load
+	at   time.Time
+	sent int // since this word
+	late int // between the word before and this one: it may not count them yet
 }
 
 // load is what the choice looks at.
@@ -61,10 +74,13 @@
 	state       registry.State
 	domain      string
 	slots       int
+	told        feed.Load
+	fresh       bool // told is no older than toldLife
+	unseen      int  // requests from here that told may not count
 }
 
 func newBackend(r registry.Registration) *backend {
-	return &backend{registration: r, pool: upstream.NewPool(r.Address())}
+	return &backend{registration: r, address: r.Address(), pool: upstream.NewPool(r.Address())}
 }
 
 func (b *backend) word() registry.Registration {
@@ -87,11 +103,20 @@
 	b.registration = r
 }
 
+// hearLoad takes the load that the stager beside it told. The version that it
+// serves is newer than that of its last heartbeat.
+func (b *backend) hearLoad(l feed.Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.told = toldLoad{load: l, at: time.Now(), late: b.told.sent}
+}
+
 func (b *backend) load(now time.Time) load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.registration
 	return load{
+		told: b.told.load, fresh: !b.told.at.IsZero() && now.Sub(b.told.at) < toldLife, unseen: b.told.sent + b.told.late/2,
 		inFlight: b.inFlight, work: b.work, failureRate: b.failureRate, pace: b.pace,
 		resting: now.Before(b.restUntil), trial: b.failures > 0 && !now.Before(b.restUntil),
 		full: now.Before(b.fullUntil), state: r.State(), domain: r.Domain(), slots: r.Slots(),
@@ -103,6 +128,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.inFlight++
+	b.told.sent++
 	b.work += work
 	if b.failures > 0 {
 		// The one that sees whether it works again: the others wait for it.
@@ -196,9 +222,12 @@
 func (b *backend) servedVersion(model string, layers int) uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	told := b.registration.Version(model, layers)
-	if told == 0 {
+	if b.told.load.Model() == model && time.Since(b.told.at) < toldLife {
+		return b.told.load.Version()
+	}
+	registered := b.registration.Version(model, layers)
+	if registered == 0 {
 		return 0
 	}
-	return max(told, b.version)
+	return max(registered, b.version)
 }
--- a/pkg/gateway/backends.go
+++ b/pkg/gateway/backends.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/registry"
 )
 
@@ -54,6 +55,18 @@
 	service[r.Incarnation()] = newBackend(r)
 }
 
+// hearLoad takes the load of an engine.
+func (t *backends) hearLoad(l feed.Load) {
+	s := t.shard(l.Service())
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, b := range s.services[l.Service()] {
+		if b.address == l.Engine() {
+			b.hearLoad(l)
+		}
+	}
+}
+
 // of returns the backend servers of a service, gone ones left out.
 func (t *backends) of(service string) []*backend {
 	s := t.shard(service)
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -1,7 +1,8 @@
 // ================================================================
-// The choice of a backend server: the one where the work under way from here
-// is least, weighed by its measured pace and failures. Each gateway spreads its
-// own requests evenly, and so does the sum of all.
+// The choice of a backend server: for engines the one that is predicted to
+// begin first, from the load that the stager beside it told and from what was
+// sent from here since; else the one where the work under way from here is
+// least. Both are weighed by pace and failures.
 //
 // Rejected: asking every engine for its load. Each question is a probe that
 // the platform charges, and the answer is some hundred ms old.
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/registry"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
 const (
@@ -24,6 +26,10 @@
 	silentPenalty = 300 * time.Millisecond
 	// failurePenalty multiplies the cost of one that fails all requests.
 	failurePenalty = 12.0
+	// sharedWork is what each request at an engine costs the others.
+	sharedWork = 2 * time.Millisecond
+	// choiceNoise spreads the choices of gateways that know the same.
+	choiceNoise = 0.05
 	// unitWork is the least work that a request counts as.
 	unitWork = 20 * time.Millisecond
 )
@@ -38,12 +44,17 @@
 	version uint64
 	// work is the request's own, for the cost after it.
 	work time.Duration
+	// engine describes the engines; zero slots for plain services.
+	engine serviceconfig.Engine
+	// wait is the longest wait for a place that is taken; 0 is any.
+	wait time.Duration
 	// tried are those that the request was sent to.
 	tried map[*backend]bool
 }
 
-// choose returns the best backend server; nil when none may take the request.
-func (g *Gateway) choose(w wanted) *backend {
+// choose returns the best backend server; nil when none may take the request,
+// and then whether one would but for its load.
+func (g *Gateway) choose(w wanted) (chosen *backend, loaded bool) {
 	now := time.Now()
 	least := math.Inf(1)
 	var best, resting *backend
@@ -57,26 +68,30 @@
 		if l.state == registry.Draining || l.state == registry.Gone {
 			continue
 		}
-		if l.full {
+		if l.full || (l.fresh && l.told.Busy() && w.engine.Slots() > 0) {
 			full = true
 			continue
 		}
-		cost := g.cost(l, w.work)
+		cost := g.cost(l, w)
 		if l.resting {
 			if cost < soonest {
 				resting, soonest = b, cost
 			}
 			continue
 		}
+		if w.wait > 0 && w.waitAt(l) > w.wait {
+			full = true
+			continue
+		}
 		if cost < least {
 			best, least = b, cost
 		}
 	}
 	if best == nil && !full {
 		// All rest: the least loaded one is better than a refusal.
-		return resting
+		return resting, false
 	}
-	return best
+	return best, full
 }
 
 func (w wanted) allows(b *backend) bool {
@@ -87,10 +102,32 @@
 	return served > 0 && served >= w.version
 }
 
-func (g *Gateway) cost(l load, work time.Duration) float64 {
-	total := float64(l.work+work) + float64(l.inFlight+1)*float64(unitWork)
-	if l.pace > 0 {
-		total *= l.pace
+// waitAt predicts how long a request waits for a place at an engine; 0 where
+// its load is not known.
+func (w wanted) waitAt(l load) time.Duration {
+	if !l.fresh || w.engine.Slots() == 0 {
+		return 0
+	}
+	ahead := l.told.Running() + l.told.Queued() + l.unseen - w.engine.Slots() + 1
+	if ahead <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) * float64(w.engine.Turn()) * max(l.told.Pace(), 1))
+}
+
+// cost compares backend servers; it is a time. The work from here comes first:
+// it is known without delay, and gateways that each spread their own evenly
+// spread the sum evenly. Told loads alone would send all of them to the same
+// engine until the next word of it.
+func (g *Gateway) cost(l load, w wanted) float64 {
+	total := float64(l.work+w.work) + float64(l.inFlight+1)*float64(unitWork)
+	pace := l.pace
+	if l.fresh && w.engine.Slots() > 0 {
+		pace = max(l.told.Pace(), 1)
+		total += float64(w.waitAt(l)) + float64(l.told.Running()+l.told.Queued())*float64(sharedWork)
+	}
+	if pace > 0 {
+		total *= pace
 	}
 	total *= 1 + failurePenalty*l.failureRate
 	if l.domain != g.process.Identity.Domain() {
@@ -100,5 +137,5 @@
 		total += float64(silentPenalty)
 	}
 	// Gateways that choose alike at the same moment must not all choose one.
-	return total * (1 + 0.05*rand.Float64())
+	return total * (1 + choiceNoise*rand.Float64())
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -104,6 +104,9 @@
 	for _, r := range u.Registrations() {
 		g.backends.hear(r)
 	}
+	for _, l := range u.Loads() {
+		g.backends.hearLoad(l)
+	}
 	g.versions.hear(u.Weights(), time.Now())
 	d := u.Document()
 	if d == nil {
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -28,7 +28,11 @@
 	maxDials = 6
 	// comeBackSoon and comeBackLater are when a refused caller may try again.
 	comeBackSoon  = 300 * time.Millisecond
-	comeBackLater = 700 * time.Millisecond
+	comeBackLater = 1500 * time.Millisecond
+	comeBackLeast = 500 * time.Millisecond
+	comeBackMost  = 1500 * time.Millisecond
+	// longestWait for a place, as a share of the objective, is worth taking.
+	longestWait = 0.5
 )
 
 // ServeHTTP serves one request of a caller.
@@ -199,20 +203,33 @@
 	return failure.New(failure.Overloaded, format, arguments...).WithRetryAfter(comeBackSoon)
 }
 
-// pick chooses a backend server for the next attempt.
+// pick chooses a backend server for the next attempt. A request that no engine
+// would begin in time is refused at once: it is worth more when it comes back.
 func (g *Gateway) pick(q *request) (*backend, *failure.Failure) {
-	w := wanted{service: q.service.Name(), work: q.work, tried: q.tried}
-	if e := q.service.Engine(); e.Slots() > 0 && q.call.Model != "" {
-		w.model, w.layers, w.version = q.call.Model, max(e.Layers(), 1), g.leastVersion(q.call.Model)
+	w := wanted{service: q.service.Name(), work: q.work, tried: q.tried, engine: q.service.Engine()}
+	if w.engine.Slots() > 0 && q.call.Model != "" {
+		w.model, w.layers, w.version = q.call.Model, max(w.engine.Layers(), 1), g.leastVersion(q.call.Model)
+		if q.sent == 0 {
+			w.wait = time.Duration(longestWait * float64(q.route.Objective()))
+		}
 	}
-	b := g.choose(w)
+	b, loaded := g.choose(w)
 	if b != nil {
 		return b, nil
 	}
 	if q.mayHaveRun {
 		return nil, failure.New(failure.OutcomeUnknown, "no other backend server; last: %s", q.last)
 	}
-	return nil, failure.New(failure.Overloaded, "no backend server of %s takes it now", q.service.Name()).WithRetryAfter(comeBackLater)
+	if loaded {
+		return nil, failure.New(failure.Overloaded, "every backend server of %s is full", q.service.Name()).WithRetryAfter(g.comeBack())
+	}
+	return nil, failure.New(failure.Overloaded, "no backend server of %s serves now", q.service.Name()).WithRetryAfter(comeBackLater)
+}
+
+// comeBack returns when a caller refused for load may try again. It is spread,
+// so that those refused together do not return together.
+func (g *Gateway) comeBack() time.Duration {
+	return comeBackLeast + time.Duration(g.random()*float64(comeBackMost-comeBackLeast))
 }
 
 // giveUp ends a request that was not answered: by the answer that a backend
--- a/pkg/serviceconfig/document.go
+++ b/pkg/serviceconfig/document.go
@@ -165,3 +165,13 @@
 func (r Route) Idempotent() bool {
 	return r.kind == Repeatable || (r.kind == Stream && r.resumable)
 }
+
+// Turn is the mean time after which a full engine has a place for the next
+// request: what a usual request takes of it.
+func (e Engine) Turn() time.Duration {
+	turn := time.Duration(e.usualAnswer) * e.step / time.Duration(max(e.slots, 1))
+	if e.prefillPerSecond > 0 {
+		turn += time.Duration(float64(e.usualPrompt) / e.prefillPerSecond * float64(time.Second))
+	}
+	return turn
+}
--- a/pkg/staging/protocol.go
+++ b/pkg/staging/protocol.go
@@ -24,6 +24,8 @@
 	Sequence uint64
 	// Running and Queued count its requests.
 	Running, Queued int
+	// Pace is its time for a step over the usual one; 0 when not known.
+	Pace float64
 }
 
 // Manifest names the chunks of a version by digest.
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -129,6 +129,7 @@
 	add(s.follower.Run)
 	add(s.seeds.Run)
 	add(s.loop)
+	add(s.tellLoads)
 	add(func(ctx context.Context) error { return daemon.WaitSignal(ctx, signals) })
 	err := group.Run()
 	s.process.LogStop(err)
