--- /dev/null
+++ b/pkg/control/cluster_test.go
@@ -0,0 +1,293 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/controllog"
+	"github.com/tidepost/tidepost/pkg/daemon"
+	"github.com/tidepost/tidepost/pkg/disk"
+	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/registry"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
+	"github.com/tidepost/tidepost/pkg/settings"
+)
+
+// cluster is a set of control nodes on loopback with disks in memory.
+type cluster struct {
+	t     *testing.T
+	nodes []*testNode
+}
+
+// testNode is one node with its disk, which outlives it.
+type testNode struct {
+	name, links, calls string
+	bootstrap          bool
+	disk               *disk.Memory
+	node               *Node
+	signals            chan os.Signal
+	ended              chan error
+}
+
+// freeAddress returns an address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newCluster(t *testing.T, size int) *cluster {
+	c := &cluster{t: t}
+	for i := range size {
+		c.nodes = append(c.nodes, &testNode{
+			name: fmt.Sprintf("control-%d", i), links: freeAddress(t), calls: freeAddress(t), bootstrap: true, disk: disk.NewMemory(),
+		})
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			c.stop(n)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(n *testNode) {
+	c.t.Helper()
+	text := fmt.Sprintf(`
+vm: {name: %s, region: north, failure_domain: hall-%s}
+peers: {listen: "%s"}
+data: {folder: unused}
+control: {listen: "%s", bootstrap: %v, tolerate: 1}
+`, n.name, n.name, n.links, n.calls, n.bootstrap)
+	path := filepath.Join(c.t.TempDir(), n.name+".yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	s, err := settings.LoadControl(path)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n.node, err = New(s, "", Own(), Seams{
+		Seams:  daemon.Seams{Log: io.Discard, Listen: func(a string) (net.Listener, error) { return net.Listen("tcp", a) }},
+		Folder: func() (*disk.Folder, error) { return n.disk.Folder(), nil },
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	// The nodes of a test share an address and differ by port.
+	n.node.member.config.seeds = func() []string { return c.seeds() }
+	n.signals, n.ended = make(chan os.Signal, 1), make(chan error, 1)
+	node, signals, ended := n.node, n.signals, n.ended
+	go func() { ended <- node.Run(signals) }()
+}
+
+func (c *cluster) seeds() []string {
+	var seeds []string
+	for _, n := range c.nodes[:3] {
+		seeds = append(seeds, n.links)
+	}
+	return seeds
+}
+
+func (c *cluster) stop(n *testNode) {
+	if n.node == nil {
+		return
+	}
+	n.signals <- os.Interrupt
+	<-n.ended
+	n.node = nil
+}
+
+// patience ends a test that waits for what does not come; it is no bound on
+// how long things may take.
+const patience = time.Minute
+
+// eventually tries until do succeeds.
+func (c *cluster) eventually(what string, do func() error) {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var err error
+	for ctx.Err() == nil {
+		if err = do(); err == nil {
+			return
+		}
+		<-time.After(10 * time.Millisecond)
+	}
+	c.t.Fatalf("%s: %v", what, err)
+}
+
+// awaitVoters waits until a leader counts exactly the given nodes as voters,
+// in their present lives.
+func (c *cluster) awaitVoters(nodes ...*testNode) {
+	c.t.Helper()
+	c.eventually("voters", func() error {
+		wanted := map[controllog.MemberID]bool{}
+		for _, n := range nodes {
+			self := n.node.member.self.Load()
+			if self == nil {
+				return fmt.Errorf("%s has no disk yet", n.name)
+			}
+			wanted[self.Member()] = true
+		}
+		for _, n := range nodes {
+			if s := n.node.member.state(); s.Role == controllog.Leader && s.Commits && sameVoters(s.Voters, wanted) {
+				return nil
+			}
+		}
+		return fmt.Errorf("no leader counts them")
+	})
+}
+
+func sameVoters(voters []controllog.Voter, wanted map[controllog.MemberID]bool) bool {
+	for _, v := range voters {
+		if v.Learner() || !wanted[v.Member()] {
+			return false
+		}
+	}
+	return len(voters) == len(wanted)
+}
+
+func document(number uint64) Configuration {
+	d := serviceconfig.NewDocument(number, nil, []serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", serviceconfig.Engine{})}, nil, serviceconfig.Limits{})
+	return NewConfiguration(d, []byte(fmt.Sprintf(`{"number": %d}`, number)))
+}
+
+func (c *cluster) put(n *testNode, number uint64) {
+	c.t.Helper()
+	c.eventually("put", func() error { return n.node.service.PutConfiguration(context.Background(), document(number)) })
+}
+
+func (c *cluster) mustRead(n *testNode, number uint64) {
+	c.t.Helper()
+	c.eventually("read", func() error {
+		got, err := n.node.service.ReadConfiguration(context.Background())
+		if err != nil {
+			return err
+		}
+		if got.Document().Number() != number {
+			c.t.Fatalf("%s reads %d, not %d", n.name, got.Document().Number(), number)
+		}
+		return nil
+	})
+}
+
+func TestNodesFormAndAgree(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitVoters(c.nodes...)
+	c.put(c.nodes[1], 7)
+	for _, n := range c.nodes {
+		c.mustRead(n, 7)
+	}
+	// A resend and an older number are acknowledged and change nothing.
+	c.put(c.nodes[2], 7)
+	c.put(c.nodes[0], 5)
+	c.mustRead(c.nodes[2], 7)
+	if err := c.nodes[0].node.service.NameVersion(context.Background(), "menu", 0); !failure.Is(err, failure.BadDocument) {
+		t.Fatalf("version 0: %v", err)
+	}
+	c.eventually("name", func() error { return c.nodes[0].node.service.NameVersion(context.Background(), "menu", 3) })
+}
+
+// A node that loses its disk right after an acknowledgement comes back as
+// another voter, and what was acknowledged is still there.
+func TestWipedNodeIsTakenInAgain(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitVoters(c.nodes...)
+	c.put(c.nodes[0], 7)
+	wiped := c.nodes[0]
+	c.stop(wiped)
+	wiped.disk, wiped.bootstrap = disk.NewMemory(), false
+	c.start(wiped)
+	c.awaitVoters(c.nodes...)
+	c.mustRead(wiped, 7)
+	c.put(wiped, 8)
+	c.mustRead(c.nodes[2], 8)
+}
+
+// All nodes at once lose power; their disks hold what was acknowledged.
+func TestAllNodesRestart(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitVoters(c.nodes...)
+	c.put(c.nodes[0], 7)
+	for _, n := range c.nodes {
+		c.stop(n)
+		n.disk.Crash(0)
+		n.bootstrap = false
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	c.mustRead(c.nodes[1], 7)
+}
+
+// A node that is gone for good is taken out once another has come in.
+func TestReplacedNodeIsTakenOut(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitVoters(c.nodes...)
+	c.put(c.nodes[0], 7)
+	c.stop(c.nodes[2])
+	fresh := &testNode{name: "control-9", links: freeAddress(t), calls: freeAddress(t), disk: disk.NewMemory()}
+	c.nodes = append(c.nodes, fresh)
+	c.start(fresh)
+	c.awaitVoters(c.nodes[0], c.nodes[1], fresh)
+	c.stop(c.nodes[0])
+	c.put(fresh, 8)
+	c.mustRead(fresh, 8)
+}
+
+// A disk that fails stops the node's part in the log, not the node: it hands
+// calls on, and takes part again once the disk works.
+func TestNodeOutlivesItsDisk(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitVoters(c.nodes...)
+	n := c.nodes[1]
+	full := fmt.Errorf("no space")
+	n.disk.SetFailAppend(func(string, int) (int, error) { return 0, full })
+	c.put(c.nodes[0], 7)
+	c.mustRead(n, 7)
+	n.disk.SetFailAppend(nil)
+	c.stop(c.nodes[2])
+	c.put(c.nodes[0], 8)
+	c.mustRead(n, 8)
+}
+
+func TestEmptyNodeNeverFormsACluster(t *testing.T) {
+	c := &cluster{t: t}
+	n := &testNode{name: "control-0", links: freeAddress(t), calls: freeAddress(t), disk: disk.NewMemory()}
+	c.nodes = []*testNode{n, n, n}
+	c.start(n)
+	defer c.stop(n)
+	if err := n.node.service.PutConfiguration(context.Background(), document(7)); err == nil {
+		t.Fatal("an empty node that may not form a cluster acknowledged a configuration")
+	}
+}
+
+// A node that hears no quorum does not acknowledge that a backend server leaves.
+func TestLeavingNeedsAQuorum(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitVoters(c.nodes...)
+	leaving := registry.NewRegistration("i-1", "menu", "10.0.0.1:80", "north", "v1", 4, registry.Draining, 0, nil, 2)
+	c.eventually("drain", func() error { return c.nodes[0].node.service.Hear(leaving) })
+	c.stop(c.nodes[1])
+	c.stop(c.nodes[2])
+	c.eventually("refusal", func() error {
+		if err := c.nodes[0].node.service.Hear(leaving); err == nil || !strings.Contains(err.Error(), "quorum") {
+			return fmt.Errorf("acknowledged without a quorum: %v", err)
+		}
+		return nil
+	})
+}
--- a/pkg/disk/memory.go
+++ b/pkg/disk/memory.go
@@ -32,6 +32,13 @@
 // NewMemory returns an empty storage.
 func NewMemory() *Memory { return &Memory{files: map[string]*memoryFile{}} }
 
+// SetFailAppend sets FailAppend while the storage is in use.
+func (m *Memory) SetFailAppend(f func(name string, length int) (int, error)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.FailAppend = f
+}
+
 // Crash drops what was not synced, but for the first keep bytes of each file's
 // unsynced tail: a torn write.
 func (m *Memory) Crash(keep int) {
--- a/pkg/staging/copy_test.go
+++ b/pkg/staging/copy_test.go
@@ -171,7 +171,7 @@
 	c.learn("10.0.0.1:7", full.held())
 	now := time.Now()
 	s, _ := g.next(now)
-	g.done(s, true, 2*narrowAfter, now)
+	g.done(s, true, 2*slowAnswer, now)
 	if _, ok := g.next(now); !ok {
 		t.Fatal("nothing more is asked")
 	}
--- a/pkg/staging/gatherer.go
+++ b/pkg/staging/gatherer.go
@@ -23,10 +23,12 @@
 	// before the chunk is drawn here.
 	missesBeforeOthers = 1
 	missesBeforeOrigin = 4
-	// narrowAfter is the time of a question that shows a narrow link, over which
-	// narrowAsks are under way at one time.
-	narrowAfter = 700 * time.Millisecond
-	narrowAsks  = 1
+	// firstAsks questions are under way at first, one more after each quick
+	// answer up to asksAtOnce, and one alone after a slow one: what is under
+	// way waits in the link, and requests to the engine behind it.
+	firstAsks   = 2
+	quickAnswer = 400 * time.Millisecond
+	slowAnswer  = 700 * time.Millisecond
 	// planLife is how long a plan is used before it is made anew.
 	planLife = 500 * time.Millisecond
 )
@@ -48,7 +50,7 @@
 	plannedAt time.Time
 	underWay  map[int]bool
 	load      map[string]int // questions under way by source
-	narrow    bool           // the last question took long
+	allowed   int            // questions that may be under way
 	misses    map[int]int
 	restsTo   map[int]time.Time
 }
@@ -56,7 +58,7 @@
 func newGatherer(c *weightsCopy, makePlan func() plan) *gatherer {
 	return &gatherer{
 		copy: c, makePlan: makePlan, underWay: map[int]bool{}, load: map[string]int{},
-		misses: map[int]int{}, restsTo: map[int]time.Time{},
+		misses: map[int]int{}, restsTo: map[int]time.Time{}, allowed: firstAsks,
 	}
 }
 
@@ -70,7 +72,7 @@
 		g.plan, g.plannedAt = g.makePlan(), now
 	}
 	overdue := len(g.plan.near) > 0 || g.copy.restedFor(now) > overdueAfter
-	if g.narrow && len(g.underWay) >= narrowAsks {
+	if len(g.underWay) >= g.allowed {
 		return step{}, false
 	}
 	var best step
@@ -152,7 +154,7 @@
 func (g *gatherer) done(s step, answered bool, took time.Duration, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.narrow = took > narrowAfter
+	g.adapt(answered, took)
 	delete(g.underWay, s.number)
 	g.load[s.source]--
 	if !answered {
@@ -164,3 +166,13 @@
 		g.copy.unlearn(s.source, s.number)
 	}
 }
+
+// adapt lets as many questions be under way as the link bears.
+func (g *gatherer) adapt(answered bool, took time.Duration) {
+	switch {
+	case !answered || took > slowAnswer:
+		g.allowed = 1
+	case took < quickAnswer:
+		g.allowed = min(g.allowed+1, asksAtOnce)
+	}
+}
