A node whose disk fails still knows who leads and hands calls on

Cause: found by TestNodeOutlivesItsDisk: a member whose disk is full reopens its log again and again and never applies a heartbeat, so it knew no leader and answered 503 to every operator. It now remembers whose leader messages reached it. The test failed before and passes now.

--- a/pkg/control/member.go
+++ b/pkg/control/member.go
@@ -84,6 +84,7 @@
 	runner      atomic.Pointer[controllog.Runner]
 	self        atomic.Pointer[controllog.Voter]
 	heardLeader atomic.Int64 // nanoseconds since started
+	leaderHint  atomic.Pointer[string]
 	started     time.Time
 
 	mu    sync.Mutex
@@ -153,6 +154,9 @@
 		if err := s.Receive(&message); err != nil {
 			return nil
 		}
+		if message.FromLeader() {
+			m.hearLeader(s.Peer().Address())
+		}
 		if r := m.runner.Load(); r != nil {
 			r.Deliver(message)
 		}
@@ -167,6 +171,24 @@
 	return controllog.State{}
 }
 
+// hearLeader notes who leads. A node whose disk fails keeps no log that could
+// tell, and still hands calls on.
+func (m *member) hearLeader(address string) {
+	m.leaderHint.Store(&address)
+	m.heardLeader.Store(int64(time.Since(m.started)))
+}
+
+// leader returns the link address of the leader; "" when none was heard lately.
+func (m *member) leader() string {
+	if address := m.state().Leader.Address(); address != "" {
+		return address
+	}
+	if hint := m.leaderHint.Load(); hint != nil && m.confirmed() {
+		return *hint
+	}
+	return ""
+}
+
 // confirmed tells whether a quorum's leader was heard of lately.
 func (m *member) confirmed() bool {
 	at := m.heardLeader.Load()
--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -165,11 +165,11 @@
 }
 
 func (s *Service) callOnce(ctx context.Context, data []byte) (response, error) {
-	state := s.member.state()
-	if state.Role == controllog.Leader {
+	if s.member.state().Role == controllog.Leader {
 		return s.execute(ctx, data)
 	}
-	if state.Leader.Address() == "" {
+	leader := s.member.leader()
+	if leader == "" {
 		return response{}, failure.New(failure.NoQuorum, "no leader is known")
 	}
 	// A leader whose disk hangs does not answer; a third of the time leaves
@@ -177,7 +177,7 @@
 	ctx, cancel := context.WithTimeout(ctx, answerWithin/3)
 	defer cancel()
 	var answer response
-	err := s.endpoint.Call(ctx, state.Leader.Address(), link.KindControlCall, request{data}, &answer)
+	err := s.endpoint.Call(ctx, leader, link.KindControlCall, request{data}, &answer)
 	return answer, err
 }
 
--- a/pkg/controllog/step.go
+++ b/pkg/controllog/step.go
@@ -71,6 +71,9 @@
 	}
 }
 
+// FromLeader tells whether only a leader of its term sends such a message.
+func (m Message) FromLeader() bool { return fromLeader(m.kind) }
+
 func fromLeader(k MessageKind) bool {
 	return k == MessageAppend || k == MessageHeartbeat || k == MessageSnapshot
 }
