--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/agreed"
@@ -19,13 +18,8 @@
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
-const (
-	// outboxSize is how many messages may wait for a member; more are
-	// dropped, as a network would, and sent again by the protocol.
-	outboxSize = 256
-	// operatorTimeout bounds what an operator's call waits for a quorum.
-	operatorTimeout = 5 * time.Second
-)
+// operatorTimeout bounds what an operator's call waits for a quorum.
+const operatorTimeout = 5 * time.Second
 
 func (e *Entry) openControlLog(folder *disk.Folder) error {
 	e.machine = agreed.NewMachine(e.state)
@@ -34,7 +28,7 @@
 		Self:    self,
 		Folder:  folder,
 		Machine: e.machine.StateMachine(),
-		Send:    e.peers.send,
+		Send:    e.sendToMember,
 		Record:  e.process.Recorder.Record,
 		Logger:  e.process.Logger,
 		Seed:    e.process.Identity.Incarnation(),
@@ -87,85 +81,15 @@
 // ----------------------------------------------------------------
 // Messages
 
-// peerLinks sends control log messages, each member's from one goroutine.
-type peerLinks struct {
-	endpoint *link.Endpoint
-
-	mu        sync.Mutex
-	addresses map[vm.ID]string
-	outboxes  map[string]chan controllog.Message
-	done      chan struct{}
-}
-
-func newPeerLinks(e *link.Endpoint) *peerLinks {
-	return &peerLinks{endpoint: e, addresses: map[vm.ID]string{}, outboxes: map[string]chan controllog.Message{}, done: make(chan struct{})}
-}
-
-// close ends the sending goroutines.
-func (p *peerLinks) close() { close(p.done) }
-
-// learn remembers where a member speaks from.
-func (p *peerLinks) learn(identity vm.Identity) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.addresses[identity.ID()] = identity.Address()
-}
-
-// send queues a message. A member that is not in the log here yet is answered
-// where it last spoke from.
-func (p *peerLinks) send(to controllog.MemberID, address string, m controllog.Message) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if address == "" {
-		address = p.addresses[to.VM()]
-	}
-	if address == "" {
-		return
-	}
-	outbox := p.outboxes[address]
-	if outbox == nil {
-		outbox = make(chan controllog.Message, outboxSize)
-		p.outboxes[address] = outbox
-		go p.pump(address, outbox)
-	}
-	select {
-	case outbox <- m:
-	default:
-	}
-}
-
-// pump keeps one stream to an address. A message that cannot be sent is
-// dropped: the protocol sends what is still needed again.
-func (p *peerLinks) pump(address string, outbox <-chan controllog.Message) {
-	var s *link.Stream
-	for {
-		var m controllog.Message
-		select {
-		case m = <-outbox:
-		case <-p.done:
-			return
-		}
-		if s == nil {
-			var err error
-			s, err = p.endpoint.Open(context.Background(), address, link.KindControlLog, "")
-			if err != nil {
-				s = nil
-				continue
-			}
-		}
-		s.SetDeadline(time.Now().Add(operatorTimeout))
-		if err := s.Send(m); err != nil {
-			s.Close()
-			s = nil
-		}
-	}
+func (e *Entry) sendToMember(to controllog.MemberID, address string, m controllog.Message) {
+	e.peers.Send(string(to.VM()), address, m)
 }
 
 func (e *Entry) serveControlLog(_ context.Context, s *link.Stream) error {
 	if e.runner == nil {
 		return failure.New(failure.BadRequest, "this entry keeps no control log")
 	}
-	e.peers.learn(s.Peer())
+	e.peers.Learn(string(s.Peer().ID()), s.Peer().Address())
 	for {
 		var m controllog.Message
 		if err := s.Receive(&m); err != nil {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -42,7 +42,7 @@
 	state       *configstate.State
 	machine     *agreed.Machine
 	runner      *controllog.Runner // nil unless this entry is a voter
-	peers       *peerLinks
+	peers       *link.Messenger[controllog.Message]
 	proposals   *proposer
 	agents      *membership.View
 	entries     *entryTable
@@ -130,7 +130,7 @@
 		drained:   make(chan string, 1),
 	}
 	e.state.SetFaults(seams.Faults.Config)
-	e.peers = newPeerLinks(process.Endpoint)
+	e.peers = link.NewMessenger[controllog.Message](process.Endpoint, link.KindControlLog)
 	e.spread = newCoordinators(e)
 	e.distributor = configstate.NewDistributor(e.state, e.confirmed)
 	e.state.OnChange(func(d contract.Delta) {
@@ -172,7 +172,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer e.process.Endpoint.Close()
-	defer e.peers.close()
+	defer e.peers.Close()
 	if e.folder != nil {
 		defer func() { _ = e.folder.Close() }()
 	}
