--- a/pkg/control/member.go
+++ b/pkg/control/member.go
@@ -23,6 +23,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/tidepost/tidepost/pkg/controllog"
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/disk"
 	"github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/failure"
@@ -209,16 +210,7 @@
 // Forming and healing
 
 func (m *member) manage(ctx context.Context) {
-	ticker := time.NewTicker(manageEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		m.manageOnce(ctx)
-	}
+	_ = daemon.Every(ctx, manageEvery, func() { m.manageOnce(ctx) })
 }
 
 func (m *member) manageOnce(ctx context.Context) {
--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -172,21 +172,15 @@
 	}, netutil.LimitListener(l, maxConnections))
 }
 
+// sweep tells of backend servers that have gone silent.
 func (n *Node) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return daemon.Every(ctx, sweepEvery, func() {
 		changed := n.service.registry.Sweep(silentBeats*n.settings.Heartbeat(), forgetAfter)
 		n.service.publisher.Registered(changed...)
 		for _, r := range changed {
 			n.service.logRegistration(r)
 		}
-	}
+	})
 }
 
 // Called returns the protocol's name.
--- a/pkg/control/own.go
+++ b/pkg/control/own.go
@@ -31,32 +31,32 @@
 func Own() Protocol { return Protocol{Name: "own", Mount: mountOwn} }
 
 func mountOwn(r chi.Router, s *Service) {
-	r.Put("/v1/configuration", handle(MaxDocument, func(r *http.Request, body []byte) (any, error) {
+	r.Put("/v1/configuration", Handle(MaxDocument, func(r *http.Request, body []byte) (any, error) {
 		d, err := serviceconfig.ParseJSON(body)
 		if err != nil {
 			return nil, err
 		}
 		return nil, s.PutConfiguration(r.Context(), NewConfiguration(d, body))
 	}))
-	r.Get("/v1/configuration", handle(0, func(r *http.Request, _ []byte) (any, error) {
+	r.Get("/v1/configuration", Handle(0, func(r *http.Request, _ []byte) (any, error) {
 		c, err := s.ReadConfiguration(r.Context())
 		return json.RawMessage(c.Source()), err
 	}))
-	r.Put("/v1/weights/{model}/{version}", handle(maxWord, func(r *http.Request, _ []byte) (any, error) {
+	r.Put("/v1/weights/{model}/{version}", Handle(maxWord, func(r *http.Request, _ []byte) (any, error) {
 		version, err := strconv.ParseUint(chi.URLParam(r, "version"), 10, 64)
 		if err != nil {
 			return nil, failure.New(failure.BadRequest, "version: %v", err)
 		}
 		return nil, s.NameVersion(r.Context(), chi.URLParam(r, "model"), version)
 	}))
-	r.Put("/v1/backends/{incarnation}", handle(maxWord, func(r *http.Request, body []byte) (any, error) {
+	r.Put("/v1/backends/{incarnation}", Handle(maxWord, func(r *http.Request, body []byte) (any, error) {
 		word, err := parseWord(chi.URLParam(r, "incarnation"), body)
 		if err != nil {
 			return nil, err
 		}
 		return nil, s.Hear(word)
 	}))
-	r.Delete("/v1/backends/{incarnation}", handle(maxWord, func(r *http.Request, _ []byte) (any, error) {
+	r.Delete("/v1/backends/{incarnation}", Handle(maxWord, func(r *http.Request, _ []byte) (any, error) {
 		return nil, s.Leave(chi.URLParam(r, "incarnation"))
 	}))
 }
@@ -96,9 +96,9 @@
 	return registry.NewRegistration(incarnation, w.Service, w.Address, w.FailureDomain, w.Software, w.Slots, state, 0, holdings, w.Sequence), nil
 }
 
-// handle serves one call: it reads at most maxBody bytes and writes the result
+// Handle serves one call: it reads at most maxBody bytes and writes the result
 // as JSON, or the failure with its remedy.
-func handle(maxBody int64, do func(r *http.Request, body []byte) (any, error)) http.HandlerFunc {
+func Handle(maxBody int64, do func(r *http.Request, body []byte) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
@@ -139,8 +139,3 @@
 	w.WriteHeader(f.Status())
 	_ = json.NewEncoder(w).Encode(failureBody{f.Message(), string(f.Kind()), f.Remedy()})
 }
-
-// Handle is handle for adapters.
-func Handle(maxBody int64, do func(r *http.Request, body []byte) (any, error)) http.HandlerFunc {
-	return handle(maxBody, do)
-}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -173,16 +173,7 @@
 }
 
 func (g *Gateway) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			g.backends.sweep()
-		}
-	}
+	return daemon.Every(ctx, sweepEvery, g.backends.sweep)
 }
 
 // ----------------------------------------------------------------
