--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -104,7 +104,7 @@
 		Incarnation:  x.backend.word().Incarnation(),
 		Organisation: q.organisation,
 		Remaining:    q.remaining(),
-		Version:      x.gateway.expectedVersion(q, x.backend),
+		Version:      x.gateway.expectedVersion(q),
 		Urgency:      q.urgency,
 		LastEvent:    q.lastEvent,
 	})
--- a/pkg/gateway/versions.go
+++ b/pkg/gateway/versions.go
@@ -74,9 +74,9 @@
 	return g.versions.due(model, g.settings.WeightsWithin()-versionMargin, time.Now())
 }
 
-// expectedVersion returns the version that a backend server is told to insist
-// on; 0 for none.
-func (g *Gateway) expectedVersion(q *request, b *backend) uint64 {
+// expectedVersion returns the version that a request's backend server is told
+// to insist on; 0 for none.
+func (g *Gateway) expectedVersion(q *request) uint64 {
 	if q.service.Engine().Slots() == 0 || q.call.Model == "" {
 		return 0
 	}
--- a/pkg/staging/owners.go
+++ b/pkg/staging/owners.go
@@ -55,8 +55,11 @@
 		hash    uint64
 	}
 	claims := make([]claim, 0, len(addresses))
+	// A plan ranks all stagers for every chunk: the text is put together once,
+	// and only the address before it differs.
+	chunk := fmt.Sprintf("/%s/%d/%d", model, version, number)
 	for _, a := range addresses {
-		claims = append(claims, claim{a, xxhash.Sum64String(fmt.Sprintf("%s/%s/%d/%d", a, model, version, number))})
+		claims = append(claims, claim{a, xxhash.Sum64String(a + chunk)})
 	}
 	sort.Slice(claims, func(i, j int) bool { return claims[i].hash < claims[j].hash })
 	order := make([]string, 0, len(claims))
