A departure told by a node that never heard the backend server reaches gateways

Such a node knows neither service nor address, so its word went to gateways without them, and these filed it under the service "" and left the backend server ready. Ruled out: the feed (the node's other words arrived), sequences (a departure always supersedes), the acknowledgement without quorum (it had one). Change: gateways keep departures by incarnation, apart from services; they are final, remembered for ten minutes, and the table no longer grows for ever.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -133,7 +133,7 @@
 		x.conn.Finish(answer)
 	}
 	if told.Elsewhere(x.backend.word().Incarnation()) {
-		x.backend.isGone()
+		x.gateway.backends.depart(x.backend.word().Incarnation())
 		x.gateway.note(q, attemptElsewhere, "the address belongs to "+told.Incarnation)
 		return false
 	}
--- a/pkg/gateway/backends.go
+++ b/pkg/gateway/backends.go
@@ -1,12 +1,17 @@
 // ================================================================
 // All backend servers by service. The table is in shards by service, each
 // under its own lock; the choice of one service never waits for another's.
+//
+// The word that one is gone may come from a control node that never heard it
+// before, and then names no service. So departures are kept by incarnation,
+// apart from the shards: a late word of another node never brings one back.
 // ================================================================
 
 package gateway
 
 import (
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,7 +19,12 @@
 	"github.com/tidepost/tidepost/pkg/registry"
 )
 
-const backendShards = 8
+const (
+	backendShards = 8
+	// departedLife is how long a departure is remembered; words that are late
+	// are so by seconds.
+	departedLife = 10 * time.Minute
+)
 
 type backendShard struct {
 	mu       sync.RWMutex
@@ -24,10 +34,13 @@
 // backends are all backend servers that this gateway was told of.
 type backends struct {
 	shards [backendShards]backendShard
+
+	departedLock sync.Mutex
+	departed     map[string]time.Time // by incarnation
 }
 
 func newBackends() *backends {
-	t := &backends{}
+	t := &backends{departed: map[string]time.Time{}}
 	for i := range t.shards {
 		t.shards[i].services = map[string]map[string]*backend{}
 	}
@@ -40,6 +53,13 @@
 
 // hear takes the word of a backend server.
 func (t *backends) hear(r registry.Registration) {
+	if r.State() == registry.Gone {
+		t.depart(r.Incarnation())
+		return
+	}
+	if t.hasDeparted(r.Incarnation()) {
+		return
+	}
 	s := t.shard(r.Service())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -55,6 +75,42 @@
 	service[r.Incarnation()] = newBackend(r)
 }
 
+// depart notes that an incarnation is gone, whatever its service.
+func (t *backends) depart(incarnation string) {
+	t.departedLock.Lock()
+	t.departed[incarnation] = time.Now()
+	t.departedLock.Unlock()
+	t.each(func(b *backend, id string) {
+		if id == incarnation {
+			b.isGone()
+		}
+	})
+}
+
+func (t *backends) hasDeparted(incarnation string) bool {
+	t.departedLock.Lock()
+	defer t.departedLock.Unlock()
+	_, gone := t.departed[incarnation]
+	return gone
+}
+
+// each calls f with every backend server and its incarnation.
+func (t *backends) each(f func(b *backend, incarnation string)) {
+	for i := range t.shards {
+		t.shards[i].each(f)
+	}
+}
+
+func (s *backendShard) each(f func(b *backend, incarnation string)) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, service := range s.services {
+		for incarnation, b := range service {
+			f(b, incarnation)
+		}
+	}
+}
+
 // hearLoad takes the load of an engine.
 func (t *backends) hearLoad(l feed.Load) {
 	s := t.shard(l.Service())
@@ -79,21 +135,32 @@
 	return all
 }
 
-// sweep closes old connections and those of backend servers that are gone.
-// What is gone stays in the table: a late word must not bring it back.
+// sweep closes old connections, and forgets the backend servers that are gone
+// and the departures that no late word can reach any more.
 func (t *backends) sweep() {
+	t.each(func(b *backend, _ string) { b.pool.CloseOld() })
 	for i := range t.shards {
-		s := &t.shards[i]
-		s.mu.RLock()
-		for _, service := range s.services {
-			for _, b := range service {
-				if b.word().State() == registry.Gone {
-					b.pool.Close()
-				} else {
-					b.pool.CloseOld()
-				}
+		t.shards[i].forgetGone()
+	}
+	t.departedLock.Lock()
+	defer t.departedLock.Unlock()
+	for incarnation, at := range t.departed {
+		if time.Since(at) > departedLife {
+			delete(t.departed, incarnation)
+		}
+	}
+}
+
+// forgetGone removes the backend servers that are gone and at rest.
+func (s *backendShard) forgetGone() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, service := range s.services {
+		for incarnation, b := range service {
+			if b.word().State() == registry.Gone {
+				b.pool.Close()
+				delete(service, incarnation)
 			}
 		}
-		s.mu.RUnlock()
 	}
 }
