Narrow links: one chunk under way sooner; lapsing requests taken back 0.6 s before

Change: an answer of 0.3 s (0.7) leaves one question under way, one below 0.15 s (0.4) allows more; requests are taken back 0.6 s (0.4) before.

--- a/pkg/gateway/versions.go
+++ b/pkg/gateway/versions.go
@@ -25,7 +25,7 @@
 	mostMargin  = 3 * time.Second
 	// lapseMargin is how long before that a request that has not begun on an
 	// old version is taken back.
-	lapseMargin = 400 * time.Millisecond
+	lapseMargin = 600 * time.Millisecond
 )
 
 // namedWeights is a named version and when it was named.
--- a/pkg/staging/gatherer.go
+++ b/pkg/staging/gatherer.go
@@ -27,8 +27,8 @@
 	// answer up to asksAtOnce, and one alone after a slow one: what is under
 	// way waits in the link, and requests to the engine behind it.
 	firstAsks   = 2
-	quickAnswer = 400 * time.Millisecond
-	slowAnswer  = 700 * time.Millisecond
+	quickAnswer = 150 * time.Millisecond
+	slowAnswer  = 300 * time.Millisecond
 	// planLife is how long a plan is used before it is made anew.
 	planLife = 500 * time.Millisecond
 )
