--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -22,6 +22,9 @@
 	silence = 2500 * time.Millisecond
 	// askAgain is when a document is asked of another node.
 	askAgain = 400 * time.Millisecond
+	// nearFirst is how long nodes of other failure domains wait for one of the
+	// own to have the document too: it is large, and links between are narrow.
+	nearFirst = 150 * time.Millisecond
 	// leastPause and mostPause lie between two dials of a node.
 	leastPause = 100 * time.Millisecond
 	mostPause  = 800 * time.Millisecond
@@ -152,30 +155,60 @@
 		stream.SetDeadline(time.Now().Add(silence))
 		f.note(address, stream, u)
 		f.Take(address, u)
-		if f.shouldAsk(u) {
-			if err := stream.Send(Word{ask: true}); err != nil {
-				return err
-			}
+		if u.number > f.Held() {
+			f.askSoon(stream, u.number)
 		}
 	}
 }
 
-// shouldAsk tells whether this node is to be asked for its document: it is
-// newer than the one held, and no other node was asked for it just now.
-func (f *Follower) shouldAsk(u Update) bool {
-	if u.number <= f.Held() {
+// askSoon asks a node for its document: at once where it is near or no near
+// node is heard, else when no near one had it in time. A failure to send shows
+// in the reading.
+func (f *Follower) askSoon(stream *link.Stream, number uint64) {
+	ask := func() {
+		if f.claimAsk(number) {
+			_ = stream.Send(Word{ask: true})
+		}
+	}
+	if f.isNear(stream) || !f.hearsNear() {
+		ask()
+		return
+	}
+	time.AfterFunc(nearFirst, ask)
+}
+
+// claimAsk tells whether a node may be asked for a document: it is newer than
+// the one held, and no other node was asked for it just now.
+func (f *Follower) claimAsk(number uint64) bool {
+	if number <= f.Held() {
 		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	if u.number <= f.asked && now.Sub(f.askedAt) < askAgain {
+	if number <= f.asked && now.Sub(f.askedAt) < askAgain {
 		return false
 	}
-	f.asked, f.askedAt = u.number, now
+	f.asked, f.askedAt = number, now
 	return true
 }
 
+func (f *Follower) isNear(stream *link.Stream) bool {
+	return stream.Peer().Domain() == f.Hello.Self().Domain()
+}
+
+// hearsNear tells whether a node of the own failure domain is heard.
+func (f *Follower) hearsNear() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, stream := range f.streams {
+		if f.isNear(stream) {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *Follower) note(address string, stream *link.Stream, u Update) {
 	if !u.whole {
 		return
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -225,7 +225,7 @@
 	s.mu.Unlock()
 	u := Update{number: p.source.Number(), weights: p.source.Weights(), confirmed: p.source.Confirmed()}
 	if asked {
-		u.document = p.source.Document()
+		u.document = p.documentFor(s.hello.role)
 	}
 	for _, l := range loads {
 		u.loads = append(u.loads, l)
@@ -240,6 +240,17 @@
 	return u
 }
 
+// documentFor returns the document as a role needs it; nil when there is none.
+// Routes and keys are most of it, and only gateways read them.
+func (p *Publisher) documentFor(role Role) *serviceconfig.Document {
+	d := p.source.Document()
+	if d == nil || role == RoleGateway {
+		return d
+	}
+	engines := d.ForEngines()
+	return &engines
+}
+
 // followers counts the gateways and lists the stagers and caches that follow.
 func (p *Publisher) followers() (gateways int, peers []Peer) {
 	p.mu.Lock()
--- a/pkg/serviceconfig/document.go
+++ b/pkg/serviceconfig/document.go
@@ -161,6 +161,12 @@
 	idleTimeout time.Duration
 }
 
+// ForEngines returns the part of the document that whoever serves engines
+// needs: the services, without routes and organisations.
+func (d Document) ForEngines() Document {
+	return Document{number: d.number, services: d.services}
+}
+
 // Idempotent tells whether requests of the route may run more than once.
 func (r Route) Idempotent() bool {
 	return r.kind == Repeatable || (r.kind == Stream && r.resumable)
