Backend servers out of reach are found by dials, a failure domain at a time

Every gateway found every engine behind the cut by a request that hung for a second, and again after each rest of 0.3 s and more. Ruled out: too few engines (those of the other zones had places), the budget. Change: a backend server that is silent to a waiting request for 0.45 s is dialed in the background; while dials time out it gets nothing, what waits there goes elsewhere at once, and its whole failure domain is dialed. Tests: pkg/gateway/reach_test.go.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		if q.ctx.Err() == nil {
 			b.failed(time.Now())
+			g.doubt(b)
 			g.note(q, attemptUnreachable, err.Error())
 		}
 		return false
@@ -50,7 +51,11 @@
 	}
 	q.sent++
 	work := q.work
-	began := b.begin(work)
+	var takeBack func()
+	if q.route.Idempotent() {
+		takeBack = conn.Abort
+	}
+	began := b.begin(work, takeBack)
 	defer b.end(work)
 	defer b.begun(began, false)
 	x := &exchange{gateway: g, request: q, backend: b, conn: conn, began: began}
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -39,6 +39,7 @@
 	pool    *upstream.Pool
 	address string
 	heardAt atomic.Int64 // unix nanoseconds of the last bytes from it
+	dialing atomic.Bool  // somebody finds out whether it can be reached
 
 	mu           sync.Mutex
 	registration registry.Registration
@@ -53,6 +54,7 @@
 	version      uint64  // of the weights, as its answers say; 0 unknown
 	told         toldLoad
 	waits        waits
+	lost         bool // it can't be reached
 }
 
 // toldLoad is the load that a stager told, and what was sent from here since.
@@ -70,6 +72,7 @@
 	resting     bool
 	trial       bool // rested long enough; one request may see
 	full        bool
+	lost        bool
 	failureRate float64
 	pace        float64
 	state       registry.State
@@ -121,16 +124,17 @@
 		told: b.told.load, fresh: !b.told.at.IsZero() && now.Sub(b.told.at) < toldLife, unseen: b.told.sent + b.told.late/2,
 		inFlight: b.inFlight, work: b.work, failureRate: b.failureRate, pace: b.pace,
 		resting: now.Before(b.restUntil), trial: b.failures > 0 && !now.Before(b.restUntil),
-		oldest: b.waits.oldest(now),
-		full:   now.Before(b.fullUntil), state: r.State(), domain: r.Domain(), slots: r.Slots(),
+		oldest: b.waits.oldest(now), lost: b.lost,
+		full: now.Before(b.fullUntil), state: r.State(), domain: r.Domain(), slots: r.Slots(),
 	}
 }
 
 // begin notes work under way that waits for its first event; end takes it off.
-func (b *backend) begin(work time.Duration) *waiting {
+// takeBack, if not nil, ends the attempt while it waits.
+func (b *backend) begin(work time.Duration, takeBack func()) *waiting {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	began := b.waits.add(time.Now())
+	began := b.waits.add(time.Now(), takeBack)
 	b.inFlight++
 	b.told.sent++
 	b.work += work
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		l := b.load(now)
-		if l.state == registry.Draining || l.state == registry.Gone {
+		if l.state == registry.Draining || l.state == registry.Gone || l.lost {
 			continue
 		}
 		if l.full || (l.fresh && l.told.Busy() && w.engine.Slots() > 0) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -61,6 +61,7 @@
 	indexLock sync.Mutex
 	index     atomic.Pointer[serviceconfig.Index]
 	draining  atomic.Bool
+	running   context.Context // ends with Run
 }
 
 // New returns a gateway that is not running yet. path is its settings file,
@@ -72,7 +73,7 @@
 		return nil, err
 	}
 	g := &Gateway{
-		settings: s, process: process, protocol: protocol,
+		settings: s, process: process, protocol: protocol, running: context.Background(),
 		backends: newBackends(), versions: newVersionTable(),
 		budget:  newBudget(s.RetryRatio(), s.RetryReserve(), s.RetryWindow()),
 		metrics: newMetrics(process.Registry),
@@ -137,6 +138,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer g.process.Endpoint.Close()
+	g.running = ctx
 	g.process.LogStart()
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
--- /dev/null
+++ b/pkg/gateway/reach_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
+	"github.com/tidepost/tidepost/pkg/upstream"
+)
+
+// A request that waits at a backend server that can't be reached any more goes
+// on elsewhere, and the next one is not sent there.
+func TestRequestsLeaveWhatIsOutOfReach(t *testing.T) {
+	came, hold := make(chan struct{}), make(chan struct{})
+	silent := func(*bufio.Writer, *http.Request) bool {
+		close(came)
+		<-hold
+		return false
+	}
+	first, second := newStandIn(t, "i-1", silent), newStandIn(t, "i-2", answerWith("200 OK", "second"))
+	defer close(hold)
+	f := newFixture(t, serviceconfig.Repeatable, false, first, second)
+	go func() {
+		<-came
+		for _, b := range f.gateway.backends.of("menu") {
+			if b.word().Incarnation() == "i-1" {
+				b.setLost(true)
+			}
+		}
+	}()
+	for _, id := range []string{"a", "b"} {
+		status, _, body, err := f.do(t, f.request(t, http.MethodGet, id, ""))
+		if status != 200 || body != "second" || err != nil {
+			t.Fatalf("%s: %d %q %v", id, status, body, err)
+		}
+	}
+	if seen := first.requests(); len(seen) != 1 {
+		t.Fatalf("the lost one got %v", seen)
+	}
+}
+
+// A request that may run once is not taken back: it may have run.
+func TestOnceRequestIsNotTakenBack(t *testing.T) {
+	var w waits
+	w.add(time.Now(), nil)
+	if back := w.takeBack(); len(back) != 0 {
+		t.Fatal("a request that may run once would be sent again")
+	}
+}
+
+// A port that refuses is reached: the VM is there.
+func TestRefusalIsNoSilence(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	if !upstream.NewPool(address).Reaches(context.Background(), time.Second) {
+		t.Fatal("a listener is not reached")
+	}
+	_ = l.Close()
+	if !upstream.NewPool(address).Reaches(context.Background(), time.Second) {
+		t.Fatal("a port that refuses counts as silent")
+	}
+}
--- a/pkg/gateway/stand_in_test.go
+++ b/pkg/gateway/stand_in_test.go
@@ -164,7 +164,7 @@
 		// Work that is not there makes the later ones the second choice.
 		for _, b := range g.backends.of("menu") {
 			if b.word().Incarnation() == server.incarnation {
-				b.begin(time.Duration(i) * time.Second)
+				b.begin(time.Duration(i)*time.Second, nil)
 			}
 		}
 	}
--- a/pkg/gateway/waits.go
+++ b/pkg/gateway/waits.go
@@ -12,7 +12,12 @@
 const slowestLife = 2 * time.Second
 
 // waiting is one request that waits for its first event.
-type waiting struct{ since time.Time }
+type waiting struct {
+	since time.Time
+	// takeBack ends the attempt so that the request can go elsewhere; nil where
+	// it may not run again.
+	takeBack func()
+}
 
 // waits are those of one backend server, oldest first. The owner locks.
 type waits struct {
@@ -22,8 +27,8 @@
 }
 
 // add notes a request that begins to wait.
-func (w *waits) add(now time.Time) *waiting {
-	one := &waiting{now}
+func (w *waits) add(now time.Time, takeBack func()) *waiting {
+	one := &waiting{now, takeBack}
 	w.all = append(w.all, one)
 	return one
 }
--- a/pkg/gateway/waits_test.go
+++ b/pkg/gateway/waits_test.go
@@ -12,8 +12,8 @@
 func TestWaitsKnowTheOldestAndTheSlowest(t *testing.T) {
 	now := time.Now()
 	var w waits
-	first := w.add(now)
-	second := w.add(now.Add(100 * time.Millisecond))
+	first := w.add(now, nil)
+	second := w.add(now.Add(100*time.Millisecond), nil)
 	if oldest := w.oldest(now.Add(300 * time.Millisecond)); oldest != 300*time.Millisecond {
 		t.Fatalf("oldest %s", oldest)
 	}
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -91,6 +91,9 @@
 	if w.exchange.request.ctx.Err() != nil {
 		return
 	}
+	if b := w.exchange.backend; time.Since(time.Unix(0, b.heardAt.Load())) > silentBeforeDial {
+		w.exchange.gateway.doubt(b)
+	}
 	silent := time.Since(w.exchange.started) - time.Duration(w.last.Load())
 	if silent > w.limit() {
 		w.barked.Store(true)
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -85,6 +86,21 @@
 	return &Connection{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), pool: p}, nil
 }
 
+// Reaches tells whether anything answers a dial within dialTimeout; a refusal
+// does too: a backend server that is full resets new connections. A connection
+// is closed again: nothing is sent.
+func (p *Pool) Reaches(ctx context.Context, dialTimeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		var timeout net.Error
+		return !errors.As(err, &timeout) || !timeout.Timeout()
+	}
+	_ = conn.Close()
+	return true
+}
+
 func (p *Pool) take() *Connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
