Read once more: a word that races a departure; dead backend servers dialed seldom

A ready word that passed the look at the departures while one was noted put the backend server back; the look is made again under the shard's lock, which the departure takes after it is noted. A backend server that stays out of reach is dialed every 5 s after 15 s, not 1.3 times a second for ever. Found by reading.

--- a/pkg/gateway/backends.go
+++ b/pkg/gateway/backends.go
@@ -72,7 +72,12 @@
 		b.hear(r)
 		return
 	}
-	service[r.Incarnation()] = newBackend(r)
+	b := newBackend(r)
+	if t.hasDeparted(r.Incarnation()) {
+		// The word that it left came after the look above.
+		b.isGone()
+	}
+	service[r.Incarnation()] = b
 }
 
 // depart notes that an incarnation is gone, whatever its service.
--- a/pkg/gateway/reach.go
+++ b/pkg/gateway/reach.go
@@ -23,8 +23,11 @@
 )
 
 const (
-	// dialAgain lies between two dials of a backend server that is lost.
-	dialAgain = 400 * time.Millisecond
+	// dialAgain lies between two dials of a backend server that is lost, and
+	// dialSeldom where it has been lost for longer than lostForGood.
+	dialAgain   = 400 * time.Millisecond
+	dialSeldom  = 5 * time.Second
+	lostForGood = 15 * time.Second
 	// silentBeforeDial is for how long a backend server may be silent to all
 	// requests from here before it is dialed.
 	silentBeforeDial = 450 * time.Millisecond
@@ -41,6 +44,7 @@
 // first one lost has its failure domain dialed too.
 func (g *Gateway) dialUntilReached(b *backend, first bool) {
 	defer b.stopDialing()
+	began := time.Now()
 	for g.running.Err() == nil && !b.isOver() {
 		if b.pool.Reaches(g.running, dialTimeout) {
 			b.setLost(false)
@@ -52,9 +56,13 @@
 				g.doubtDomain(b.word().Domain())
 			}
 		}
+		pause := dialAgain
+		if time.Since(began) > lostForGood {
+			pause = dialSeldom
+		}
 		select {
 		case <-g.running.Done():
-		case <-time.After(dialAgain):
+		case <-time.After(pause):
 		}
 	}
 }
