One table of named versions, one document in force, one way to read seeds again

Found on reading the whole change once more: - stagers and caches kept named versions in a list of their own with the same bound and the same scans as the gateways' table: both use feed.Versions now. One difference: stagers too take the earlier time when a node tells that it applied the version before the one heard first, as gateways did. - gateways and members each raised a document under their own lock: serviceconfig.Current. - three daemons wrote the same closure for seeds: daemon.NewSeeds. - dead code: a backend server never hears that it is gone (departures come first), and load.trial was read by nobody. heldNumber meant two things in pkg/staging. Tests keep their assertions; they name the shared pieces.

--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -84,10 +84,7 @@
 		return nil, err
 	}
 	n := &Node{settings: s, process: process, protocol: protocol}
-	n.seeds = daemon.NewReloaded(path, s.Seeds(), func(path string) ([]string, error) {
-		again, err := settings.LoadControl(path)
-		return again.Seeds(), err
-	}, process.Logger)
+	n.seeds = daemon.NewSeeds(path, s, settings.LoadControl, process.Logger)
 	n.service = &Service{
 		registry: registry.NewTable(nil), endpoint: process.Endpoint, logger: process.Logger,
 		metrics: newMetrics(process.Registry),
--- a/pkg/daemon/reload.go
+++ b/pkg/daemon/reload.go
@@ -85,3 +85,11 @@
 	r.value.Store(&value)
 	_ = level.Info(r.logger).Log("msg", "reloaded", "settings", r.path)
 }
+
+// NewSeeds returns the seeds that settings name, read again with them.
+func NewSeeds[T interface{ Seeds() []string }](path string, first T, load func(path string) (T, error), logger log.Logger) *Reloaded[[]string] {
+	return NewReloaded(path, first.Seeds(), func(path string) ([]string, error) {
+		again, err := load(path)
+		return again.Seeds(), err
+	}, logger)
+}
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -70,7 +70,6 @@
 	inFlight    int
 	work        time.Duration
 	resting     bool
-	trial       bool // rested long enough; one request may see
 	full        bool
 	lost        bool
 	failureRate float64
@@ -94,15 +93,12 @@
 	return b.registration
 }
 
-// hear takes a newer word of the backend server.
+// hear takes a newer word of the backend server, other than that it is gone.
 func (b *backend) hear(r registry.Registration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	old := b.registration
-	if r.Sequence() < old.Sequence() && r.State() != registry.Gone {
-		return
-	}
-	if old.State() == registry.Gone || (old.State() == registry.Draining && r.State() != registry.Gone) {
+	if r.Sequence() < old.Sequence() || old.State() == registry.Gone || old.State() == registry.Draining {
 		return
 	}
 	b.registration = r
@@ -123,8 +119,8 @@
 	return load{
 		told: b.told.load, fresh: !b.told.at.IsZero() && now.Sub(b.told.at) < toldLife, unseen: b.told.sent + b.told.late/2,
 		inFlight: b.inFlight, work: b.work, failureRate: b.failureRate, pace: b.pace,
-		resting: now.Before(b.restUntil), trial: b.failures > 0 && !now.Before(b.restUntil),
-		oldest: b.waits.oldest(now), lost: b.lost,
+		resting: now.Before(b.restUntil),
+		oldest:  b.waits.oldest(now), lost: b.lost,
 		full: now.Before(b.fullUntil), state: r.State(), domain: r.Domain(), slots: r.Slots(),
 	}
 }
--- a/pkg/gateway/backends.go
+++ b/pkg/gateway/backends.go
@@ -128,7 +128,8 @@
 	}
 }
 
-// of returns the backend servers of a service, gone ones left out.
+// of returns the backend servers of a service. Those that are gone are among
+// them until the next sweep.
 func (t *backends) of(service string) []*backend {
 	s := t.shard(service)
 	s.mu.RLock()
--- a/pkg/gateway/forward_test.go
+++ b/pkg/gateway/forward_test.go
@@ -243,7 +243,7 @@
 	if status, _, _, _ := f.do(t, wrongHost); status != http.StatusNotFound {
 		t.Fatalf("wrong host: %d", status)
 	}
-	f.gateway.index.Store(nil)
+	f.gateway.index = serviceconfig.Current{}
 	if status, _, _, _ := f.do(t, f.request(t, http.MethodGet, "a", "")); status != http.StatusServiceUnavailable {
 		t.Fatalf("no configuration: %d", status)
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -15,7 +15,6 @@
 	"net/http"
 	"os"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,14 +53,13 @@
 	protocol Protocol
 	follower *feed.Follower
 	backends *backends
-	versions *versionTable
+	versions *feed.Versions
 	budget   *budget
 	metrics  *metrics
 
-	indexLock sync.Mutex
-	index     atomic.Pointer[serviceconfig.Index]
-	draining  atomic.Bool
-	running   context.Context // ends with Run
+	index    serviceconfig.Current
+	draining atomic.Bool
+	running  context.Context // ends with Run
 }
 
 // New returns a gateway that is not running yet. path is its settings file,
@@ -74,32 +72,22 @@
 	}
 	g := &Gateway{
 		settings: s, process: process, protocol: protocol, running: context.Background(),
-		backends: newBackends(), versions: newVersionTable(),
+		backends: newBackends(), versions: feed.NewVersions(),
 		budget:  newBudget(s.RetryRatio(), s.RetryReserve(), s.RetryWindow()),
 		metrics: newMetrics(process.Registry),
 	}
-	g.seeds = daemon.NewReloaded(path, s.Seeds(), func(path string) ([]string, error) {
-		again, err := settings.LoadGateway(path)
-		return again.Seeds(), err
-	}, process.Logger)
+	g.seeds = daemon.NewSeeds(path, s, settings.LoadGateway, process.Logger)
 	g.follower = &feed.Follower{
 		Endpoint: process.Endpoint,
 		Hello:    feed.NewHello(feed.RoleGateway, process.Identity, "", ""),
 		Seeds:    func() []string { return link.WithPortOf(g.seeds.Get(), process.Identity.Address()) },
-		Held:     g.heldNumber,
+		Held:     g.index.Number,
 		Take:     g.take,
 		Logger:   process.Logger,
 	}
 	return g, nil
 }
 
-func (g *Gateway) heldNumber() uint64 {
-	if index := g.index.Load(); index != nil {
-		return index.Number()
-	}
-	return 0
-}
-
 // take takes what a control node tells. The configuration only ever rises.
 func (g *Gateway) take(address string, u feed.Update) {
 	for _, r := range u.Registrations() {
@@ -108,18 +96,12 @@
 	for _, l := range u.Loads() {
 		g.backends.hearLoad(l)
 	}
-	g.versions.hear(u.Weights(), time.Now())
+	g.versions.Hear(u.Weights(), time.Now())
 	d := u.Document()
-	if d == nil {
-		return
-	}
-	g.indexLock.Lock()
-	defer g.indexLock.Unlock()
-	if d.Number() <= g.heldNumber() {
+	if d == nil || !g.index.Raise(*d) {
 		return
 	}
-	g.index.Store(serviceconfig.NewIndex(*d))
-	g.metrics.number.Set(float64(d.Number()))
+	g.metrics.number.Set(float64(g.index.Number()))
 	_ = level.Info(g.process.Logger).Log("msg", "configuration in force", "number", d.Number(), "routes", len(d.Routes()), "from", address)
 }
 
--- a/pkg/gateway/stand_in_test.go
+++ b/pkg/gateway/stand_in_test.go
@@ -158,7 +158,7 @@
 	if err := d.Check(); err != nil {
 		t.Fatal(err)
 	}
-	g.index.Store(serviceconfig.NewIndex(d))
+	g.index.Raise(d)
 	for i, server := range servers {
 		g.backends.hear(registry.NewRegistration(server.incarnation, "menu", server.listener.Addr().String(), "hall-a", "v1", 4, registry.Ready, 0, nil, 1))
 		// Work that is not there makes the later ones the second choice.
--- a/pkg/gateway/versions.go
+++ b/pkg/gateway/versions.go
@@ -11,12 +11,7 @@
 
 package gateway
 
-import (
-	"sync"
-	"time"
-
-	"github.com/tidepost/tidepost/pkg/feed"
-)
+import "time"
 
 const (
 	// leastMargin and mostMargin bound how long before the end of the agreed
@@ -28,75 +23,11 @@
 	lapseMargin = 600 * time.Millisecond
 )
 
-// namedWeights is a named version and when it was named.
-type namedWeights struct {
-	version uint64
-	since   time.Time
-}
-
-// versionTable holds the named versions of each model, oldest first: a version
-// that was named before the last one is still due at its own time.
-type versionTable struct {
-	mu     sync.RWMutex
-	models map[string][]namedWeights
-}
-
-func newVersionTable() *versionTable { return &versionTable{models: map[string][]namedWeights{}} }
-
-// maxNamed bounds the versions that are remembered of a model.
-const maxNamed = 16
-
-// hear takes the newest versions, as a control node told.
-func (t *versionTable) hear(all []feed.Weights, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, w := range all {
-		since := now.Add(-w.Age())
-		named := t.models[w.Model()]
-		last := len(named) - 1
-		switch {
-		case last < 0 || w.Version() > named[last].version:
-			named = append(named, namedWeights{w.Version(), since})
-			t.models[w.Model()] = named[max(0, len(named)-maxNamed):]
-		case w.Version() == named[last].version && since.Before(named[last].since):
-			// This node applied it earlier than the one heard first.
-			named[last].since = since
-		}
-	}
-}
-
-// due returns the newest version of a model that was named at least age ago; 0
-// when there is none.
-func (t *versionTable) due(model string, age time.Duration, now time.Time) uint64 {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var version uint64
-	for _, n := range t.models[model] {
-		if now.Sub(n.since) >= age {
-			version = n.version
-		}
-	}
-	return version
-}
-
-// lapses returns when the time of a version ends: when the oldest one named
-// after it is due; the zero time while none is.
-func (t *versionTable) lapses(model string, version uint64, within time.Duration) time.Time {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	for _, n := range t.models[model] {
-		if n.version > version {
-			return n.since.Add(within)
-		}
-	}
-	return time.Time{}
-}
-
 // leastVersion returns the least version that a request may use at a backend
 // server where requests took begins to begin.
 func (g *Gateway) leastVersion(model string, begins time.Duration) uint64 {
 	margin := min(leastMargin+begins, mostMargin)
-	return g.versions.due(model, g.settings.WeightsWithin()-margin, time.Now())
+	return g.versions.Due(model, g.settings.WeightsWithin()-margin, time.Now())
 }
 
 // expectedVersion returns the version that a backend server is told to insist
@@ -107,7 +38,7 @@
 	if q.service.Engine().Slots() == 0 || q.call.Model == "" {
 		return 0
 	}
-	newest := g.versions.due(q.call.Model, 0, time.Now())
+	newest := g.versions.Due(q.call.Model, 0, time.Now())
 	if newest > 0 && b.servedVersion(q.call.Model, max(layers, 1)) == newest {
 		return newest
 	}
--- a/pkg/gateway/versions_test.go
+++ b/pkg/gateway/versions_test.go
@@ -9,14 +9,14 @@
 
 // A version that is overtaken by a later one is still due at its own time.
 func TestEarlierVersionStaysDue(t *testing.T) {
-	table := newVersionTable()
+	table := feed.NewVersions()
 	start := time.Unix(100, 0)
-	table.hear([]feed.Weights{feed.NewWeights("menu", 2, 0)}, start)
-	table.hear([]feed.Weights{feed.NewWeights("menu", 3, 0)}, start.Add(2*time.Second))
-	if v := table.due("menu", 7*time.Second, start.Add(8*time.Second)); v != 2 {
+	table.Hear([]feed.Weights{feed.NewWeights("menu", 2, 0)}, start)
+	table.Hear([]feed.Weights{feed.NewWeights("menu", 3, 0)}, start.Add(2*time.Second))
+	if v := table.Due("menu", 7*time.Second, start.Add(8*time.Second)); v != 2 {
 		t.Fatalf("8 s after version 2 was named, version %d is due", v)
 	}
-	if v := table.due("menu", 7*time.Second, start.Add(9*time.Second)); v != 3 {
+	if v := table.Due("menu", 7*time.Second, start.Add(9*time.Second)); v != 3 {
 		t.Fatalf("7 s after version 3 was named, version %d is due", v)
 	}
 }
--- a/pkg/gateway/waits_test.go
+++ b/pkg/gateway/waits_test.go
@@ -43,17 +43,17 @@
 
 // Where requests are slow to begin, an old version is left earlier.
 func TestVersionLapses(t *testing.T) {
-	table := newVersionTable()
+	table := feed.NewVersions()
 	now := time.Now()
-	table.hear([]feed.Weights{feed.NewWeights("menu", 2, 5*time.Second)}, now)
-	table.hear([]feed.Weights{feed.NewWeights("menu", 3, time.Second)}, now)
-	if at := table.lapses("menu", 1, 8*time.Second); at.Sub(now).Round(time.Second) != 3*time.Second {
+	table.Hear([]feed.Weights{feed.NewWeights("menu", 2, 5*time.Second)}, now)
+	table.Hear([]feed.Weights{feed.NewWeights("menu", 3, time.Second)}, now)
+	if at := table.Next("menu", 1).Since().Add(8 * time.Second); at.Sub(now).Round(time.Second) != 3*time.Second {
 		t.Fatalf("version 1 lapses in %s", at.Sub(now))
 	}
-	if at := table.lapses("menu", 2, 8*time.Second); at.Sub(now).Round(time.Second) != 7*time.Second {
+	if at := table.Next("menu", 2).Since().Add(8 * time.Second); at.Sub(now).Round(time.Second) != 7*time.Second {
 		t.Fatalf("version 2 lapses in %s", at.Sub(now))
 	}
-	if !table.lapses("menu", 3, 8*time.Second).IsZero() {
+	if !table.Next("menu", 3).Since().IsZero() {
 		t.Fatal("the newest version lapses")
 	}
 }
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -54,10 +54,11 @@
 		return
 	}
 	served := w.exchange.backend.servedVersion(q.call.Model, max(engine.Layers(), 1))
-	at := g.versions.lapses(q.call.Model, served, g.settings.WeightsWithin())
-	if served == 0 || at.IsZero() {
+	next := g.versions.Next(q.call.Model, served)
+	if served == 0 || next.Version() == 0 {
 		return
 	}
+	at := next.Since().Add(g.settings.WeightsWithin())
 	w.lapse = time.AfterFunc(time.Until(at)-lapseMargin, func() {
 		if !w.flowing.Load() {
 			w.lapsed.Store(true)
--- a/pkg/staging/cache_test.go
+++ b/pkg/staging/cache_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/tidepost/tidepost/pkg/disk"
+	"github.com/tidepost/tidepost/pkg/feed"
 )
 
 // swarmOf returns the swarm of two failure domains, "a" with a cache and "b"
@@ -129,14 +130,16 @@
 // does not move it.
 func TestOldestNamedVersionIsDueFirst(t *testing.T) {
 	now := time.Now()
-	m := &Member{named: map[string][]named{"menu": {{2, now.Add(-3 * time.Second)}, {3, now}}}}
-	if due := m.nextDue("menu", 1); due.version != 2 {
-		t.Fatalf("due %d at an engine that serves 1", due.version)
+	m := &Member{versions: feed.NewVersions()}
+	m.versions.Hear([]feed.Weights{feed.NewWeights("menu", 2, 0)}, now.Add(-3*time.Second))
+	m.versions.Hear([]feed.Weights{feed.NewWeights("menu", 3, 0)}, now)
+	if due := m.nextDue("menu", 1); due.Version() != 2 {
+		t.Fatalf("due %d at an engine that serves 1", due.Version())
 	}
-	if due := m.nextDue("menu", 2); due.version != 3 || !due.since.Equal(now) {
-		t.Fatalf("due %d at an engine that serves 2", due.version)
+	if due := m.nextDue("menu", 2); due.Version() != 3 || !due.Since().Equal(now) {
+		t.Fatalf("due %d at an engine that serves 2", due.Version())
 	}
-	if want := m.wanted("menu"); want.version != 3 {
-		t.Fatalf("wanted %d", want.version)
+	if want := m.wanted("menu"); want.Version() != 3 {
+		t.Fatalf("wanted %d", want.Version())
 	}
 }
--- a/pkg/staging/member.go
+++ b/pkg/staging/member.go
@@ -9,7 +9,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -33,7 +32,8 @@
 	failing  *failingPeers
 	metrics  *metrics
 	running  context.Context
-	index    atomic.Pointer[serviceconfig.Index]
+	index    serviceconfig.Current
+	versions *feed.Versions
 	wake     chan struct{}
 	beside   beside
 
@@ -46,13 +46,9 @@
 	underWay map[fetchKey]bool
 
 	mu     sync.Mutex
-	named  map[string][]named      // by model, oldest first
 	copies map[string]*weightsCopy // the newest, by model
 }
 
-// maxNamed bounds the versions that are remembered of a model.
-const maxNamed = 16
-
 // beside is how chunks are read that lie beside the engine of a stager; its
 // functions are nil at a cache.
 type beside struct {
@@ -61,12 +57,6 @@
 	read    func(ctx context.Context, model string, number int) ([]byte, error)
 }
 
-// named is a named version and since when.
-type named struct {
-	version uint64
-	since   time.Time
-}
-
 // newMember returns a member that is not running yet. seeds are the link
 // addresses of control nodes, and uploads bounds the chunks on their way to
 // others at one time.
@@ -75,45 +65,25 @@
 		process: process, protocol: protocol, registry: registry.NewTable(nil), failing: newFailingPeers(),
 		metrics: newMetrics(process.Registry), wake: make(chan struct{}, 1), running: context.Background(),
 		drawnManifests: map[string]Manifest{}, notices: link.NewMessenger[notice](process.Endpoint, link.KindChunkNotice),
-		uploads: make(chan struct{}, uploads), underWay: map[fetchKey]bool{}, named: map[string][]named{}, copies: map[string]*weightsCopy{},
+		uploads: make(chan struct{}, uploads), underWay: map[fetchKey]bool{}, versions: feed.NewVersions(), copies: map[string]*weightsCopy{},
 	}
 	m.follower = &feed.Follower{
-		Endpoint: process.Endpoint, Hello: hello, Seeds: seeds, Held: m.heldNumber, Take: m.takeUpdate, Logger: process.Logger,
+		Endpoint: process.Endpoint, Hello: hello, Seeds: seeds, Held: m.index.Number, Take: m.takeUpdate, Logger: process.Logger,
 	}
 	process.Endpoint.Handle(link.KindChunkOf, m.serveQuestion)
 	process.Endpoint.Handle(link.KindChunkNotice, m.serveNotices)
 	return m
 }
 
-func (m *Member) heldNumber() uint64 {
-	if index := m.index.Load(); index != nil {
-		return index.Number()
-	}
-	return 0
-}
-
 // takeUpdate takes what a control node tells.
 func (m *Member) takeUpdate(_ string, u feed.Update) {
 	for _, r := range u.Registrations() {
 		m.registry.Hear(r)
 	}
-	m.mu.Lock()
-	changed := false
-	for _, w := range u.Weights() {
-		held := m.named[w.Model()]
-		if len(held) == 0 || w.Version() > held[len(held)-1].version {
-			held = append(held, named{w.Version(), time.Now().Add(-w.Age())})
-			m.named[w.Model()] = held[max(0, len(held)-maxNamed):]
-			changed = true
-		}
-	}
-	if d := u.Document(); d != nil {
-		if held := m.index.Load(); held == nil || d.Number() > held.Number() {
-			m.index.Store(serviceconfig.NewIndex(*d))
-			changed = true
-		}
+	changed := m.versions.Hear(u.Weights(), time.Now())
+	if d := u.Document(); d != nil && m.index.Raise(*d) {
+		changed = true
 	}
-	m.mu.Unlock()
 	if changed {
 		m.awake()
 	}
@@ -135,27 +105,20 @@
 }
 
 // wanted returns the newest named version of a model.
-func (m *Member) wanted(model string) named {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	held := m.named[model]
-	if len(held) == 0 {
-		return named{version: firstVersion}
-	}
-	return held[len(held)-1]
-}
+func (m *Member) wanted(model string) feed.Named { return orFirst(m.versions.Newest(model)) }
 
 // nextDue returns the oldest named version above the one that is served: its
 // time ends first, whatever was named after it.
-func (m *Member) nextDue(model string, served uint64) named {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, n := range m.named[model] {
-		if n.version > served {
-			return n
-		}
+func (m *Member) nextDue(model string, served uint64) feed.Named {
+	return orFirst(m.versions.Next(model, served))
+}
+
+// orFirst returns a named version, or the first one where none was named.
+func orFirst(n feed.Named) feed.Named {
+	if n.Version() == 0 {
+		return feed.NewNamed(firstVersion, time.Time{})
 	}
-	return named{version: firstVersion}
+	return n
 }
 
 // cancelWhenRenamed ends the gathering of a version when a later one is named.
@@ -167,7 +130,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if m.wanted(model).version != version {
+			if m.wanted(model).Version() != version {
 				cancel()
 				return
 			}
@@ -180,10 +143,10 @@
 
 // obtain returns a complete copy of a version, gathering it if need be; nil
 // when it could not be had or a later version was named meanwhile.
-func (m *Member) obtain(ctx context.Context, model string, want named) (*weightsCopy, error) {
-	c := m.copyOf(model, want.version)
+func (m *Member) obtain(ctx context.Context, model string, want feed.Named) (*weightsCopy, error) {
+	c := m.copyOf(model, want.Version())
 	if c == nil {
-		manifest, err := m.findManifest(ctx, model, want.version)
+		manifest, err := m.findManifest(ctx, model, want.Version())
 		if err != nil {
 			return nil, err
 		}
@@ -196,7 +159,7 @@
 	}
 	gathering, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go m.cancelWhenRenamed(gathering, cancel, model, want.version)
+	go m.cancelWhenRenamed(gathering, cancel, model, want.Version())
 	started := time.Now()
 	m.gather(gathering, c)
 	if !c.isComplete() {
@@ -285,16 +248,16 @@
 	return holders
 }
 
-func (m *Member) logComplete(c *weightsCopy, want named, started time.Time) {
+func (m *Member) logComplete(c *weightsCopy, want feed.Named, started time.Time) {
 	_ = level.Info(m.process.Logger).Log("msg", "copy complete", "model", c.manifest.model, "version", c.manifest.version,
 		"ms", time.Since(started).Milliseconds(), "since_named_ms", sinceNamed(want))
 }
 
 // sinceNamed returns for how long a version has been named, in milliseconds;
 // 0 when it never was.
-func sinceNamed(want named) int64 {
-	if want.since.IsZero() {
+func sinceNamed(want feed.Named) int64 {
+	if want.Since().IsZero() {
 		return 0
 	}
-	return time.Since(want.since).Milliseconds()
+	return time.Since(want.Since()).Milliseconds()
 }
--- a/pkg/staging/serve.go
+++ b/pkg/staging/serve.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"github.com/tidepost/tidepost/pkg/feed"
 )
 
 const (
@@ -29,7 +31,7 @@
 // serve has the engine serve a complete copy when it is its turn, and returns
 // when to look again. due is the version whose time ends first; the copy is of
 // that or of a later one.
-func (s *Stager) serve(ctx context.Context, c *weightsCopy, report Report, due named) time.Duration {
+func (s *Stager) serve(ctx context.Context, c *weightsCopy, report Report, due feed.Named) time.Duration {
 	if s.laid != c {
 		if err := s.layDown(ctx, c); err != nil {
 			_ = level.Warn(s.process.Logger).Log("msg", "chunks not laid down", "err", err)
@@ -49,10 +51,10 @@
 }
 
 // order gives the order and waits until it is obeyed.
-func (s *Stager) order(ctx context.Context, c *weightsCopy, report Report, due named) {
+func (s *Stager) order(ctx context.Context, c *weightsCopy, report Report, due feed.Named) {
 	order := Order{Model: c.manifest.model, Version: c.manifest.version, Sequence: report.Sequence}
 	err := s.protocol.Start(ctx, s.settings.Engine(), order)
-	_ = level.Info(s.process.Logger).Log("msg", "order given", "model", order.Model, "version", order.Version, "due", due.version,
+	_ = level.Info(s.process.Logger).Log("msg", "order given", "model", order.Model, "version", order.Version, "due", due.Version(),
 		"sequence", order.Sequence, "running", report.Running, "since_named_ms", sinceNamed(due), "err", err)
 	if err == nil {
 		s.awaitObeyed(ctx, order)
@@ -100,8 +102,8 @@
 
 // turn returns when it is this engine's turn. An engine that serves nothing has
 // no work to stop, so its turn is at once.
-func (s *Stager) turn(model string, report Report, due named) time.Time {
-	if len(report.Holdings) == 0 || due.since.IsZero() {
+func (s *Stager) turn(model string, report Report, due feed.Named) time.Time {
+	if len(report.Holdings) == 0 || due.Since().IsZero() {
 		return time.Time{}
 	}
 	order := s.turnOrder(model)
@@ -110,7 +112,7 @@
 	if len(order) > 1 {
 		share += (lastTurn - firstTurn) * float64(position) / float64(len(order)-1)
 	}
-	return due.since.Add(time.Duration(share * float64(s.settings.Within())))
+	return due.Since().Add(time.Duration(share * float64(s.settings.Within())))
 }
 
 // turnOrder returns the stagers of a model in an order that goes over the
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -60,10 +60,7 @@
 		return nil, err
 	}
 	s := &Stager{settings: c}
-	s.seeds = daemon.NewReloaded(path, c.Seeds(), func(path string) ([]string, error) {
-		again, err := settings.LoadStaging(path)
-		return again.Seeds(), err
-	}, process.Logger)
+	s.seeds = daemon.NewSeeds(path, c, settings.LoadStaging, process.Logger)
 	hello := feed.NewHello(feed.RoleStager, process.Identity, c.Service(), c.Engine())
 	seeds := func() []string { return link.WithPortOf(s.seeds.Get(), process.Identity.Address()) }
 	s.Member = newMember(process, protocol, hello, seeds, stagerUploads)
@@ -128,7 +125,7 @@
 	serves := wholeVersion(report.Holdings, model, max(service.Engine().Layers(), 1))
 	s.metrics.version.Set(float64(serves))
 	s.served.Store(serves)
-	if serves >= want.version {
+	if serves >= want.Version() {
 		return idleLook
 	}
 	s.gatherSoon(ctx, model, want)
@@ -141,23 +138,23 @@
 
 // gatherSoon gathers the newest version beside the work of the loop: an earlier
 // one that is complete may be due before it.
-func (s *Stager) gatherSoon(ctx context.Context, model string, want named) {
-	if c := s.ready.Load(); c != nil && c.manifest.model == model && c.manifest.version == want.version {
+func (s *Stager) gatherSoon(ctx context.Context, model string, want feed.Named) {
+	if c := s.ready.Load(); c != nil && c.manifest.model == model && c.manifest.version == want.Version() {
 		return
 	}
-	if s.gathering.Swap(want.version) == want.version {
+	if s.gathering.Swap(want.Version()) == want.Version() {
 		return
 	}
 	go func() {
 		c, err := s.obtain(ctx, model, want)
 		if err != nil {
-			_ = level.Info(s.process.Logger).Log("msg", "manifest not found", "model", model, "version", want.version, "err", err)
+			_ = level.Info(s.process.Logger).Log("msg", "manifest not found", "model", model, "version", want.Version(), "err", err)
 		}
 		if c != nil {
 			s.ready.Store(c)
 			s.awake()
 		}
-		s.gathering.CompareAndSwap(want.version, 0)
+		s.gathering.CompareAndSwap(want.Version(), 0)
 	}()
 }
 
