A plan is made anew when the members change, not at each chunk

Every chunk that came made the whole plan of its copy again for the notices (96 chunks ranked among all members, 96 times a copy), beside the gatherer's own.

--- a/pkg/staging/cache_test.go
+++ b/pkg/staging/cache_test.go
@@ -19,7 +19,7 @@
 		domains: map[string]string{"a1": "a", "a2": "a", "a3": "a", "acache": "a", "b1": "b", "b2": "b"},
 		caches:  map[string]bool{"acache": true},
 		holders: map[string]bool{"a3": own != "a3", "b2": own != "b2"},
-		rests:   func(address string) bool { return address == resting },
+		resting: map[string]bool{resting: true},
 	}
 }
 
--- a/pkg/staging/copy_test.go
+++ b/pkg/staging/copy_test.go
@@ -73,11 +73,19 @@
 	}
 	all := map[string]plan{}
 	for own := range domain {
-		all[own] = newPlan(swarm{own: own, domains: domain, rests: rests}, "menu", 2, chunks)
+		all[own] = newPlan(swarm{own: own, domains: domain, resting: restingOf(domain, rests)}, "menu", 2, chunks)
 	}
 	return all
 }
 
+func restingOf(domain map[string]string, rests func(string) bool) map[string]bool {
+	resting := map[string]bool{}
+	for address := range domain {
+		resting[address] = rests(address)
+	}
+	return resting
+}
+
 // Every chunk reaches everybody by the plans alone, crosses between failure
 // domains once each, and no stager gives much more than the others.
 func TestPlansReachEverybodyOnce(t *testing.T) {
--- a/pkg/staging/gather.go
+++ b/pkg/staging/gather.go
@@ -74,14 +74,22 @@
 	}
 }
 
-// planFor returns the plan of this member for a copy, as things are now.
+// planFor returns the plan of this member for a copy, as things are now. Every
+// chunk that comes asks for it, and it changes only when the members do.
 func (m *Member) planFor(c *weightsCopy) plan {
 	model, version := c.manifest.model, c.manifest.version
 	domains, caches := m.members(model)
-	return newPlan(swarm{
+	seen := swarm{
 		own: m.process.Identity.Address(), domains: domains, caches: caches,
-		holders: m.holders(model, version), rests: m.failing.rests,
-	}, model, version, len(c.manifest.digests))
+		holders: m.holders(model, version), resting: m.failing.resting(domains),
+	}
+	m.planLock.Lock()
+	defer m.planLock.Unlock()
+	if m.plannedFor != c || !seen.equal(m.planned) {
+		m.plan = newPlan(seen, model, version, len(c.manifest.digests))
+		m.plannedFor, m.planned = c, seen
+	}
+	return m.plan
 }
 
 // fetch brings one chunk here, once however many ask for it. It returns false
--- a/pkg/staging/member.go
+++ b/pkg/staging/member.go
@@ -45,6 +45,11 @@
 	fetching sync.Mutex
 	underWay map[fetchKey]bool
 
+	planLock   sync.Mutex
+	plan       plan         // the last one made,
+	plannedFor *weightsCopy // for this copy,
+	planned    swarm        // from these members
+
 	mu     sync.Mutex
 	copies map[string]*weightsCopy // the newest, by model
 }
--- a/pkg/staging/owners.go
+++ b/pkg/staging/owners.go
@@ -23,6 +23,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -53,6 +54,17 @@
 	return time.Now().Before(f.until[address])
 }
 
+// resting returns those of some members that rest now.
+func (f *failingPeers) resting(members map[string]string) map[string]bool {
+	resting := map[string]bool{}
+	for address := range members {
+		if f.rests(address) {
+			resting[address] = true
+		}
+	}
+	return resting
+}
+
 // ranked returns addresses in the order of their claim to a chunk.
 func ranked(addresses []string, model string, version uint64, number int) []string {
 	type claim struct {
@@ -95,7 +107,8 @@
 	return assigned
 }
 
-// plan is the ways of one version's chunks, as one stager sees them.
+// plan is the ways of one version's chunks, as one member sees them. It is
+// shared and never changed.
 type plan struct {
 	own       string
 	domain    map[string]string   // of each member that is not avoided
@@ -111,7 +124,13 @@
 	domains map[string]string // failure domain by link address
 	caches  map[string]bool   // those members that are caches
 	holders map[string]bool   // others whose engine serves the version already
-	rests   func(address string) bool
+	resting map[string]bool   // those members that did not answer of late
+}
+
+// equal tells whether both lead to the same plan.
+func (s swarm) equal(o swarm) bool {
+	return s.own == o.own && maps.Equal(s.domains, o.domains) && maps.Equal(s.caches, o.caches) &&
+		maps.Equal(s.holders, o.holders) && maps.Equal(s.resting, o.resting)
 }
 
 // newPlan makes the plan of the member s.own. Members that rest are left out.
@@ -121,7 +140,7 @@
 	caches := map[string][]string{}
 	var all, allCaches []string
 	for _, a := range sortedKeys(s.domains) {
-		if a != s.own && s.rests(a) {
+		if a != s.own && s.resting[a] {
 			continue
 		}
 		d := s.domains[a]
