--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +54,7 @@
 	told     map[string][]string // by node: the nodes that it told
 	active   map[string]context.CancelFunc
 	gateways map[string]int
+	demands  map[string][]Demand // by node: of the gateways that follow it
 	peers    map[string][]Peer
 	streams  map[string]*link.Stream
 	asked    uint64
@@ -63,6 +66,7 @@
 	f.mu.Lock()
 	f.told, f.active = map[string][]string{}, map[string]context.CancelFunc{}
 	f.gateways, f.peers = map[string]int{}, map[string][]Peer{}
+	f.demands = map[string][]Demand{}
 	f.streams = map[string]*link.Stream{}
 	f.mu.Unlock()
 	ticker := time.NewTicker(lookEvery)
@@ -210,11 +214,12 @@
 }
 
 func (f *Follower) note(address string, stream *link.Stream, u Update) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.demands[address] = u.demands
 	if !u.whole {
 		return
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.told[address] = u.nodes
 	f.gateways[address] = u.gateways
 	f.streams[address] = stream
@@ -227,6 +232,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.gateways, address)
+	delete(f.demands, address)
 	delete(f.streams, address)
 	delete(f.peers, address)
 }
@@ -249,6 +255,32 @@
 	}
 }
 
+// TellDemand tells all nodes that are heard how many requests for engines come
+// to the gateway here, a second. Each of them adds up what it is told.
+func (f *Follower) TellDemand(perSecond float64) {
+	f.mu.Lock()
+	streams := slices.Collect(maps.Values(f.streams))
+	f.mu.Unlock()
+	for _, stream := range streams {
+		// A failure shows in the reading, which then forgets the stream.
+		_ = stream.Send(Word{demand: perSecond})
+	}
+}
+
+// Demands returns how many requests for engines come to all gateways a second,
+// by failure domain: the largest that a node told of.
+func (f *Follower) Demands() map[string]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := map[string]float64{}
+	for _, demands := range f.demands {
+		for _, d := range demands {
+			most[d.domain] = max(most[d.domain], d.perSecond)
+		}
+	}
+	return most
+}
+
 // Gateways returns the largest number of gateways that a node told of.
 func (f *Follower) Gateways() int {
 	f.mu.Lock()
--- a/pkg/feed/messages.go
+++ b/pkg/feed/messages.go
@@ -54,6 +54,9 @@
 	ask bool
 	// load is the load of the engine beside a stager; nil otherwise.
 	load *Load
+	// demand is how many requests for engines come to a gateway, a second; 0 in
+	// a Word that tells something else.
+	demand float64
 }
 
 // Load is the state of an engine, read on its own VM.
@@ -132,4 +135,17 @@
 	loads []Load
 	// confirmed says that the node heard of a quorum's leader lately.
 	confirmed bool
+	// demands are the requests for engines that come to the gateways which
+	// follow this node, by failure domain.
+	demands []Demand
+}
+
+// Demand is how many requests for engines come to gateways, a second.
+//
+//wire:generate
+type Demand struct {
+	// domain is the failure domain of the gateways.
+	domain string
+	// perSecond is what comes to all of them.
+	perSecond float64
 }
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -65,6 +65,7 @@
 	loads   map[string]Load // by engine
 	asked   bool
 	whole   bool
+	demand  float64 // requests for engines a second, of a gateway
 }
 
 // NewPublisher returns a publisher without followers.
@@ -185,12 +186,40 @@
 		if w.load != nil {
 			p.loaded(*w.load)
 		}
+		if w.demand > 0 {
+			s.tookDemand(w.demand)
+		}
 		if w.ask {
 			s.change(func(s *subscriber) { s.asked = true })
 		}
 	}
 }
 
+func (s *subscriber) tookDemand(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.demand = perSecond
+}
+
+// demands adds up what the gateways that follow told of theirs.
+func (p *Publisher) demands() []Demand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	byDomain := map[string]float64{}
+	for s := range p.subscribers {
+		s.mu.Lock()
+		byDomain[s.hello.self.Domain()] += s.demand
+		s.mu.Unlock()
+	}
+	var all []Demand
+	for domain, perSecond := range byDomain {
+		if perSecond > 0 {
+			all = append(all, Demand{domain, perSecond})
+		}
+	}
+	return all
+}
+
 func (p *Publisher) send(ctx context.Context, stream *link.Stream, s *subscriber) error {
 	ticker := time.NewTicker(beat)
 	defer ticker.Stop()
@@ -224,6 +253,9 @@
 	s.loads = map[string]Load{}
 	s.mu.Unlock()
 	u := Update{number: p.source.Number(), weights: p.source.Weights(), confirmed: p.source.Confirmed()}
+	if s.hello.role == RoleGateway {
+		u.demands = p.demands()
+	}
 	if asked {
 		u.document = p.documentFor(s.hello.role)
 	}
--- a/pkg/feed/wire_generated.go
+++ b/pkg/feed/wire_generated.go
@@ -12,6 +12,45 @@
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
+// NewDemand returns a Demand with the given fields.
+func NewDemand(domain string, perSecond float64) Demand {
+	return Demand{domain: domain, perSecond: perSecond}
+}
+
+// Domain is the failure domain of the gateways.
+func (d Demand) Domain() string { return d.domain }
+
+// PerSecond is what comes to all of them.
+func (d Demand) PerSecond() float64 { return d.perSecond }
+
+// EncodeMsgpack writes the fields in order, as one array.
+func (d Demand) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(2); err != nil {
+		return err
+	}
+	return enc.EncodeMulti(d.domain, d.perSecond)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
+func (d *Demand) DecodeMsgpack(dec *msgpack.Decoder) error {
+	count, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := []any{&d.domain, &d.perSecond}
+	for i := 0; i < count; i++ {
+		if i >= len(fields) {
+			err = dec.Skip()
+		} else {
+			err = dec.Decode(fields[i])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // NewHello returns a Hello with the given fields.
 func NewHello(role Role, self vm.Identity, service string, engine string) Hello {
 	return Hello{role: role, self: self, service: service, engine: engine}
@@ -163,8 +202,8 @@
 }
 
 // NewUpdate returns a Update with the given fields.
-func NewUpdate(number uint64, document *serviceconfig.Document, weights []Weights, registrations []registry.Registration, whole bool, nodes []string, gateways int, peers []Peer, loads []Load, confirmed bool) Update {
-	return Update{number: number, document: document, weights: weights, registrations: registrations, whole: whole, nodes: nodes, gateways: gateways, peers: peers, loads: loads, confirmed: confirmed}
+func NewUpdate(number uint64, document *serviceconfig.Document, weights []Weights, registrations []registry.Registration, whole bool, nodes []string, gateways int, peers []Peer, loads []Load, confirmed bool, demands []Demand) Update {
+	return Update{number: number, document: document, weights: weights, registrations: registrations, whole: whole, nodes: nodes, gateways: gateways, peers: peers, loads: loads, confirmed: confirmed, demands: demands}
 }
 
 // Number is the newest document applied at the node; 0 is none.
@@ -197,12 +236,16 @@
 // Confirmed says that the node heard of a quorum's leader lately.
 func (u Update) Confirmed() bool { return u.confirmed }
 
+// Demands are the requests for engines that come to the gateways which
+// follow this node, by failure domain.
+func (u Update) Demands() []Demand { return u.demands }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (u Update) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(10); err != nil {
+	if err := enc.EncodeArrayLen(11); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(u.number, u.document, u.weights, u.registrations, u.whole, u.nodes, u.gateways, u.peers, u.loads, u.confirmed)
+	return enc.EncodeMulti(u.number, u.document, u.weights, u.registrations, u.whole, u.nodes, u.gateways, u.peers, u.loads, u.confirmed, u.demands)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -211,7 +254,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&u.number, &u.document, &u.weights, &u.registrations, &u.whole, &u.nodes, &u.gateways, &u.peers, &u.loads, &u.confirmed}
+	fields := []any{&u.number, &u.document, &u.weights, &u.registrations, &u.whole, &u.nodes, &u.gateways, &u.peers, &u.loads, &u.confirmed, &u.demands}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -268,8 +311,8 @@
 }
 
 // NewWord returns a Word with the given fields.
-func NewWord(ask bool, load *Load) Word {
-	return Word{ask: ask, load: load}
+func NewWord(ask bool, load *Load, demand float64) Word {
+	return Word{ask: ask, load: load, demand: demand}
 }
 
 // Ask asks for the document that the node holds.
@@ -278,12 +321,16 @@
 // Load is the load of the engine beside a stager; nil otherwise.
 func (w Word) Load() *Load { return w.load }
 
+// Demand is how many requests for engines come to a gateway, a second; 0 in
+// a Word that tells something else.
+func (w Word) Demand() float64 { return w.demand }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (w Word) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(2); err != nil {
+	if err := enc.EncodeArrayLen(3); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(w.ask, w.load)
+	return enc.EncodeMulti(w.ask, w.load, w.demand)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -292,7 +339,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&w.ask, &w.load}
+	fields := []any{&w.ask, &w.load, &w.demand}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -50,6 +50,7 @@
 		g.budget.request(q.service.Name())
 	}
 	q.sent++
+	q.sentAfter = time.Since(q.started)
 	work := q.work
 	var takeBack func()
 	if q.route.Idempotent() {
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -57,14 +57,6 @@
 	lost         bool // it can't be reached
 }
 
-// toldLoad is the load that a stager told, and what was sent from here since.
-type toldLoad struct {
-	load feed.Load
-	at   time.Time
-	sent int // since this word
-	late int // between the word before and this one: it may not count them yet
-}
-
 // load is what the choice looks at.
 type load struct {
 	inFlight    int
@@ -76,10 +68,8 @@
 	pace        float64
 	state       registry.State
 	domain      string
-	slots       int
-	told        feed.Load
+	told        toldLoad
 	fresh       bool          // told is no older than toldLife
-	unseen      int           // requests from here that told may not count
 	oldest      time.Duration // the longest wait for a first event from here now
 }
 
@@ -109,7 +99,7 @@
 func (b *backend) hearLoad(l feed.Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.told = toldLoad{load: l, at: time.Now(), late: b.told.sent}
+	b.told = newToldLoad(l, time.Now(), b.told)
 }
 
 func (b *backend) load(now time.Time) load {
@@ -117,11 +107,11 @@
 	defer b.mu.Unlock()
 	r := b.registration
 	return load{
-		told: b.told.load, fresh: !b.told.at.IsZero() && now.Sub(b.told.at) < toldLife, unseen: b.told.sent + b.told.late/2,
+		told: b.told, fresh: b.told.isFresh(now),
 		inFlight: b.inFlight, work: b.work, failureRate: b.failureRate, pace: b.pace,
 		resting: now.Before(b.restUntil),
 		oldest:  b.waits.oldest(now), lost: b.lost,
-		full: now.Before(b.fullUntil), state: r.State(), domain: r.Domain(), slots: r.Slots(),
+		full: now.Before(b.fullUntil), state: r.State(), domain: r.Domain(),
 	}
 }
 
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -11,7 +11,6 @@
 package gateway
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -22,6 +21,10 @@
 const (
 	// farPenalty is what another failure domain costs, as work.
 	farPenalty = 10 * time.Millisecond
+	// farStreamPenalty is the same for engines: one of another failure domain is
+	// only taken when none of the own has a place. A stream has many packets, and
+	// one that is lost or held up on the way makes the answer late.
+	farStreamPenalty = 500 * time.Millisecond
 	// silentPenalty is what missed heartbeats cost, as work.
 	silentPenalty = 300 * time.Millisecond
 	// failurePenalty multiplies the cost of one that fails all requests.
@@ -60,42 +63,78 @@
 // and then whether one would but for its load.
 func (g *Gateway) choose(w wanted) (chosen *backend, loaded bool) {
 	now := time.Now()
-	least := math.Inf(1)
-	var best, resting *backend
-	soonest := math.Inf(1)
+	all := g.backends.of(w.service)
+	shares := g.shares(now, w.capacity(all, now))
+	var best, resting cheapest
 	full := false
-	for _, b := range g.backends.of(w.service) {
+	for _, b := range all {
 		if w.tried[b] || !w.allows(b, now) {
 			continue
 		}
 		l := b.load(now)
-		if l.state == registry.Draining || l.state == registry.Gone || l.lost {
-			continue
-		}
-		if l.full || (l.fresh && l.told.Busy() && w.engine.Slots() > 0) {
+		switch {
+		case !l.serves():
+		case l.full || w.takesNothing(l):
 			full = true
-			continue
-		}
-		cost := g.cost(l, w)
-		if l.resting {
-			if cost < soonest {
-				resting, soonest = b, cost
-			}
-			continue
-		}
-		if w.wait > 0 && w.waitAt(l) > w.wait {
+		case l.resting:
+			resting.offer(b, g.cost(l, w))
+		case w.isLoaded(l, shares.at(l.domain), now):
 			full = true
-			continue
-		}
-		if cost < least {
-			best, least = b, cost
+		default:
+			best.offer(b, g.cost(l, w))
 		}
 	}
-	if best == nil && !full {
+	if best.backend == nil && !full {
 		// All rest: the least loaded one is better than a refusal.
-		return resting, false
+		return resting.backend, false
+	}
+	return best.backend, full
+}
+
+// cheapest keeps the one of least cost that was offered.
+type cheapest struct {
+	backend *backend
+	cost    float64
+}
+
+func (c *cheapest) offer(b *backend, cost float64) {
+	if c.backend == nil || cost < c.cost {
+		c.backend, c.cost = b, cost
+	}
+}
+
+// serves tells whether a backend server may get requests at all.
+func (l load) serves() bool {
+	return l.state != registry.Draining && l.state != registry.Gone && !l.lost
+}
+
+// takesNothing tells whether an engine said that an order is under way.
+func (w wanted) takesNothing(l load) bool {
+	return w.engine.Slots() > 0 && l.fresh && l.told.load.Busy()
+}
+
+// isLoaded tells whether the request had better not be sent to an engine, where
+// requests from here have a share of the places.
+func (w wanted) isLoaded(l load, share float64, now time.Time) bool {
+	if w.wait <= 0 {
+		return false
+	}
+	return w.waitAt(l) > w.wait || l.fresh && !l.told.hasPlace(w.engine, share, now)
+}
+
+// capacity returns the requests that engines finish a second, by failure domain.
+func (w wanted) capacity(all []*backend, now time.Time) map[string]float64 {
+	turn := w.engine.Turn().Seconds()
+	if turn <= 0 {
+		return nil
+	}
+	capacity := map[string]float64{}
+	for _, b := range all {
+		if l := b.load(now); l.serves() && w.allows(b, now) {
+			capacity[l.domain] += 1 / (turn * max(l.told.load.Pace(), 1))
+		}
 	}
-	return best, full
+	return capacity
 }
 
 func (w wanted) allows(b *backend, now time.Time) bool {
@@ -114,8 +153,8 @@
 		return 0
 	}
 	var told time.Duration
-	if ahead := l.told.Running() + l.told.Queued() + l.unseen - w.engine.Slots() + 1; l.fresh && ahead > 0 {
-		told = time.Duration(float64(ahead) * float64(w.engine.Turn()) * max(l.told.Pace(), 1))
+	if ahead := l.told.taken() - w.engine.Slots() + 1; l.fresh && ahead > 0 {
+		told = time.Duration(float64(ahead) * float64(w.engine.Turn()) * max(l.told.load.Pace(), 1))
 	}
 	if l.oldest > usualBegin {
 		return max(told, l.oldest)
@@ -123,6 +162,14 @@
 	return told
 }
 
+// farPenalty returns what another failure domain costs.
+func (w wanted) farPenalty() time.Duration {
+	if w.engine.Slots() > 0 {
+		return farStreamPenalty
+	}
+	return farPenalty
+}
+
 // cost compares backend servers; it is a time. The work from here comes first:
 // it is known without delay, and gateways that each spread their own evenly
 // spread the sum evenly. Told loads alone would send all of them to the same
@@ -131,15 +178,15 @@
 	total := float64(l.work+w.work) + float64(l.inFlight+1)*float64(unitWork)
 	pace := l.pace
 	if l.fresh && w.engine.Slots() > 0 {
-		pace = max(l.told.Pace(), 1)
-		total += float64(w.waitAt(l)) + float64(l.told.Running()+l.told.Queued())*float64(sharedWork)
+		pace = max(l.told.load.Pace(), 1)
+		total += float64(w.waitAt(l)) + float64(l.told.load.Running()+l.told.load.Queued())*float64(sharedWork)
 	}
 	if pace > 0 {
 		total *= pace
 	}
 	total *= 1 + failurePenalty*l.failureRate
 	if l.domain != g.process.Identity.Domain() {
-		total += float64(farPenalty)
+		total += float64(w.farPenalty())
 	}
 	if l.state == registry.Silent {
 		total += float64(silentPenalty)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -55,7 +55,11 @@
 	backends *backends
 	versions *feed.Versions
 	budget   *budget
-	metrics  *metrics
+	demand   demand
+	// heardDemands returns the requests for engines that come to all gateways a
+	// second, by failure domain.
+	heardDemands func() map[string]float64
+	metrics      *metrics
 
 	index    serviceconfig.Current
 	draining atomic.Bool
@@ -85,6 +89,7 @@
 		Take:     g.take,
 		Logger:   process.Logger,
 	}
+	g.heardDemands = g.follower.Demands
 	return g, nil
 }
 
@@ -135,6 +140,7 @@
 	add(g.serveReady)
 	add(g.follower.Run)
 	add(g.sweep)
+	add(g.tellDemand)
 	add(g.seeds.Run)
 	add(func(ctx context.Context) error { return g.waitStop(ctx, server, signals) })
 	err := group.Run()
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -59,7 +59,7 @@
 	}
 	_ = level.Info(g.process.Logger).Log("msg", "request", "request", q.call.ID, "outcome", string(o), "route", route,
 		"configuration", q.number, "organisation", q.organisation, "backend", q.backend, "sent", q.sent,
-		"first_ms", q.firstByte.Milliseconds(), "ms", time.Since(q.started).Milliseconds(), "why", why)
+		"sent_ms", q.sentAfter.Milliseconds(), "first_ms", q.firstByte.Milliseconds(), "pause_ms", q.pause.Milliseconds(), "ms", time.Since(q.started).Milliseconds(), "why", why)
 }
 
 // refusal is the body of a refusal.
--- /dev/null
+++ b/pkg/gateway/places_test.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/registry"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
+)
+
+// testEngine has 16 places; a usual request takes 51 ms of it, 24 of them for
+// its prompt.
+func testEngine() serviceconfig.Engine {
+	return serviceconfig.NewEngine(16, []string{"menu"}, 1, 96, 24576, 5*time.Millisecond, 0, 40000, 979, 86, 0)
+}
+
+func toldOf(running, queued int, now time.Time, lot float64) toldLoad {
+	return toldLoad{load: feed.NewLoad("menu", "127.0.0.1:9", "menu", 1, running, queued, 1, false), at: now, lot: lot}
+}
+
+// sentByAll is how many requests gateways with equal shares send to an engine
+// until its next word, when each of them has more than enough.
+func sentByAll(gateways, running, queued int, now time.Time) int {
+	sent := 0
+	for i := range gateways {
+		t := toldOf(running, queued, now, (float64(i)+0.5)/float64(gateways))
+		for t.hasPlace(testEngine(), 1/float64(gateways), now) {
+			t.sent++
+			sent++
+		}
+	}
+	return sent
+}
+
+// Two free places were taken by each of the gateways that heard of them.
+func TestGatewaysTogetherTakeTheFreePlaces(t *testing.T) {
+	now := time.Now()
+	for _, gateways := range []int{1, 3, 9, 40} {
+		if sent := sentByAll(gateways, 14, 0, now); sent != 2+waitingPlaces {
+			t.Errorf("%d gateways sent %d requests to an engine with two free places", gateways, sent)
+		}
+		if sent := sentByAll(gateways, 16, 3, now); sent != 0 {
+			t.Errorf("%d gateways sent %d requests to an engine where three wait", gateways, sent)
+		}
+	}
+}
+
+// An engine that is back and empty got all its places filled at one moment, and
+// then read prompts for half a second while nobody got a token.
+func TestAnEmptyEngineIsFilledAsFastAsItReads(t *testing.T) {
+	now := time.Now()
+	most := int(readingAhead / testEngine().UsualReading())
+	if sent := sentByAll(9, 0, 0, now); sent > most {
+		t.Fatalf("%d prompts for an empty engine that reads %d in %s", sent, most, readingAhead)
+	}
+}
+
+// Places become free while no word comes.
+func TestPlacesBecomeFreeBetweenWords(t *testing.T) {
+	now := time.Now()
+	told := toldOf(17, 0, now, 0)
+	if told.hasPlace(testEngine(), 1, now) {
+		t.Fatal("a full engine has a place")
+	}
+	if !told.hasPlace(testEngine(), 1, now.Add(2*testEngine().Turn())) {
+		t.Fatal("no place after two requests ended")
+	}
+}
+
+func TestSharesFollowDemandAndFailureDomain(t *testing.T) {
+	f := newFixture(t, serviceconfig.Stream, true)
+	g := f.gateway
+	now := time.Now()
+	for range 30 {
+		g.demand.add(now)
+	}
+	g.heardDemands = func() map[string]float64 { return map[string]float64{"hall-a": 60, "hall-b": 90} }
+	s := g.shares(now, map[string]float64{"hall-a": 100, "hall-b": 90})
+	if near := s.at("hall-a"); near < 0.4 || near > 0.6 {
+		t.Errorf("the share of half the demand of the failure domain is %.2f", near)
+	}
+	if far := s.at("hall-b"); far > 0.05 {
+		t.Errorf("the share is %.2f where the gateways there need all places", far)
+	}
+	if far := s.at("hall-c"); far < 0.15 || far > 0.3 {
+		t.Errorf("the share is %.2f of a fifth of the demand where no gateway is", far)
+	}
+}
+
+// hearEngine has the gateway hear of an engine and of its load.
+func (f *fixture) hearEngine(domain string, running int) {
+	address := "127.0.0.1:1" + domain
+	id := fmt.Sprintf("i-%s", domain)
+	f.gateway.backends.hear(registry.NewRegistration(id, "menu", address, domain, "v1", 16, registry.Ready, 0, nil, 1))
+	f.gateway.backends.hearLoad(feed.NewLoad("menu", address, "menu", 1, running, 0, 1, false))
+}
+
+// A stream from another failure domain is late when a packet is lost or held up
+// between, so the emptier engine there is not better.
+func TestEnginesOfTheOwnFailureDomainComeFirst(t *testing.T) {
+	f := newFixture(t, serviceconfig.Stream, true)
+	f.hearEngine("hall-a", 9)
+	f.hearEngine("hall-b", 0)
+	w := wanted{service: "menu", engine: testEngine(), wait: time.Second}
+	b, _ := f.gateway.choose(w)
+	if b == nil || b.word().Domain() != "hall-a" {
+		t.Fatalf("chose %+v", b)
+	}
+	f.hearEngine("hall-a", 40)
+	b, _ = f.gateway.choose(w)
+	if b == nil || b.word().Domain() != "hall-b" {
+		t.Fatalf("chose %+v where those of the own failure domain are full", b)
+	}
+}
+
+func TestARequestIsHeldForAPlaceForAShareOfItsObjective(t *testing.T) {
+	f := newFixture(t, serviceconfig.Stream, true)
+	route := serviceconfig.NewRoute("r", "h", "/", serviceconfig.Stream, time.Hour, time.Hour, 0, 1, nil, 2, false, true)
+	service := serviceconfig.NewService("menu", "", 0, "", testEngine())
+	full := failure.New(failure.Overloaded, "full")
+	newRequest := func(started time.Time) *request {
+		return &request{ctx: t.Context(), route: &route, service: &service, started: started, incoming: &http.Request{}}
+	}
+	if !f.gateway.awaitPlace(newRequest(time.Now()), full) {
+		t.Error("a request that has just come is refused at once")
+	}
+	if f.gateway.awaitPlace(newRequest(time.Now().Add(-15*time.Minute)), full) {
+		t.Error("a request is held for more than a fifth of its objective")
+	}
+	sent := newRequest(time.Now())
+	sent.sent = 1
+	if f.gateway.awaitPlace(sent, full) {
+		t.Error("a request that was sent already is held")
+	}
+}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -42,6 +42,9 @@
 	last       string // how the last attempt ended, for the log
 	backend    string // where it went last
 	firstByte  time.Duration
+	sentAfter  time.Duration // from the start to the last sending
+	eventAt    time.Time     // of the last event passed on
+	pause      time.Duration // the longest between two events passed on
 }
 
 // remaining is how much of the time is left.
@@ -73,6 +76,14 @@
 	q.work = q.prefill + time.Duration(answer)*e.Step()/time.Duration(e.Slots())
 }
 
+// sawEvents notes that events come, and how long none had come before.
+func (q *request) sawEvents(now time.Time) {
+	if !q.eventAt.IsZero() {
+		q.pause = max(q.pause, now.Sub(q.eventAt))
+	}
+	q.eventAt = now
+}
+
 // noteFirstByte notes when the first byte of the answer goes out.
 func (q *request) noteFirstByte() {
 	if q.firstByte == 0 {
--- a/pkg/serviceconfig/document.go
+++ b/pkg/serviceconfig/document.go
@@ -175,9 +175,14 @@
 // Turn is the mean time after which a full engine has a place for the next
 // request: what a usual request takes of it.
 func (e Engine) Turn() time.Duration {
-	turn := time.Duration(e.usualAnswer) * e.step / time.Duration(max(e.slots, 1))
-	if e.prefillPerSecond > 0 {
-		turn += time.Duration(float64(e.usualPrompt) / e.prefillPerSecond * float64(time.Second))
+	return time.Duration(e.usualAnswer)*e.step/time.Duration(max(e.slots, 1)) + e.UsualReading()
+}
+
+// UsualReading is how long an engine reads the prompt of a usual request; 0
+// when its rate is not known.
+func (e Engine) UsualReading() time.Duration {
+	if e.prefillPerSecond <= 0 {
+		return 0
 	}
-	return turn
+	return time.Duration(float64(e.usualPrompt) / e.prefillPerSecond * float64(time.Second))
 }
