tidepost explain: what became of requests, from the logs of all processes

Causes are one table of rules over the one line that a gateway writes at a request's end, which now names what the route asks.

--- /dev/null
+++ b/pkg/explain/causes.go
@@ -0,0 +1,73 @@
+// ================================================================
+// Why a request was not answered in time. Each cause is a rule over the one line
+// that a gateway writes at a request's end; the first that holds counts.
+// ================================================================
+
+package explain
+
+// Cause is what became of a request, and why it was late.
+type Cause string
+
+// heldMost is for how long a request may wait at a gateway before that counts as
+// the cause of its lateness, as a share of the objective.
+const heldMost = 0.15
+
+// cause is one rule.
+type cause struct {
+	name  Cause
+	about string
+	holds func(line) bool
+}
+
+// causes is the table, in the order in which the rules are asked.
+var causes = []cause{
+	{"refused", "the gateway refused it", hasOutcome("refused")},
+	{"broken", "its stream broke off and could not go on", hasOutcome("broken")},
+	{"failed", "its backend server failed it", hasOutcome("failed")},
+	{"gone", "the caller left", hasOutcome("gone")},
+	{"resent", "late: its first byte came after it was sent to another backend server", func(l line) bool { return l.isLate() && l.Sent > 1 }},
+	{"held", "late: it waited at the gateway for a place", func(l line) bool {
+		return l.isLate() && float64(l.SentMs) > heldMost*float64(l.ObjectiveMs)
+	}},
+	{"queued", "late: its first byte took too long at the backend server", line.isLate},
+	{"cut", "paused: its stream went on at another backend server", func(l line) bool { return l.isPaused() && l.Sent > 1 }},
+	{"paused", "paused: a pause between two events was too long", line.isPaused},
+	{"served", "answered in time, as seen by the gateway", hasOutcome("served")},
+}
+
+func hasOutcome(outcome string) func(line) bool {
+	return func(l line) bool { return l.Outcome == outcome }
+}
+
+func (l line) isLate() bool { return l.ObjectiveMs > 0 && l.FirstMs > l.ObjectiveMs }
+
+func (l line) isPaused() bool { return l.PauseObjectiveMs > 0 && l.PauseMs > l.PauseObjectiveMs }
+
+// causeOf returns the cause of a request's end; "" of none of the table.
+func causeOf(l line) Cause {
+	for _, c := range causes {
+		if c.holds(l) {
+			return c.name
+		}
+	}
+	return ""
+}
+
+// Causes returns the names of the causes, those of loss first, and Served last.
+func Causes() []Cause {
+	var names []Cause
+	for _, c := range causes {
+		names = append(names, c.name)
+	}
+	return names
+}
+
+// About says what a cause stands for.
+func About(name Cause) string {
+	for _, c := range causes {
+		if c.name == name {
+			return c.about
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/pkg/explain/summary.go
@@ -0,0 +1,117 @@
+// ================================================================
+// The summary: requests by the span of time in which they came and by cause, the
+// backend servers with the most losses, and what else the processes did in that
+// span: orders to engines, copies complete, control nodes lost.
+// ================================================================
+
+package explain
+
+import (
+	"io"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Span is what happened within a span of time.
+type Span struct {
+	// From is when it begins, counted from the first request.
+	From time.Duration
+	// Causes are the requests that came within it.
+	Causes map[Cause]int
+	// Events are other lines of note, by message.
+	Events map[string]int
+}
+
+// Backend is what became of the requests that a backend server was sent last.
+type Backend struct {
+	Name   string
+	Causes map[Cause]int
+}
+
+// Summary is what a set of logs says.
+type Summary struct {
+	Spans    []Span
+	Backends []Backend
+}
+
+// noted are the messages of other processes that a span counts.
+var noted = []string{
+	"order given", "copy complete", "control node lost", "backend server out of reach", "configuration in force", "started", "stopping",
+}
+
+// Summarize reads logs and adds them up by spans of a length.
+func Summarize(r io.Reader, length time.Duration) (Summary, error) {
+	var requests, others []line
+	err := read(r, func(l line) {
+		switch {
+		case l.Message == "request":
+			requests = append(requests, l)
+		case slices.Contains(noted, l.Message):
+			others = append(others, l)
+		}
+	})
+	if err != nil || len(requests) == 0 {
+		return Summary{}, err
+	}
+	sort.Slice(requests, func(i, j int) bool { return requests[i].began().Before(requests[j].began()) })
+	start := requests[0].began()
+	spans := map[int]*Span{}
+	at := func(t time.Time) *Span {
+		number := int(t.Sub(start) / length)
+		if spans[number] == nil {
+			spans[number] = &Span{From: time.Duration(number) * length, Causes: map[Cause]int{}, Events: map[string]int{}}
+		}
+		return spans[number]
+	}
+	backends := map[string]*Backend{}
+	for _, l := range requests {
+		c := causeOf(l)
+		at(l.began()).Causes[c]++
+		if l.Backend == "" {
+			continue
+		}
+		if backends[l.Backend] == nil {
+			backends[l.Backend] = &Backend{l.Backend, map[Cause]int{}}
+		}
+		backends[l.Backend].Causes[c]++
+	}
+	for _, l := range others {
+		if !l.At.Before(start) {
+			at(l.At).Events[l.Message]++
+		}
+	}
+	return Summary{sortedSpans(spans), sortedBackends(backends)}, nil
+}
+
+func sortedSpans(spans map[int]*Span) []Span {
+	var all []Span
+	for _, s := range spans {
+		all = append(all, *s)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].From < all[j].From })
+	return all
+}
+
+// sortedBackends puts those with the most losses first.
+func sortedBackends(backends map[string]*Backend) []Backend {
+	var all []Backend
+	for _, b := range backends {
+		all = append(all, *b)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i].losses(), all[j].losses()
+		return a > b || a == b && all[i].Name < all[j].Name
+	})
+	return all
+}
+
+func (b Backend) losses() int {
+	lost := 0
+	for c, n := range b.Causes {
+		if c != "served" && c != "gone" {
+			lost += n
+		}
+	}
+	return lost
+}
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -54,12 +54,15 @@
 		g.metrics.firstEvent.Observe(q.firstByte.Seconds())
 	}
 	route := ""
+	var objective, pauseObjective time.Duration
 	if q.route != nil {
 		route = q.route.Name()
+		objective, pauseObjective = q.route.Objective(), q.route.GapObjective()
 	}
 	_ = level.Info(g.process.Logger).Log("msg", "request", "request", q.call.ID, "outcome", string(o), "route", route,
 		"configuration", q.number, "organisation", q.organisation, "backend", q.backend, "sent", q.sent,
-		"sent_ms", q.sentAfter.Milliseconds(), "first_ms", q.firstByte.Milliseconds(), "pause_ms", q.pause.Milliseconds(), "ms", time.Since(q.started).Milliseconds(), "why", why)
+		"sent_ms", q.sentAfter.Milliseconds(), "first_ms", q.firstByte.Milliseconds(), "pause_ms", q.pause.Milliseconds(),
+		"objective_ms", objective.Milliseconds(), "pause_objective_ms", pauseObjective.Milliseconds(), "allowed_ms", q.call.Deadline.Milliseconds(), "ms", time.Since(q.started).Milliseconds(), "why", why)
 }
 
 // refusal is the body of a refusal.
--- a/pkg/operator/command.go
+++ b/pkg/operator/command.go
@@ -36,7 +36,7 @@
 
 // verbs is the table of subcommands, in the order that help shows them.
 var verbs = []verb{
-	applyVerb, getVerb, labelVerb, statusVerb, drainVerb, timelineVerb, replayVerb, checkVerb, bootstrapVerb, voterVerb, docsVerb,
+	applyVerb, getVerb, labelVerb, statusVerb, drainVerb, timelineVerb, explainVerb, replayVerb, checkVerb, bootstrapVerb, voterVerb, docsVerb,
 }
 
 // ----------------------------------------------------------------
--- a/pkg/operator/label.go
+++ b/pkg/operator/label.go
@@ -8,7 +8,8 @@
 import (
 	"context"
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -52,7 +53,7 @@
 		return err
 	}
 	var p parsed
-	if err := p.put(contract.KindLabels, id, contract.NewLabelSet(labels, sortedKeys(removed))); err != nil {
+	if err := p.put(contract.KindLabels, id, contract.NewLabelSet(labels, slices.Sorted(maps.Keys(removed)))); err != nil {
 		return err
 	}
 	// The base is the revision that the labels were read at: two operators
@@ -87,12 +88,3 @@
 	}
 	return nil
 }
-
-func sortedKeys(set map[string]bool) []string {
-	var keys []string
-	for key := range set {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
