--- a/pkg/link/endpoint.go
+++ b/pkg/link/endpoint.go
@@ -91,11 +91,6 @@
 	}
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, Control: silenceControl, KeepAlive: -1}
-	return d.DialContext(ctx, "tcp", address)
-}
-
 // Handle sets the handler of a kind. Call it before Serve.
 func (e *Endpoint) Handle(kind Kind, h Handler) { e.handlers[kind] = h }
 
--- a/pkg/link/tcp.go
+++ b/pkg/link/tcp.go
@@ -10,6 +10,7 @@
 package link
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -27,6 +28,33 @@
 	probeCount    = 3
 )
 
+// firstTry is how long the first try of a dial may take; each further one may
+// take twice as long. Ways between the users' VMs take 6 ms there and back.
+const firstTry = 150 * time.Millisecond
+
+// dialTCP opens a connection that breaks when the other side falls silent.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, Control: silenceControl, KeepAlive: -1}
+	return dialInTries(ctx, firstTry, func(ctx context.Context) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) })
+}
+
+// dialInTries dials anew while nobody answers. The kernel sends an opening
+// packet that was lost again after a second; VMs that got their power back
+// together found each other a second late, since the first packets went to VMs
+// that were not up yet.
+func dialInTries(ctx context.Context, try time.Duration, dial func(context.Context) (net.Conn, error)) (net.Conn, error) {
+	for {
+		trying, cancel := context.WithTimeout(ctx, try)
+		conn, err := dial(trying)
+		silent := trying.Err() != nil
+		cancel()
+		if err == nil || !silent || ctx.Err() != nil {
+			return conn, err
+		}
+		try *= 2
+	}
+}
+
 // boundSilence sets the options on a connection; others than TCP are left.
 func boundSilence(conn net.Conn) {
 	tcp, ok := conn.(*net.TCPConn)
