Engines withdraw before an order that cuts the last streams; a version that can't be had gives way to the one before

Cause, from the stagers' lines: an order waited for what ran, 2 s an engine at 4.8 orders a second, so half of the engines stood by nearly empty at 90 in 100 of use.

Now the gateways hear that an engine withdraws, what runs gets up to a second to end, and the order cuts what is left when 3 of 10 places are taken; gateways send those streams on to wherever they begin first and don't hold it against the engine. Turns are spread over the time that is left when a copy comes late. Members keep two copies a model. Orders carry the version as fencing token: agreed, growing, and not used again by whoever was refused for a higher one.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -129,6 +129,8 @@
 	case q.ctx.Err() != nil:
 	case x.watch.lapsed.Load():
 		x.gateway.note(q, attemptLapsed, "the version of the weights there lapsed before the request began")
+	case x.backend.isWithdrawn(time.Now()):
+		x.gateway.note(q, attemptCut, why)
 	default:
 		x.backend.failed(time.Now())
 		x.gateway.note(q, attemptBroken, why)
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -161,6 +161,14 @@
 	b.work -= work
 }
 
+// isWithdrawn tells whether an engine said that an order is coming or under way:
+// what it breaks off then is no failure of its own.
+func (b *backend) isWithdrawn(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.told.isFresh(now) && b.told.load.Busy()
+}
+
 // failed notes an attempt that the backend server did not answer as it should.
 func (b *backend) failed(now time.Time) {
 	b.mu.Lock()
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -162,9 +162,10 @@
 	return told
 }
 
-// farPenalty returns what another failure domain costs.
+// farPenalty returns what another failure domain costs. A request that is sent
+// again is late already or about to be: it goes wherever it begins first.
 func (w wanted) farPenalty() time.Duration {
-	if w.engine.Slots() > 0 {
+	if w.engine.Slots() > 0 && len(w.tried) == 0 {
 		return farStreamPenalty
 	}
 	return farPenalty
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -34,6 +34,7 @@
 	attemptUnreachable attemptEnd = "unreachable"
 	attemptBroken      attemptEnd = "broken"
 	attemptLapsed      attemptEnd = "lapsed"
+	attemptCut         attemptEnd = "cut" // by an order that the engine was given
 	attemptRefused     attemptEnd = "refused"
 	attemptElsewhere   attemptEnd = "elsewhere"
 	attemptFailed      attemptEnd = "failed"
--- a/pkg/staging/cache.go
+++ b/pkg/staging/cache.go
@@ -51,9 +51,7 @@
 	defer k.notices.Close()
 	k.running = ctx
 	for _, c := range k.store.load() {
-		k.mu.Lock()
-		k.copies[c.manifest.model] = c
-		k.mu.Unlock()
+		k.keepCopy(c)
 	}
 	go k.store.run(ctx)
 	following, cancel := context.WithCancel(ctx)
@@ -86,9 +84,10 @@
 	return models
 }
 
-// hold gathers the wanted version of a model and has it stored.
+// hold gathers the version of a model that is the target and has it stored.
 func (k *Cache) hold(ctx context.Context, model string) {
-	c, err := k.obtain(ctx, model, k.wanted(model))
+	held := func() uint64 { return k.newestComplete(model) }
+	c, err := k.obtain(ctx, model, k.target(model, held()), held)
 	if err != nil {
 		_ = level.Info(k.process.Logger).Log("msg", "manifest not found", "model", model, "err", err)
 	}
--- a/pkg/staging/copy.go
+++ b/pkg/staging/copy.go
@@ -84,6 +84,13 @@
 	return now.Sub(c.lastAdded)
 }
 
+// completedAt returns when the last chunk came of a complete copy.
+func (c *weightsCopy) completedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastAdded
+}
+
 // get returns a chunk; nil when it is not here.
 func (c *weightsCopy) get(number int) []byte {
 	c.mu.Lock()
--- a/pkg/staging/manifests.go
+++ b/pkg/staging/manifests.go
@@ -9,6 +9,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/go-kit/log/level"
@@ -50,7 +52,7 @@
 // manifestOrder returns whom to ask for a manifest, first choice first.
 func (m *Member) manifestOrder(model string, version uint64) []string {
 	domains, caches := m.members(model)
-	order := ranked(sortedKeys(domains), model, version, manifestNumber)
+	order := ranked(slices.Sorted(maps.Keys(domains)), model, version, manifestNumber)
 	sort.SliceStable(order, func(i, j int) bool { return caches[order[i]] && !caches[order[j]] })
 	return order
 }
--- a/pkg/staging/member.go
+++ b/pkg/staging/member.go
@@ -7,7 +7,9 @@
 package staging
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,7 +53,7 @@
 	planned    swarm        // from these members
 
 	mu     sync.Mutex
-	copies map[string]*weightsCopy // the newest, by model
+	copies map[string][]*weightsCopy // by model, the newest last
 }
 
 // beside is how chunks are read that lie beside the engine of a stager; its
@@ -70,7 +72,7 @@
 		process: process, protocol: protocol, registry: registry.NewTable(nil), failing: newFailingPeers(),
 		metrics: newMetrics(process.Registry), wake: make(chan struct{}, 1), running: context.Background(),
 		drawnManifests: map[string]Manifest{}, notices: link.NewMessenger[notice](process.Endpoint, link.KindChunkNotice),
-		uploads: make(chan struct{}, uploads), underWay: map[fetchKey]bool{}, versions: feed.NewVersions(), copies: map[string]*weightsCopy{},
+		uploads: make(chan struct{}, uploads), underWay: map[fetchKey]bool{}, versions: feed.NewVersions(), copies: map[string][]*weightsCopy{},
 	}
 	m.follower = &feed.Follower{
 		Endpoint: process.Endpoint, Hello: hello, Seeds: seeds, Held: m.index.Number, Take: m.takeUpdate, Logger: process.Logger,
@@ -126,29 +128,13 @@
 	return n
 }
 
-// cancelWhenRenamed ends the gathering of a version when a later one is named.
-func (m *Member) cancelWhenRenamed(ctx context.Context, cancel context.CancelFunc, model string, version uint64) {
-	ticker := time.NewTicker(busyLook)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if m.wanted(model).Version() != version {
-				cancel()
-				return
-			}
-		}
-	}
-}
-
 // ----------------------------------------------------------------
 // Copies
 
 // obtain returns a complete copy of a version, gathering it if need be; nil
-// when it could not be had or a later version was named meanwhile.
-func (m *Member) obtain(ctx context.Context, model string, want feed.Named) (*weightsCopy, error) {
+// when it could not be had or another version became the target meanwhile. held
+// returns the version that is held or served here.
+func (m *Member) obtain(ctx context.Context, model string, want feed.Named, held func() uint64) (*weightsCopy, error) {
 	c := m.copyOf(model, want.Version())
 	if c == nil {
 		manifest, err := m.findManifest(ctx, model, want.Version())
@@ -164,7 +150,7 @@
 	}
 	gathering, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go m.cancelWhenRenamed(gathering, cancel, model, want.Version())
+	go m.cancelWhenRetargeted(gathering, cancel, model, want.Version(), held)
 	started := time.Now()
 	m.gather(gathering, c)
 	if !c.isComplete() {
@@ -174,32 +160,64 @@
 	return c, nil
 }
 
-// keep makes room for a copy; the one before is given up. It returns the copy
-// that is there already, and nil when there is a later one.
+// keptCopies of a model are kept: the newest named version, and the one before
+// while that one can't be had.
+const keptCopies = 2
+
+// keep makes room for a copy; the oldest is given up. It returns the copy that
+// is there already, and nil when enough later ones are.
 func (m *Member) keep(manifest Manifest) *weightsCopy {
+	if held := m.copyOf(manifest.model, manifest.version); held != nil {
+		return held
+	}
+	return m.keepCopy(newCopy(manifest))
+}
+
+func (m *Member) keepCopy(c *weightsCopy) *weightsCopy {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if held := m.copies[manifest.model]; held != nil && held.manifest.version >= manifest.version {
-		if held.manifest.version > manifest.version {
-			return nil
-		}
-		return held
+	copies := m.copies[c.manifest.model]
+	at, found := slices.BinarySearchFunc(copies, c.manifest.version, compareVersion)
+	if found {
+		return copies[at]
+	}
+	copies = slices.Insert(slices.Clone(copies), at, c)
+	spare := max(len(copies)-keptCopies, 0)
+	m.copies[c.manifest.model] = copies[spare:]
+	if at < spare {
+		return nil
 	}
-	c := newCopy(manifest)
-	m.copies[manifest.model] = c
 	return c
 }
 
+func compareVersion(c *weightsCopy, version uint64) int {
+	return cmp.Compare(c.manifest.version, version)
+}
+
 // copyOf returns the copy of a version; nil when there is none.
 func (m *Member) copyOf(model string, version uint64) *weightsCopy {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if c := m.copies[model]; c != nil && c.manifest.version == version {
-		return c
+	copies := m.copies[model]
+	if at, found := slices.BinarySearchFunc(copies, version, compareVersion); found {
+		return copies[at]
 	}
 	return nil
 }
 
+// newestComplete returns the newest version of a model that is whole here; 0
+// when none is.
+func (m *Member) newestComplete(model string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range slices.Backward(m.copies[model]) {
+		if c.isComplete() {
+			return c.manifest.version
+		}
+	}
+	return 0
+}
+
 func (m *Member) knownManifest(model string, version uint64) *Manifest {
 	if c := m.copyOf(model, version); c != nil {
 		return &c.manifest
--- a/pkg/staging/owners.go
+++ b/pkg/staging/owners.go
@@ -24,6 +24,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -139,7 +140,7 @@
 	members := map[string][]string{}
 	caches := map[string][]string{}
 	var all, allCaches []string
-	for _, a := range sortedKeys(s.domains) {
+	for _, a := range slices.Sorted(maps.Keys(s.domains)) {
 		if a != s.own && s.resting[a] {
 			continue
 		}
@@ -180,7 +181,7 @@
 // has none.
 func (p plan) nearHolders() []string {
 	var near, far []string
-	for _, a := range sortedKeys(p.holders) {
+	for _, a := range slices.Sorted(maps.Keys(p.holders)) {
 		if p.domain[a] == p.domain[p.own] {
 			near = append(near, a)
 		} else if p.domain[a] != "" {
@@ -206,14 +207,14 @@
 func (p plan) targets(number int) []string {
 	var targets []string
 	if p.owners[number] == p.own {
-		for _, d := range sortedKeys(p.importers) {
+		for _, d := range slices.Sorted(maps.Keys(p.importers)) {
 			if d != p.domain[p.own] {
 				targets = append(targets, p.importers[d][number])
 			}
 		}
 	}
 	if p.importers[p.domain[p.own]][number] == p.own {
-		for _, a := range sortedKeys(p.domain) {
+		for _, a := range slices.Sorted(maps.Keys(p.domain)) {
 			if a != p.own && p.domain[a] == p.domain[p.own] {
 				targets = append(targets, a)
 			}
@@ -221,12 +222,3 @@
 	}
 	return targets
 }
-
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
--- a/pkg/staging/protocol.go
+++ b/pkg/staging/protocol.go
@@ -47,6 +47,11 @@
 	Version uint64
 	// Sequence is the number of orders that the engine must have taken so far.
 	Sequence uint64
+	// Fence is the order's fencing token: where engines look at it, they refuse one
+	// that is lower than another that they have seen, with StaleOrder.
+	Fence uint64
+	// Cuts says that the engine cuts what runs; else it ends that first.
+	Cuts bool
 }
 
 // Protocol is what the engine and the origin speak. All addresses are IP:PORT.
--- a/pkg/staging/serve.go
+++ b/pkg/staging/serve.go
@@ -11,11 +11,13 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/feed"
 )
 
@@ -31,7 +33,7 @@
 // serve has the engine serve a complete copy when it is its turn, and returns
 // when to look again. due is the version whose time ends first; the copy is of
 // that or of a later one.
-func (s *Stager) serve(ctx context.Context, c *weightsCopy, report Report, due feed.Named) time.Duration {
+func (s *Stager) serve(ctx context.Context, c *weightsCopy, report Report, due feed.Named, slots int) time.Duration {
 	if s.laid != c {
 		if err := s.layDown(ctx, c); err != nil {
 			_ = level.Warn(s.process.Logger).Log("msg", "chunks not laid down", "err", err)
@@ -39,9 +41,14 @@
 		}
 		s.laid = c
 	}
-	if wait := time.Until(s.turn(c.manifest.model, report, due)); wait > 0 {
+	if wait := time.Until(s.turn(c, report, due)); wait > 0 {
 		return min(wait, idleLook)
 	}
+	if report.Running > 0 {
+		running, end := s.withdraw(ctx, slots)
+		defer end()
+		report.Running = running
+	}
 	if err := s.checkLaidDown(ctx, c); err != nil {
 		_ = level.Warn(s.process.Logger).Log("msg", "chunks not checked", "err", err)
 		return busyLook
@@ -50,17 +57,36 @@
 	return busyLook
 }
 
-// order gives the order and waits until it is obeyed.
+// order gives the order and waits until it is obeyed. Its fencing token is the
+// version: the control nodes agree on versions and they only rise, so whoever
+// orders an older one, for instance a stager that was cut off, is refused.
 func (s *Stager) order(ctx context.Context, c *weightsCopy, report Report, due feed.Named) {
-	order := Order{Model: c.manifest.model, Version: c.manifest.version, Sequence: report.Sequence}
+	version := c.manifest.version
+	order := Order{Model: c.manifest.model, Version: version, Sequence: report.Sequence, Fence: version, Cuts: true}
 	err := s.protocol.Start(ctx, s.settings.Engine(), order)
-	_ = level.Info(s.process.Logger).Log("msg", "order given", "model", order.Model, "version", order.Version, "due", due.Version(),
+	_ = level.Info(s.process.Logger).Log("msg", "order given", "model", order.Model, "version", version, "due", due.Version(),
 		"sequence", order.Sequence, "running", report.Running, "since_named_ms", sinceNamed(due), "err", err)
-	if err == nil {
+	switch {
+	case err == nil:
 		s.awaitObeyed(ctx, order)
+	case failure.Is(err, failure.StaleOrder):
+		s.outranked = outranking{order.Fence, report.Sequence}
 	}
 }
 
+// outranking is a fencing token that was refused for a higher one, and how many
+// orders the engine had taken by then. The zero value is none.
+type outranking struct {
+	fence    uint64
+	sequence uint64
+}
+
+// forbids tells whether an order with a token is not to be given again. An
+// engine that started anew has forgotten its tokens and counts orders anew.
+func (o outranking) forbids(fence uint64, report Report) bool {
+	return fence <= o.fence && report.Sequence >= o.sequence
+}
+
 // layDown lays every chunk down beside the engine.
 func (s *Stager) layDown(ctx context.Context, c *weightsCopy) error {
 	for number := range c.manifest.digests {
@@ -100,19 +126,29 @@
 	return s.protocol.Get(ctx, s.settings.Engine(), model, number)
 }
 
-// turn returns when it is this engine's turn. An engine that serves nothing has
-// no work to stop, so its turn is at once.
-func (s *Stager) turn(model string, report Report, due feed.Named) time.Time {
+// turn returns when it is this engine's turn: spread over what is left, from
+// when the copy came, of the time within which the orders are given. An engine
+// that serves nothing has no work to stop, so its turn is at once.
+func (s *Stager) turn(c *weightsCopy, report Report, due feed.Named) time.Time {
 	if len(report.Holdings) == 0 || due.Since().IsZero() {
 		return time.Time{}
 	}
-	order := s.turnOrder(model)
+	order := s.turnOrder(c.manifest.model)
 	position := slices.Index(order, s.process.Identity.Address())
-	share := firstTurn
-	if len(order) > 1 {
-		share += (lastTurn - firstTurn) * float64(position) / float64(len(order)-1)
+	return turnAt(position, len(order), due.Since(), s.settings.Within(), c.completedAt())
+}
+
+// turnAt returns the turn of one of several engines.
+func turnAt(position, engines int, named time.Time, within time.Duration, complete time.Time) time.Time {
+	first := named.Add(time.Duration(firstTurn * float64(within)))
+	last := named.Add(time.Duration(lastTurn * float64(within)))
+	if complete.After(first) {
+		first = complete
+	}
+	if engines <= 1 || !first.Before(last) {
+		return first
 	}
-	return due.Since().Add(time.Duration(share * float64(s.settings.Within())))
+	return first.Add(last.Sub(first) * time.Duration(position) / time.Duration(engines-1))
 }
 
 // turnOrder returns the stagers of a model in an order that goes over the
@@ -124,7 +160,7 @@
 	}
 	seen := map[string]int{}
 	position := map[string]int{}
-	order := sortedKeys(domains)
+	order := slices.Sorted(maps.Keys(domains))
 	for _, a := range order {
 		position[a] = seen[domains[a]]
 		seen[domains[a]]++
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -49,6 +49,11 @@
 	ready     atomic.Pointer[weightsCopy]
 	gathering atomic.Uint64
 	laid      *weightsCopy
+	outranked outranking // the last order that was refused for its token
+	// withdrawn says that the engine takes nothing new although it has no order
+	// yet, and tell has its load told at once.
+	withdrawn atomic.Bool
+	tell      chan struct{}
 }
 
 // New returns a stager that is not running yet. path is its settings file,
@@ -59,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Stager{settings: c}
+	s := &Stager{settings: c, tell: make(chan struct{}, 1)}
 	s.seeds = daemon.NewSeeds(path, c, settings.LoadStaging, process.Logger)
 	hello := feed.NewHello(feed.RoleStager, process.Identity, c.Service(), c.Engine())
 	seeds := func() []string { return link.WithPortOf(s.seeds.Get(), process.Identity.Address()) }
@@ -128,36 +133,52 @@
 	if serves >= want.Version() {
 		return idleLook
 	}
-	s.gatherSoon(ctx, model, want)
+	s.gatherSoon(ctx, model, s.target(model, serves))
 	c := s.ready.Load()
 	if c == nil || c.manifest.model != model || c.manifest.version <= serves || report.Busy {
 		return busyLook
 	}
-	return s.serve(ctx, c, report, s.nextDue(model, serves))
+	if s.outranked.forbids(c.manifest.version, report) {
+		return idleLook
+	}
+	return s.serve(ctx, c, report, s.nextDue(model, serves), service.Engine().Slots())
 }
 
-// gatherSoon gathers the newest version beside the work of the loop: an earlier
-// one that is complete may be due before it.
+// gatherSoon gathers a version beside the work of the loop: an earlier one that
+// is complete may be due before it.
 func (s *Stager) gatherSoon(ctx context.Context, model string, want feed.Named) {
-	if c := s.ready.Load(); c != nil && c.manifest.model == model && c.manifest.version == want.Version() {
+	if c := s.ready.Load(); c != nil && c.manifest.model == model && c.manifest.version >= want.Version() {
 		return
 	}
 	if s.gathering.Swap(want.Version()) == want.Version() {
 		return
 	}
 	go func() {
-		c, err := s.obtain(ctx, model, want)
+		c, err := s.obtain(ctx, model, want, s.served.Load)
 		if err != nil {
 			_ = level.Info(s.process.Logger).Log("msg", "manifest not found", "model", model, "version", want.Version(), "err", err)
 		}
 		if c != nil {
-			s.ready.Store(c)
-			s.awake()
+			s.isReady(c)
 		}
 		s.gathering.CompareAndSwap(want.Version(), 0)
 	}()
 }
 
+// isReady notes a complete copy, unless a later one is.
+func (s *Stager) isReady(c *weightsCopy) {
+	for {
+		before := s.ready.Load()
+		if before != nil && before.manifest.model == c.manifest.model && before.manifest.version >= c.manifest.version {
+			return
+		}
+		if s.ready.CompareAndSwap(before, c) {
+			s.awake()
+			return
+		}
+	}
+}
+
 func (s *Stager) report(ctx context.Context) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
--- /dev/null
+++ b/pkg/staging/target_test.go
@@ -0,0 +1,126 @@
+package staging
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/feed"
+)
+
+// memberWith returns a member that knows of versions 2 and 3 of a model, named
+// 5 and 3 s ago, and holds a copy of each.
+func memberWith(t *testing.T) (m *Member, second, third *weightsCopy, data [][]byte) {
+	t.Helper()
+	return memberOf(t, 4)
+}
+
+// memberOf does so for versions of a number of chunks.
+func memberOf(t *testing.T, chunks int) (m *Member, second, third *weightsCopy, data [][]byte) {
+	t.Helper()
+	m = &Member{versions: feed.NewVersions(), copies: map[string][]*weightsCopy{}}
+	m.versions.Hear([]feed.Weights{feed.NewWeights("menu", 2, 5*time.Second)}, time.Now())
+	m.versions.Hear([]feed.Weights{feed.NewWeights("menu", 3, 3*time.Second)}, time.Now())
+	empty, data := testCopy(chunks)
+	second = m.keep(NewManifest("menu", 2, empty.manifest.digests))
+	third = m.keep(NewManifest("menu", 3, empty.manifest.digests))
+	return m, second, third, data
+}
+
+func complete(t *testing.T, c *weightsCopy, data [][]byte) {
+	t.Helper()
+	for number := range data {
+		if _, err := c.add(number, data[number]); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestTheNewestVersionIsTheTargetWhileItComes(t *testing.T) {
+	m, _, _, _ := memberWith(t)
+	if got := m.target("menu", 1).Version(); got != 3 {
+		t.Fatalf("version %d is gathered", got)
+	}
+}
+
+// Two versions were named 2 s apart and the origin crashed: no engine had either
+// when the first was due, although the caches had all of it.
+func TestTheVersionBeforeIsTheTargetWhileTheNewestStalls(t *testing.T) {
+	m, second, third, data := memberWith(t)
+	third.lastAdded = time.Now().Add(-2 * stallAfter)
+	second.lastAdded = third.lastAdded
+	if got := m.target("menu", 1).Version(); got != 3 {
+		t.Fatalf("version %d is gathered where neither is to be had", got)
+	}
+	second.learn("10.0.0.1:7", []byte{1})
+	if got := m.target("menu", 1).Version(); got != 2 {
+		t.Fatalf("version %d is gathered", got)
+	}
+	if got := m.target("menu", 2).Version(); got != 3 {
+		t.Fatalf("version %d is gathered where 2 is served", got)
+	}
+	third.learn("10.0.0.1:7", []byte{1})
+	if got := m.target("menu", 1).Version(); got != 3 {
+		t.Fatalf("version %d is gathered while somebody has a chunk of 3", got)
+	}
+	third.unlearn("10.0.0.1:7", 0)
+	complete(t, second, data)
+	if got := m.target("menu", 1).Version(); got != 3 {
+		t.Fatalf("version %d is gathered after 2 is whole", got)
+	}
+}
+
+func TestTwoNewestCopiesAreKept(t *testing.T) {
+	m, second, third, data := memberWith(t)
+	complete(t, second, data)
+	if m.copyOf("menu", 2) != second || m.copyOf("menu", 3) != third {
+		t.Fatal("a copy was given up for the next version")
+	}
+	if m.newestComplete("menu") != 2 {
+		t.Fatalf("the newest complete copy is of version %d", m.newestComplete("menu"))
+	}
+	if m.keep(NewManifest("menu", 1, second.manifest.digests)) != nil {
+		t.Fatal("a third copy is kept")
+	}
+	fourth := m.keep(NewManifest("menu", 4, second.manifest.digests))
+	if fourth == nil || m.copyOf("menu", 2) != nil || m.copyOf("menu", 3) != third {
+		t.Fatal("not the oldest copy was given up")
+	}
+}
+
+func TestTurnsAreSpreadOverTheTimeThatIsLeft(t *testing.T) {
+	named := time.Now()
+	within := 8 * time.Second
+	first := named.Add(time.Duration(firstTurn * float64(within)))
+	last := named.Add(time.Duration(lastTurn * float64(within)))
+	if at := turnAt(0, 5, named, within, named); !at.Equal(first) {
+		t.Errorf("the first turn is %s after the naming", at.Sub(named))
+	}
+	if at := turnAt(4, 5, named, within, named); !at.Equal(last) {
+		t.Errorf("the last turn is %s after the naming", at.Sub(named))
+	}
+	late := named.Add(5 * time.Second)
+	if at := turnAt(2, 5, named, within, late); !at.Equal(late.Add(last.Sub(late) / 2)) {
+		t.Errorf("the turn in the middle is %s after a late copy", at.Sub(late))
+	}
+	if at := turnAt(3, 5, named, within, named.Add(within)); !at.Equal(named.Add(within)) {
+		t.Errorf("a turn after the time is over is %s after the naming", at.Sub(named))
+	}
+}
+
+// A copy that lacked 6 of 96 chunks was left for the next version, and that one
+// came after the time of both.
+func TestAVersionThatIsNearlyCompleteIsFinished(t *testing.T) {
+	m, second, third, data := memberOf(t, 20)
+	complete(t, second, data[:19])
+	if got := m.target("menu", 1).Version(); got != 2 {
+		t.Fatalf("version %d is gathered while one chunk of 2 is missing", got)
+	}
+	second.lastAdded = time.Now().Add(-2 * stallAfter)
+	if got := m.target("menu", 1).Version(); got != 3 {
+		t.Fatalf("version %d is gathered while the last chunk of 2 does not come", got)
+	}
+	third.lastAdded = second.lastAdded
+	if isDuesTurn(time.Unix(0, 0)) || !isDuesTurn(time.Unix(0, int64(stallAfter))) {
+		t.Fatal("while neither comes they are not tried in turn")
+	}
+}
--- /dev/null
+++ b/pkg/staging/withdraw_test.go
@@ -0,0 +1,82 @@
+package staging
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-kit/log"
+
+	"github.com/tidepost/tidepost/pkg/daemon"
+	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/feed"
+)
+
+// stagerBeside returns a stager, without loops, beside an engine that answers
+// one report after the other, the last one again and again.
+func stagerBeside(reports ...Report) *Stager {
+	asked := 0
+	read := func(context.Context, string) (Report, error) {
+		r := reports[min(asked, len(reports)-1)]
+		asked++
+		return r, nil
+	}
+	m := &Member{protocol: Protocol{ReadReport: read}, process: &daemon.Process{Logger: log.NewNopLogger()}}
+	return &Stager{Member: m, tell: make(chan struct{}, 1)}
+}
+
+// An order that waited for the longest stream kept an engine nearly empty for
+// 2 s, and half of all engines at one time.
+func TestEngineWithdrawsUntilFewRequestsRun(t *testing.T) {
+	s := stagerBeside(Report{Running: 15, Queued: 1}, Report{Running: 9}, Report{Running: 4}, Report{Running: 1})
+	running, end := s.withdraw(t.Context(), 16)
+	if running != 4 {
+		t.Errorf("withdrew until %d requests ran", running)
+	}
+	if !s.withdrawn.Load() {
+		t.Error("gateways send on to an engine that withdraws")
+	}
+	select {
+	case <-s.tell:
+	default:
+		t.Error("the gateways are not told at once")
+	}
+	end()
+	if s.withdrawn.Load() {
+		t.Error("the engine is withdrawn for good")
+	}
+}
+
+func TestEngineThatDoesNotAnswerIsWithdrawnNoLonger(t *testing.T) {
+	s := stagerBeside(Report{})
+	s.protocol.ReadReport = func(context.Context, string) (Report, error) {
+		return Report{}, failure.New(failure.Unreachable, "no answer")
+	}
+	_, end := s.withdraw(t.Context(), 16)
+	end()
+	if s.withdrawn.Load() {
+		t.Error("the engine is withdrawn for good")
+	}
+}
+
+// A token that was refused for a higher one is not used again, until the engine
+// has started anew and forgotten both.
+func TestARefusedFencingTokenIsNotUsedAgain(t *testing.T) {
+	s := stagerBeside(Report{})
+	var given []Order
+	s.protocol.Start = func(_ context.Context, _ string, o Order) error {
+		given = append(given, o)
+		return failure.New(failure.StaleOrder, "a token of 5 was seen")
+	}
+	c, _ := testCopy(1)
+	report := Report{Sequence: 3}
+	s.order(t.Context(), c, report, feed.Named{})
+	if len(given) != 1 || given[0].Fence != c.manifest.version {
+		t.Fatalf("orders %+v", given)
+	}
+	if !s.outranked.forbids(given[0].Fence, report) || s.outranked.forbids(given[0].Fence+1, report) {
+		t.Error("the refused token is used again, or a higher one is not")
+	}
+	if s.outranked.forbids(given[0].Fence, Report{}) {
+		t.Error("an engine that started anew gets no order")
+	}
+}
