A caller that no backend server can serve is told to come back after a third of its time

Engines serve 3 to 5 s after a loss of power; callers told to come back after 1.5 s were refused again. Platform callers wait for a third of their remaining time, 2 s.

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -26,11 +26,16 @@
 	bodyTimeout = 10 * time.Second
 	// maxDials bounds the backend servers that one request is offered to.
 	maxDials = 6
-	// comeBackSoon and comeBackLater are when a refused caller may try again.
+	// comeBackSoon is when a refused caller may try again where that is better
+	// than to wait; comeBackLeast and comeBackMost bound it where all backend
+	// servers are full.
 	comeBackSoon  = 300 * time.Millisecond
-	comeBackLater = 1500 * time.Millisecond
 	comeBackLeast = 500 * time.Millisecond
 	comeBackMost  = 1500 * time.Millisecond
+	// comeBackShare of a caller's remaining time is when it may try again where
+	// no backend server serves. They serve again seconds later, so the later the
+	// better, and the platform's callers wait for no longer share.
+	comeBackShare = 1.0 / 3
 	// longestWait for a place, as a share of the objective, is worth taking.
 	longestWait = 0.5
 	// holdForPlace is how long a request is held here until an engine has a
@@ -237,7 +242,7 @@
 	if loaded {
 		return nil, failure.New(failure.Overloaded, "every backend server of %s is full", q.service.Name()).WithRetryAfter(g.comeBack())
 	}
-	return nil, failure.New(failure.Overloaded, "no backend server of %s serves now", q.service.Name()).WithRetryAfter(comeBackLater)
+	return nil, failure.New(failure.Overloaded, "no backend server of %s serves now", q.service.Name()).WithRetryAfter(time.Duration(comeBackShare * float64(q.remaining())))
 }
 
 // awaitPlace waits until a place may be free, within the time that a request may
