--- a/pkg/gateway/places_test.go
+++ b/pkg/gateway/places_test.go
@@ -103,6 +103,9 @@
 // between, so the emptier engine there is not better.
 func TestEnginesOfTheOwnFailureDomainComeFirst(t *testing.T) {
 	f := newFixture(t, serviceconfig.Stream, true)
+	// All demand comes here, so no share is rounded by lot.
+	f.gateway.demand.add(time.Now())
+	f.gateway.heardDemands = func() map[string]float64 { return map[string]float64{"hall-a": 1} }
 	f.hearEngine("hall-a", 9)
 	f.hearEngine("hall-b", 0)
 	w := wanted{service: "menu", engine: testEngine(), wait: time.Second}
