--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -75,7 +75,7 @@
 	q := &request{ctx: r.Context(), writer: w, incoming: r, call: g.protocol.ReadCall(r.Header), started: now}
 	index := g.index.Load()
 	if index == nil {
-		return q, failure.New(failure.NotReady, "no configuration is known here yet").WithRetryAfter(comeBackSoon)
+		return q, failure.New(failure.NotReady, "no configuration is known here yet").WithRetryAfter(g.comeBack())
 	}
 	q.number = index.Number()
 	route, found := index.Route(r.Host, pathOf(r))
