--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -38,12 +38,6 @@
 	comeBackShare = 1.0 / 3
 	// longestWait for a place, as a share of the objective, is worth taking.
 	longestWait = 0.5
-	// holdForPlace is how long a request is held here until an engine has a
-	// place for it, as a share of the objective: a refusal within a quarter of it
-	// still counts as early.
-	holdForPlace = 0.2
-	// lookForPlace is the time between looks for a place.
-	lookForPlace = 15 * time.Millisecond
 )
 
 // ServeHTTP serves one request of a caller.
@@ -182,10 +176,6 @@
 			return
 		}
 		b, f := g.pick(q)
-		if f != nil && g.awaitPlace(q, f) {
-			dials--
-			continue
-		}
 		if f != nil {
 			g.giveUp(q, f)
 			return
@@ -245,20 +235,6 @@
 	return nil, failure.New(failure.Overloaded, "no backend server of %s serves now", q.service.Name()).WithRetryAfter(time.Duration(comeBackShare * float64(q.remaining())))
 }
 
-// awaitPlace waits until a place may be free, within the time that a request may
-// wait for one; false when that is over or no place is waited for.
-func (g *Gateway) awaitPlace(q *request, f *failure.Failure) bool {
-	left := time.Until(q.started.Add(time.Duration(holdForPlace * float64(q.route.Objective()))))
-	if f.Kind() != failure.Overloaded || q.service.Engine().Slots() == 0 || q.sent > 0 || left <= 0 {
-		return false
-	}
-	select {
-	case <-q.ctx.Done():
-	case <-time.After(min(left, lookForPlace)):
-	}
-	return true
-}
-
 // comeBack returns when a caller refused for load may try again. It is spread,
 // so that those refused together do not return together.
 func (g *Gateway) comeBack() time.Duration {
--- a/pkg/staging/gather.go
+++ b/pkg/staging/gather.go
@@ -15,8 +15,12 @@
 )
 
 const (
-	// asksAtOnce bounds the questions of one stager under way.
-	asksAtOnce = 8
+	// asksAtOnce bounds the questions of one member under way, and
+	// asksBesideWork those of one whose engine serves: two keep its link full
+	// (copies took 2.44 s with 2, 3 and 8), and every chunk more under way keeps
+	// requests to the engine waiting for 35 ms.
+	asksAtOnce     = 8
+	asksBesideWork = 2
 	// drawTimeout bounds one draw from the origin.
 	drawTimeout = 4 * time.Second
 	// missPause is how long a chunk rests that a source did not have.
@@ -28,9 +32,13 @@
 // gather brings all chunks of a copy here, or ends with the context.
 func (m *Member) gather(ctx context.Context, c *weightsCopy) {
 	m.learnFromCaches(ctx, c)
-	g := newGatherer(c, func() plan { return m.planFor(c) })
+	most := asksAtOnce
+	if m.beside.serves != nil && m.beside.serves() {
+		most = asksBesideWork
+	}
+	g := newGatherer(c, func() plan { return m.planFor(c) }, most)
 	var group sync.WaitGroup
-	for range asksAtOnce {
+	for range most {
 		group.Go(func() { m.gatherOne(ctx, c, g) })
 	}
 	group.Wait()
--- a/pkg/staging/gatherer.go
+++ b/pkg/staging/gatherer.go
@@ -24,7 +24,7 @@
 	missesBeforeOthers = 1
 	missesBeforeOrigin = 4
 	// firstAsks questions are under way at first, one more after each quick
-	// answer up to asksAtOnce, and one alone after a slow one: what is under
+	// answer up to the bound, and one alone after a slow one: what is under
 	// way waits in the link, and requests to the engine behind it.
 	firstAsks   = 2
 	quickAnswer = 150 * time.Millisecond
@@ -51,14 +51,15 @@
 	underWay  map[int]bool
 	load      map[string]int // questions under way by source
 	allowed   int            // questions that may be under way
+	most      int            // bounds allowed
 	misses    map[int]int
 	restsTo   map[int]time.Time
 }
 
-func newGatherer(c *weightsCopy, makePlan func() plan) *gatherer {
+func newGatherer(c *weightsCopy, makePlan func() plan, most int) *gatherer {
 	return &gatherer{
 		copy: c, makePlan: makePlan, underWay: map[int]bool{}, load: map[string]int{},
-		misses: map[int]int{}, restsTo: map[int]time.Time{}, allowed: firstAsks,
+		misses: map[int]int{}, restsTo: map[int]time.Time{}, allowed: firstAsks, most: most,
 	}
 }
 
@@ -173,6 +174,6 @@
 	case !answered || took > slowAnswer:
 		g.allowed = 1
 	case took < quickAnswer:
-		g.allowed = min(g.allowed+1, asksAtOnce)
+		g.allowed = min(g.allowed+1, g.most)
 	}
 }
--- a/pkg/staging/member.go
+++ b/pkg/staging/member.go
@@ -61,6 +61,7 @@
 type beside struct {
 	address string
 	holds   func(version uint64) bool
+	serves  func() bool // anything at all
 	read    func(ctx context.Context, model string, number int) ([]byte, error)
 }
 
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -72,6 +72,7 @@
 	s.beside = beside{
 		address: c.Engine(),
 		holds:   func(version uint64) bool { return s.served.Load() == version },
+		serves:  func() bool { return s.served.Load() > 0 },
 		read:    s.readBack,
 	}
 	return s, nil
--- a/pkg/staging/target_test.go
+++ b/pkg/staging/target_test.go
@@ -124,3 +124,16 @@
 		t.Fatal("while neither comes they are not tried in turn")
 	}
 }
+
+// Eight chunks under way to an engine that served kept its requests waiting for a
+// quarter of a second.
+func TestQuickAnswersDoNotRaiseTheQuestionsOverTheirBound(t *testing.T) {
+	c, _ := testCopy(4)
+	g := newGatherer(c, func() plan { return plan{} }, asksBesideWork)
+	for number := range 20 {
+		g.done(step{number: number % 4, source: "10.0.0.1:7"}, true, time.Millisecond, time.Now())
+	}
+	if g.allowed != asksBesideWork {
+		t.Fatalf("%d questions may be under way", g.allowed)
+	}
+}
