Engines with long prompts, and those whose pace is not told, have places too

Found on reading: a usual prompt that is read for longer than 150 ms left an engine no place but those that end between two words, and without usual lengths the places were no number at all. Test: TestEveryIdleEngineHasAPlace, which fails before. Plain services ask for no shares any more.

--- a/pkg/explain/causes.go
+++ b/pkg/explain/causes.go
@@ -8,8 +8,9 @@
 // Cause is what became of a request, and why it was late.
 type Cause string
 
-// heldMost is for how long a request may wait at a gateway before that counts as
-// the cause of its lateness, as a share of the objective.
+// heldMost is for how long a request may be at a gateway before that counts as the
+// cause of its lateness, as a share of the objective: what is left is enough for
+// most.
 const heldMost = 0.15
 
 // cause is one rule.
@@ -26,7 +27,7 @@
 	{"failed", "its backend server failed it", hasOutcome("failed")},
 	{"gone", "the caller left", hasOutcome("gone")},
 	{"resent", "late: its first byte came after it was sent to another backend server", func(l line) bool { return l.isLate() && l.Sent > 1 }},
-	{"held", "late: it waited at the gateway for a place", func(l line) bool {
+	{"held", "late: the gateway sent it late, after dials that failed or a body that came slowly", func(l line) bool {
 		return l.isLate() && float64(l.SentMs) > heldMost*float64(l.ObjectiveMs)
 	}},
 	{"queued", "late: its first byte took too long at the backend server", line.isLate},
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -64,7 +64,10 @@
 func (g *Gateway) choose(w wanted) (chosen *backend, loaded bool) {
 	now := time.Now()
 	all := g.backends.of(w.service)
-	shares := g.shares(now, w.capacity(all, now))
+	var places shares
+	if w.wait > 0 {
+		places = g.shares(now, w.capacity(all, now))
+	}
 	var best, resting cheapest
 	full := false
 	for _, b := range all {
@@ -78,7 +81,7 @@
 			full = true
 		case l.resting:
 			resting.offer(b, g.cost(l, w))
-		case w.isLoaded(l, shares.at(l.domain), now):
+		case w.isLoaded(l, places.at(l.domain), now):
 			full = true
 		default:
 			best.offer(b, g.cost(l, w))
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -81,8 +81,8 @@
 	return s.far * max(1-s.taken[domain], leastFar)
 }
 
-// shares returns the shares as demand and engines are now. all are the engines
-// that may take a request.
+// shares returns the shares as demand is now. capacity is how many requests the
+// engines that may take one finish a second, by failure domain.
 func (g *Gateway) shares(now time.Time, capacity map[string]float64) shares {
 	own := g.demand.rate(now)
 	domain := g.process.Identity.Domain()
--- a/pkg/gateway/places.go
+++ b/pkg/gateway/places.go
@@ -61,13 +61,21 @@
 // freePlaces is how many requests an engine may be sent by all gateways
 // together, from the word on until now.
 func (t toldLoad) freePlaces(e serviceconfig.Engine, now time.Time) float64 {
-	taken := t.load.Running() + t.load.Queued()
-	free := e.Slots() + waitingPlaces - taken
+	free := e.Slots() + waitingPlaces - t.load.Running() - t.load.Queued()
 	unread := min(t.load.Queued(), e.Slots()-t.load.Running())
 	if reads := e.UsualReading(); reads > 0 {
-		free = min(free, int(readingAhead/reads)-unread)
+		// An engine that reads longer for a single prompt gets one at a time.
+		free = min(free, max(int(readingAhead/reads), 1)-unread)
 	}
-	pace := max(t.load.Pace(), 1)
-	ended := float64(now.Sub(t.at)) / (float64(e.Turn()) * pace)
-	return max(float64(free)+ended, 0)
+	return max(float64(free)+t.endedSince(e, now), 0)
+}
+
+// endedSince is how many requests a full engine has ended since the word; 0 when
+// it is not known how long they take.
+func (t toldLoad) endedSince(e serviceconfig.Engine, now time.Time) float64 {
+	turn := float64(e.Turn()) * max(t.load.Pace(), 1)
+	if turn <= 0 {
+		return 0
+	}
+	return float64(now.Sub(t.at)) / turn
 }
--- a/pkg/gateway/places_test.go
+++ b/pkg/gateway/places_test.go
@@ -58,6 +58,22 @@
 	}
 }
 
+// Engines with long prompts read for longer than the bound for each of them, and
+// some configurations do not say how long requests take.
+func TestEveryIdleEngineHasAPlace(t *testing.T) {
+	now := time.Now()
+	slow := serviceconfig.NewEngine(4, []string{"menu"}, 1, 96, 24576, 5*time.Millisecond, 0, 1000, 4000, 100, 0)
+	unknown := serviceconfig.NewEngine(4, []string{"menu"}, 1, 96, 24576, 0, 0, 0, 0, 0, 0)
+	for _, e := range []serviceconfig.Engine{slow, unknown} {
+		if !toldOf(0, 0, now, 0).hasPlace(e, 1, now) {
+			t.Errorf("an idle engine has no place: %+v", e)
+		}
+	}
+	if toldOf(0, 1, now, 0).hasPlace(slow, 1, now) {
+		t.Error("an engine that reads a long prompt gets another")
+	}
+}
+
 // Places become free while no word comes.
 func TestPlacesBecomeFreeBetweenWords(t *testing.T) {
 	now := time.Now()
