Orders cut only what may go on elsewhere

Found on reading: an order cut whatever ran on the engine. Engines' part of the document now says which services' requests may all go on at another backend server; engines of the others end what runs first, as before. Ruled out: asking the gateways what runs where, which is late.

--- a/pkg/control/cluster_test.go
+++ b/pkg/control/cluster_test.go
@@ -162,7 +162,7 @@
 }
 
 func document(number uint64) Configuration {
-	d := serviceconfig.NewDocument(number, nil, []serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", serviceconfig.Engine{})}, nil, serviceconfig.Limits{})
+	d := serviceconfig.NewDocument(number, nil, []serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", serviceconfig.Engine{}, false)}, nil, serviceconfig.Limits{})
 	return NewConfiguration(d, []byte(fmt.Sprintf(`{"number": %d}`, number)))
 }
 
--- a/pkg/gateway/places_test.go
+++ b/pkg/gateway/places_test.go
@@ -140,7 +140,7 @@
 func TestARequestWithoutAPlaceIsRefusedAtOnce(t *testing.T) {
 	f := newFixture(t, serviceconfig.Stream, true)
 	route := serviceconfig.NewRoute("r", "h", "/", serviceconfig.Stream, time.Hour, time.Hour, 0, 1, nil, 2, false, true)
-	service := serviceconfig.NewService("menu", "", 0, "", testEngine())
+	service := serviceconfig.NewService("menu", "", 0, "", testEngine(), false)
 	f.hearEngine("hall-a", 40)
 	q := &request{ctx: t.Context(), route: &route, service: &service, started: time.Now(), deadline: time.Now().Add(time.Hour)}
 	q.call.Model = "menu"
--- a/pkg/gateway/stand_in_test.go
+++ b/pkg/gateway/stand_in_test.go
@@ -153,7 +153,7 @@
 	route := serviceconfig.NewRoute("r", "menus.example", "/draft/", kind, 3*time.Second, 400*time.Millisecond, 400*time.Millisecond, 1,
 		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, 2, false, resumable)
 	d := serviceconfig.NewDocument(1, []serviceconfig.Route{route},
-		[]serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", serviceconfig.Engine{})},
+		[]serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", serviceconfig.Engine{}, false)},
 		[]serviceconfig.Organisation{serviceconfig.NewOrganisation("larder", []string{"k1"}, 0, false)}, serviceconfig.Limits{})
 	if err := d.Check(); err != nil {
 		t.Fatal(err)
--- a/pkg/serviceconfig/document.go
+++ b/pkg/serviceconfig/document.go
@@ -18,7 +18,10 @@
 
 //go:generate go run github.com/tidepost/tidepost/tools/wiregen
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind says how often a request on a route may run.
 type Kind string
@@ -104,6 +107,10 @@
 	origin string
 	// engine describes model engines; zero slots for plain services.
 	engine Engine
+	// interruptible says that all requests for the service may go on at another
+	// backend server when one breaks off. It is only filled in for engines, which
+	// get no routes: see ForEngines.
+	interruptible bool
 }
 
 // Engine is what is known of the model engines of a service.
@@ -162,9 +169,20 @@
 }
 
 // ForEngines returns the part of the document that whoever serves engines
-// needs: the services, without routes and organisations.
+// needs: the services, and what of their routes matters there, without routes and
+// organisations.
 func (d Document) ForEngines() Document {
-	return Document{number: d.number, services: d.services}
+	once := map[string]bool{}
+	for _, r := range d.routes {
+		for _, t := range r.targets {
+			once[t.service] = once[t.service] || !r.Idempotent()
+		}
+	}
+	services := slices.Clone(d.services)
+	for i := range services {
+		services[i].interruptible = !once[services[i].name]
+	}
+	return Document{number: d.number, services: services}
 }
 
 // Idempotent tells whether requests of the route may run more than once.
--- a/pkg/serviceconfig/json.go
+++ b/pkg/serviceconfig/json.go
@@ -97,7 +97,7 @@
 		out.routes = append(out.routes, r.route())
 	}
 	for _, s := range d.Services {
-		out.services = append(out.services, Service{s.Name, s.HealthPath, s.MaxConnections, s.Origin, s.Engine.engine()})
+		out.services = append(out.services, Service{s.Name, s.HealthPath, s.MaxConnections, s.Origin, s.Engine.engine(), false})
 	}
 	for _, o := range d.Organisations {
 		organisation := Organisation{name: o.Name, keys: o.Keys, hasPriority: o.Priority != nil}
--- a/pkg/serviceconfig/wire_generated.go
+++ b/pkg/serviceconfig/wire_generated.go
@@ -282,8 +282,8 @@
 }
 
 // NewService returns a Service with the given fields.
-func NewService(name string, healthPath string, maxConnections int, origin string, engine Engine) Service {
-	return Service{name: name, healthPath: healthPath, maxConnections: maxConnections, origin: origin, engine: engine}
+func NewService(name string, healthPath string, maxConnections int, origin string, engine Engine, interruptible bool) Service {
+	return Service{name: name, healthPath: healthPath, maxConnections: maxConnections, origin: origin, engine: engine, interruptible: interruptible}
 }
 
 // Name is unique among services.
@@ -301,12 +301,17 @@
 // Engine describes model engines; zero slots for plain services.
 func (s Service) Engine() Engine { return s.engine }
 
+// Interruptible says that all requests for the service may go on at another
+// backend server when one breaks off. It is only filled in for engines, which
+// get no routes: see ForEngines.
+func (s Service) Interruptible() bool { return s.interruptible }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (s Service) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(5); err != nil {
+	if err := enc.EncodeArrayLen(6); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(s.name, s.healthPath, s.maxConnections, s.origin, s.engine)
+	return enc.EncodeMulti(s.name, s.healthPath, s.maxConnections, s.origin, s.engine, s.interruptible)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -315,7 +320,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&s.name, &s.healthPath, &s.maxConnections, &s.origin, &s.engine}
+	fields := []any{&s.name, &s.healthPath, &s.maxConnections, &s.origin, &s.engine, &s.interruptible}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/staging/serve.go
+++ b/pkg/staging/serve.go
@@ -19,6 +19,7 @@
 
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
 const (
@@ -33,7 +34,7 @@
 // serve has the engine serve a complete copy when it is its turn, and returns
 // when to look again. due is the version whose time ends first; the copy is of
 // that or of a later one.
-func (s *Stager) serve(ctx context.Context, c *weightsCopy, report Report, due feed.Named, slots int) time.Duration {
+func (s *Stager) serve(ctx context.Context, c *weightsCopy, report Report, due feed.Named, service *serviceconfig.Service) time.Duration {
 	if s.laid != c {
 		if err := s.layDown(ctx, c); err != nil {
 			_ = level.Warn(s.process.Logger).Log("msg", "chunks not laid down", "err", err)
@@ -44,8 +45,8 @@
 	if wait := time.Until(s.turn(c, report, due)); wait > 0 {
 		return min(wait, idleLook)
 	}
-	if report.Running > 0 {
-		running, end := s.withdraw(ctx, slots)
+	if report.Running > 0 && service.Interruptible() {
+		running, end := s.withdraw(ctx, service.Engine().Slots())
 		defer end()
 		report.Running = running
 	}
@@ -53,16 +54,17 @@
 		_ = level.Warn(s.process.Logger).Log("msg", "chunks not checked", "err", err)
 		return busyLook
 	}
-	s.order(ctx, c, report, due)
+	s.order(ctx, c, report, due, service.Interruptible())
 	return busyLook
 }
 
 // order gives the order and waits until it is obeyed. Its fencing token is the
 // version: the control nodes agree on versions and they only rise, so whoever
-// orders an older one, for instance a stager that was cut off, is refused.
-func (s *Stager) order(ctx context.Context, c *weightsCopy, report Report, due feed.Named) {
+// orders an older one, for instance a stager that was cut off, is refused. cuts has
+// the engine cut what still runs, which must be able to go on elsewhere.
+func (s *Stager) order(ctx context.Context, c *weightsCopy, report Report, due feed.Named, cuts bool) {
 	version := c.manifest.version
-	order := Order{Model: c.manifest.model, Version: version, Sequence: report.Sequence, Fence: version, Cuts: true}
+	order := Order{Model: c.manifest.model, Version: version, Sequence: report.Sequence, Fence: version, Cuts: cuts}
 	err := s.protocol.Start(ctx, s.settings.Engine(), order)
 	_ = level.Info(s.process.Logger).Log("msg", "order given", "model", order.Model, "version", version, "due", due.Version(),
 		"sequence", order.Sequence, "running", report.Running, "since_named_ms", sinceNamed(due), "err", err)
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -142,7 +142,7 @@
 	if s.outranked.forbids(c.manifest.version, report) {
 		return idleLook
 	}
-	return s.serve(ctx, c, report, s.nextDue(model, serves), service.Engine().Slots())
+	return s.serve(ctx, c, report, s.nextDue(model, serves), service)
 }
 
 // gatherSoon gathers a version beside the work of the loop: an earlier one that
--- a/pkg/staging/withdraw.go
+++ b/pkg/staging/withdraw.go
@@ -8,6 +8,9 @@
 // stood by nearly empty. To read the prompt of a stream again elsewhere costs 30
 // to 40 ms of an engine. Cutting all that runs at once was worse too: more
 // streams then looked for a place than others had.
+//
+// Where a service has routes whose requests may not be sent again, its engines end
+// what runs: to cut it would lose answers.
 // ================================================================
 
 package staging
--- a/pkg/staging/withdraw_test.go
+++ b/pkg/staging/withdraw_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
 // stagerBeside returns a stager, without loops, beside an engine that answers
@@ -69,7 +71,7 @@
 	}
 	c, _ := testCopy(1)
 	report := Report{Sequence: 3}
-	s.order(t.Context(), c, report, feed.Named{})
+	s.order(t.Context(), c, report, feed.Named{}, true)
 	if len(given) != 1 || given[0].Fence != c.manifest.version {
 		t.Fatalf("orders %+v", given)
 	}
@@ -80,3 +82,25 @@
 		t.Error("an engine that started anew gets no order")
 	}
 }
+
+// Answers that cannot go on elsewhere are not cut for an order.
+func TestOrdersWaitForWhatMayNotBeSentAgain(t *testing.T) {
+	report := Report{Running: 1}
+	s := stagerBeside(report)
+	s.protocol.Get = func(context.Context, string, string, int) ([]byte, error) { return []byte("chunk 0"), nil }
+	var given []Order
+	s.protocol.Start = func(_ context.Context, _ string, o Order) error {
+		given = append(given, o)
+		return failure.New(failure.Conflict, "an order is under way")
+	}
+	c, _ := testCopy(1)
+	s.laid = c
+	engine := serviceconfig.NewEngine(16, []string{"menu"}, 1, 1, 8, time.Millisecond, 0, 0, 0, 0, 0)
+	for _, interruptible := range []bool{false, true} {
+		service := serviceconfig.NewService("menu", "", 0, "", engine, interruptible)
+		s.serve(t.Context(), c, report, feed.Named{}, &service)
+		if last := given[len(given)-1]; last.Cuts != interruptible {
+			t.Errorf("requests may go on elsewhere: %t; the order cuts: %t", interruptible, last.Cuts)
+		}
+	}
+}
