Read once more: one loop, one wake-up and one look at each engine

Found in the whole change; behaviour stays as it is. - Each choice looked at every engine twice under its locks, once for the capacity of the failure domains and once for the choice: now once, and both use what was seen. - The loop of daemon.Every stood again in staging (the target of a gathering) and, from before it, in three places of pkg/entry. - The wake-up that never waits stood eight times: daemon.Wake. - Whether a told load counts was written out beside toldLoad.isFresh; the even share was computed three times; the causes that are no losses were strings in two files.

--- a/pkg/agent/configuration.go
+++ b/pkg/agent/configuration.go
@@ -15,6 +15,7 @@
 
 	"github.com/tidepost/tidepost/pkg/configstate"
 	"github.com/tidepost/tidepost/pkg/contract"
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/failuredomain"
 	"github.com/tidepost/tidepost/pkg/vm"
@@ -68,10 +69,7 @@
 }
 
 func (a *Agent) wake() {
-	select {
-	case a.changed <- struct{}{}:
-	default:
-	}
+	daemon.Wake(a.changed)
 }
 
 // labels returns the labels in force on this VM.
--- a/pkg/agent/loader.go
+++ b/pkg/agent/loader.go
@@ -22,6 +22,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/tidepost/tidepost/pkg/contract"
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/engine"
 	"github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/failure"
@@ -67,10 +68,7 @@
 }
 
 func (l *loader) wake() {
-	select {
-	case l.woken <- struct{}{}:
-	default:
-	}
+	daemon.Wake(l.woken)
 }
 
 // run asks the engine and gives it orders until the context ends.
--- a/pkg/daemon/logs.go
+++ b/pkg/daemon/logs.go
@@ -59,10 +59,7 @@
 		w.queued.Write(line)
 	}
 	w.mu.Unlock()
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
+	Wake(w.wake)
 	return len(line), nil
 }
 
@@ -103,10 +100,7 @@
 	w.mu.Lock()
 	w.closing = true
 	w.mu.Unlock()
-	select {
-	case w.wake <- struct{}{}:
-	default:
-	}
+	Wake(w.wake)
 	select {
 	case <-w.done:
 	case <-time.After(closeWait):
--- a/pkg/entry/beats.go
+++ b/pkg/entry/beats.go
@@ -18,6 +18,7 @@
 
 	"github.com/tidepost/tidepost/pkg/bus"
 	"github.com/tidepost/tidepost/pkg/contract"
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/link"
 	"github.com/tidepost/tidepost/pkg/membership"
@@ -62,21 +63,14 @@
 }
 
 func (e *Entry) watchAgents(ctx context.Context) error {
-	ticker := time.NewTicker(watchEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return daemon.Every(ctx, watchEvery, func() {
 		for _, id := range e.agents.Expire(time.Now()) {
 			e.router.Forget(id)
 			e.process.Recorder.Record(event.AgentLost, string(id), "no heartbeat for "+e.settings.AgentTimeout().String())
 		}
 		e.metrics.agents.Set(float64(len(e.agents.Agents())))
 		e.admission.SetLimit(e.shareOfCapacity(time.Now()))
-	}
+	})
 }
 
 // shareOfCapacity is this entry's part of what the failure domain's agents
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -12,6 +12,7 @@
 	"github.com/tidepost/tidepost/pkg/agreed"
 	"github.com/tidepost/tidepost/pkg/contract"
 	"github.com/tidepost/tidepost/pkg/controllog"
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/disk"
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/link"
@@ -54,21 +55,14 @@
 // watchLeader notes that a leader is known, for the mark "confirmed" of what
 // followers get.
 func (e *Entry) watchLeader(ctx context.Context) {
-	ticker := time.NewTicker(leaderPoll)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	_ = daemon.Every(ctx, leaderPoll, func() {
 		s := e.runner.State()
 		if s.Leader.ID() != "" {
 			e.heardQuorum.Store(time.Now().UnixNano())
 		}
 		e.metrics.term.Set(float64(s.Term))
 		e.metrics.leads.Set(boolValue(s.Role == controllog.Leader))
-	}
+	})
 }
 
 func boolValue(b bool) float64 {
--- a/pkg/entry/spread.go
+++ b/pkg/entry/spread.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/contract"
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/link"
@@ -130,20 +131,13 @@
 
 // run exchanges with other domains until the context ends.
 func (c *coordinators) run(ctx context.Context) error {
-	ticker := time.NewTicker(firstExchangeEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return daemon.Every(ctx, firstExchangeEvery, func() {
 		for digest, found := range c.active() {
 			if found.exchangeDue(time.Now()) {
 				c.exchange(ctx, digest, found)
 			}
 		}
-	}
+	})
 }
 
 // active returns the coordinators, without those that are idle.
--- a/pkg/explain/causes.go
+++ b/pkg/explain/causes.go
@@ -8,6 +8,12 @@
 // Cause is what became of a request, and why it was late.
 type Cause string
 
+// The causes that are no losses.
+const (
+	served Cause = "served"
+	gone   Cause = "gone"
+)
+
 // heldMost is for how long a request may be at a gateway before that counts as the
 // cause of its lateness, as a share of the objective: what is left is enough for
 // most.
@@ -25,7 +31,7 @@
 	{"refused", "the gateway refused it", hasOutcome("refused")},
 	{"broken", "its stream broke off and could not go on", hasOutcome("broken")},
 	{"failed", "its backend server failed it", hasOutcome("failed")},
-	{"gone", "the caller left", hasOutcome("gone")},
+	{gone, "the caller left", hasOutcome("gone")},
 	{"resent", "late: its first byte came after it was sent to another backend server", func(l line) bool { return l.isLate() && l.Sent > 1 }},
 	{"held", "late: the gateway sent it late, after dials that failed or a body that came slowly", func(l line) bool {
 		return l.isLate() && float64(l.SentMs) > heldMost*float64(l.ObjectiveMs)
@@ -33,7 +39,7 @@
 	{"queued", "late: its first byte took too long at the backend server", line.isLate},
 	{"cut", "paused: its stream went on at another backend server", func(l line) bool { return l.isPaused() && l.Sent > 1 }},
 	{"paused", "paused: a pause between two events was too long", line.isPaused},
-	{"served", "answered in time, as seen by the gateway", hasOutcome("served")},
+	{served, "answered in time, as seen by the gateway", hasOutcome("served")},
 }
 
 func hasOutcome(outcome string) func(line) bool {
@@ -54,7 +60,7 @@
 	return ""
 }
 
-// Causes returns the names of the causes, those of loss first, and Served last.
+// Causes returns the names of the causes, in the order of the table.
 func Causes() []Cause {
 	var names []Cause
 	for _, c := range causes {
--- a/pkg/explain/summary.go
+++ b/pkg/explain/summary.go
@@ -109,7 +109,7 @@
 func (b Backend) losses() int {
 	lost := 0
 	for c, n := range b.Causes {
-		if c != "served" && c != "gone" {
+		if c != served && c != gone {
 			lost += n
 		}
 	}
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/link"
 	"github.com/tidepost/tidepost/pkg/registry"
@@ -99,21 +100,13 @@
 		s.loads[l.engine] = l
 		s.mu.Unlock()
 		if urgent {
-			signal(s.wake)
+			daemon.Wake(s.wake)
 		} else {
-			signal(s.soon)
+			daemon.Wake(s.soon)
 		}
 	}
 }
 
-// signal wakes whoever waits for a channel of one place.
-func signal(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 // Changed wakes every follower: the document or the weights changed.
 func (p *Publisher) Changed() { p.each(func(*subscriber) {}) }
 
@@ -132,7 +125,7 @@
 	s.mu.Lock()
 	change(s)
 	s.mu.Unlock()
-	signal(s.wake)
+	daemon.Wake(s.wake)
 }
 
 // Serve serves one follower until its stream breaks.
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -241,7 +241,7 @@
 func (b *backend) servedVersion(model string, layers int) uint64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.told.load.Model() == model && time.Since(b.told.at) < toldLife {
+	if b.told.load.Model() == model && b.told.isFresh(time.Now()) {
 		return b.told.load.Version()
 	}
 	registered := b.registration.Version(model, layers)
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -63,20 +63,17 @@
 // and then whether one would but for its load.
 func (g *Gateway) choose(w wanted) (chosen *backend, loaded bool) {
 	now := time.Now()
-	all := g.backends.of(w.service)
+	all := g.candidates(w, now)
 	var places shares
 	if w.wait > 0 {
-		places = g.shares(now, w.capacity(all, now))
+		places = g.shares(now, w.capacity(all))
 	}
 	var best, resting cheapest
 	full := false
-	for _, b := range all {
-		if w.tried[b] || !w.allows(b, now) {
-			continue
-		}
-		l := b.load(now)
+	for _, c := range all {
+		b, l := c.backend, c.load
 		switch {
-		case !l.serves():
+		case w.tried[b]:
 		case l.full || w.takesNothing(l):
 			full = true
 		case l.resting:
@@ -94,6 +91,24 @@
 	return best.backend, full
 }
 
+// candidate is a backend server that may take a request, and its load.
+type candidate struct {
+	backend *backend
+	load    load
+}
+
+// candidates returns the backend servers that serve and have the weights, those
+// among them that were tried too.
+func (g *Gateway) candidates(w wanted, now time.Time) []candidate {
+	var all []candidate
+	for _, b := range g.backends.of(w.service) {
+		if l := b.load(now); l.serves() && w.allows(b, now) {
+			all = append(all, candidate{b, l})
+		}
+	}
+	return all
+}
+
 // cheapest keeps the one of least cost that was offered.
 type cheapest struct {
 	backend *backend
@@ -126,16 +141,14 @@
 }
 
 // capacity returns the requests that engines finish a second, by failure domain.
-func (w wanted) capacity(all []*backend, now time.Time) map[string]float64 {
+func (w wanted) capacity(all []candidate) map[string]float64 {
 	turn := w.engine.Turn().Seconds()
 	if turn <= 0 {
 		return nil
 	}
 	capacity := map[string]float64{}
-	for _, b := range all {
-		if l := b.load(now); l.serves() && w.allows(b, now) {
-			capacity[l.domain] += 1 / (turn * max(l.told.load.Pace(), 1))
-		}
+	for _, c := range all {
+		capacity[c.load.domain] += 1 / (turn * max(c.load.told.load.Pace(), 1))
 	}
 	return capacity
 }
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -86,7 +86,7 @@
 func (g *Gateway) shares(now time.Time, capacity map[string]float64) shares {
 	own := g.demand.rate(now)
 	domain := g.process.Identity.Domain()
-	even := evenPart / float64(g.gateways())
+	even := 1 / float64(g.gateways())
 	s := shares{domain: domain, near: even, far: even, taken: map[string]float64{}}
 	demands := g.heardDemands()
 	all := 0.0
@@ -97,10 +97,9 @@
 		}
 	}
 	if all <= 0 {
-		s.near, s.far = 1/float64(g.gateways()), 1/float64(g.gateways())
 		return s
 	}
-	s.near += (1 - evenPart) * min(own/max(demands[domain], own), 1)
-	s.far += (1 - evenPart) * min(own/max(all, own), 1)
+	s.near = evenPart*even + (1-evenPart)*min(own/max(demands[domain], own), 1)
+	s.far = evenPart*even + (1-evenPart)*min(own/max(all, own), 1)
 	return s
 }
--- a/pkg/staging/copy_store.go
+++ b/pkg/staging/copy_store.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/disk"
 )
 
@@ -69,10 +70,7 @@
 		return
 	}
 	s.waiting[c.manifest.model] = c
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
+	daemon.Wake(s.wake)
 }
 
 // run stores what waits until the context ends.
--- a/pkg/staging/member.go
+++ b/pkg/staging/member.go
@@ -98,10 +98,7 @@
 }
 
 func (m *Member) awake() {
-	select {
-	case m.wake <- struct{}{}:
-	default:
-	}
+	daemon.Wake(m.wake)
 }
 
 // origin returns the address of the weights origin; empty while not known.
--- a/pkg/staging/target.go
+++ b/pkg/staging/target.go
@@ -18,6 +18,7 @@
 	"context"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/feed"
 )
 
@@ -85,20 +86,12 @@
 	return true
 }
 
-// cancelWhenRetargeted ends the gathering of a version when another one is to
-// be gathered.
+// cancelWhenRetargeted ends the gathering of a version, which is ctx, by cancel
+// when another one is to be gathered.
 func (m *Member) cancelWhenRetargeted(ctx context.Context, cancel context.CancelFunc, model string, version uint64, held func() uint64) {
-	ticker := time.NewTicker(busyLook)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if m.target(model, held()).Version() != version {
-				cancel()
-				return
-			}
+	_ = daemon.Every(ctx, busyLook, func() {
+		if m.target(model, held()).Version() != version {
+			cancel()
 		}
-	}
+	})
 }
--- a/pkg/staging/withdraw.go
+++ b/pkg/staging/withdraw.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+
+	"github.com/tidepost/tidepost/pkg/daemon"
 )
 
 const (
@@ -65,8 +67,5 @@
 
 // tellSoon has the load told at once.
 func (s *Stager) tellSoon() {
-	select {
-	case s.tell <- struct{}{}:
-	default:
-	}
+	daemon.Wake(s.tell)
 }
