Log lines queued behind a slow write are written at the end

Cause: the writer asked after a write whether the process is closing and then left, although lines, or the word of dropped ones, had been queued while that write was stuck. The test shows it when its lines take longer than the 20 ms that the writer waits for others. It now asks before it takes the lines. The test asserts as before, after it has waited for the writer's end. New: TestLinesQueuedBehindASlowWriteAreWrittenAtTheEnd, without a clock; it fails before ("first words" alone) and passes 20 times.

--- a/pkg/daemon/logs.go
+++ b/pkg/daemon/logs.go
@@ -66,11 +66,14 @@
 func (w *LineWriter) run() {
 	defer close(w.done)
 	for range w.wake {
-		if !w.isClosing() {
+		// Asked before the lines are taken: Close wakes once more after it is set,
+		// so what was queued meanwhile is written too.
+		closing := w.isClosing()
+		if !closing {
 			time.Sleep(flushPause)
 		}
 		_, _ = w.output.Write(w.take())
-		if w.isClosing() {
+		if closing {
 			return
 		}
 	}
--- a/pkg/daemon/logs_test.go
+++ b/pkg/daemon/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -13,11 +14,16 @@
 // stuckOutput is an output whose reader has stopped until released.
 type stuckOutput struct {
 	release chan struct{}
+	entered chan struct{} // gets a word at the first write; may be nil
 	mu      sync.Mutex
 	written bytes.Buffer
 }
 
 func (o *stuckOutput) Write(p []byte) (int, error) {
+	select {
+	case o.entered <- struct{}{}:
+	default:
+	}
 	<-o.release
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -43,6 +49,7 @@
 	}
 	close(output.release)
 	w.Close()
+	<-w.done // Close gives up on a slow output, and a busy machine is one
 	output.mu.Lock()
 	defer output.mu.Unlock()
 	if !strings.Contains(output.written.String(), `"msg":"log lines dropped"`) {
@@ -62,3 +69,24 @@
 		t.Fatalf("written: %q", output.written.String())
 	}
 }
+
+// What is queued while the output is stuck was lost when the end came before the
+// output went on.
+func TestLinesQueuedBehindASlowWriteAreWrittenAtTheEnd(t *testing.T) {
+	output := &stuckOutput{release: make(chan struct{}), entered: make(chan struct{}, 1)}
+	w := NewLineWriter(output, prometheus.NewCounter(prometheus.CounterOpts{Name: "dropped"}))
+	_, _ = w.Write([]byte("first words\n"))
+	<-output.entered
+	_, _ = w.Write([]byte("last words\n"))
+	go w.Close()
+	for !w.isClosing() {
+		runtime.Gosched()
+	}
+	close(output.release)
+	<-w.done
+	output.mu.Lock()
+	defer output.mu.Unlock()
+	if output.written.String() != "first words\nlast words\n" {
+		t.Fatalf("written: %q", output.written.String())
+	}
+}
