--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -38,9 +38,9 @@
 	current  int64
 }
 
-func newBudget(ratioPercent, reserve int, window time.Duration) *budget {
+func newBudget(ratioPercent int, reserve float64, window time.Duration) *budget {
 	return &budget{
-		ratio: float64(ratioPercent) / 100, reserve: float64(reserve), slot: window / budgetSlots,
+		ratio: float64(ratioPercent) / 100, reserve: reserve, slot: window / budgetSlots,
 		started: time.Now(), services: map[string]*spending{},
 	}
 }
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -27,7 +27,7 @@
 	// retryRatio is how many repeats a hundred requests may cause.
 	retryRatio int
 	// retryReserve is how many more all gateways together may cause.
-	retryReserve int
+	retryReserve float64
 	// retryWindow is the time over which repeats are counted.
 	retryWindow time.Duration
 	// weightsWithin is the time within which new weights are to be in force.
@@ -57,8 +57,8 @@
 			set: duration(time.Second, time.Hour, func(s *Gateway) *time.Duration { return &s.drainLimit })},
 		{Path: "retries.ratio", Default: "20", Unit: unitCount, Doc: "repeats that a hundred requests of a service may cause",
 			set: count(0, 100, func(s *Gateway) *int { return &s.retryRatio })},
-		{Path: "retries.reserve", Default: "20", Unit: unitCount, Doc: "repeats that all gateways together may cause besides, in a window",
-			set: count(0, 1<<20, func(s *Gateway) *int { return &s.retryReserve })},
+		{Path: "retries.reserve", Default: "20", Unit: unitNumber, Doc: "repeats that all gateways together may cause besides, in a window",
+			set: number(0, 1<<20, func(s *Gateway) *float64 { return &s.retryReserve })},
 		{Path: "retries.window", Default: "10s", Unit: unitDuration, Doc: "time over which repeats are counted",
 			set: duration(time.Second, 10*time.Minute, func(s *Gateway) *time.Duration { return &s.retryWindow })},
 		{Path: "weights.within", Default: "1m", Unit: unitDuration, Doc: "time after a version's acknowledgement from which older weights get no requests",
--- a/pkg/settings/values.go
+++ b/pkg/settings/values.go
@@ -22,6 +22,7 @@
 	unitDuration = "a duration such as 250ms, 2s or 5m"
 	unitBytes    = "a size such as 64KiB or 1MiB"
 	unitCount    = "a whole number above 0"
+	unitNumber   = "a number of 0 or more"
 	unitFile     = "the path of a file"
 	unitFolder   = "the path of a folder"
 	unitLabels   = "a mapping of label to value"
@@ -119,6 +120,22 @@
 	}
 }
 
+// number reads a number that may be a fraction.
+func number[T any](least, most float64, field func(*T) *float64) func(*T, value) error {
+	return func(t *T, v value) error {
+		n, err := strconv.ParseFloat(v.text, 64)
+		if err != nil {
+			return errors.Errorf("%q is not a number", v.text)
+		}
+		// Written so that a value that is no number is refused too.
+		if !(n >= least && n <= most) {
+			return errors.Errorf("%v is not between %v and %v", n, least, most)
+		}
+		*field(t) = n
+		return nil
+	}
+}
+
 func flag[T any](field func(*T) *bool) func(*T, value) error {
 	return func(t *T, v value) error {
 		b, err := strconv.ParseBool(v.text)
--- a/pkg/settings/wire_generated.go
+++ b/pkg/settings/wire_generated.go
@@ -183,7 +183,7 @@
 func (g Gateway) RetryRatio() int { return g.retryRatio }
 
 // RetryReserve is how many more all gateways together may cause.
-func (g Gateway) RetryReserve() int { return g.retryReserve }
+func (g Gateway) RetryReserve() float64 { return g.retryReserve }
 
 // RetryWindow is the time over which repeats are counted.
 func (g Gateway) RetryWindow() time.Duration { return g.retryWindow }
