A follower keeps two control nodes, and the nodes tell each other

Hypothesis: at hundreds of machines messages between regions, not decisions, are what falls over. Cause, by counting: each of 274 followers kept a stream to each of 5 nodes; every start of a follower had all others told all peers and nodes anew; every load of an engine went to every gateway from one node (all stagers told the node of the least address), four fifths of them across regions. Change: a follower keeps a primary, of its own failure domain where one can be reached, and a backup of another one, chosen by what is heard of them (choice.go). Loads, demand and peers come from the primary only, peers as changes. Nodes follow each other and hand on once what was told to them (census.go). Registrations are told on by whichever node learns something new; a word that another node told is not called silent for want of heartbeats here (registry). Ruled out: gathering alone (the same words to all gateways in fewer frames keeps four fifths of the bytes); relaying without a backup (2.5 s without documents after the silent loss of a node). To be measured with processor time and under trouble.

--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -36,11 +36,6 @@
 	idleTimeout    = 30 * time.Second
 	maxHeader      = 16 << 10
 	maxConnections = 1024
-	// silentBeats heartbeats missed make a backend server silent.
-	silentBeats = 4
-	// forgetAfter is when a registration is forgotten.
-	forgetAfter = 2 * time.Minute
-	sweepEvery  = time.Second
 	// goMemoryShare of the process's memory is the collector's limit.
 	goMemoryShare = 0.7
 )
@@ -68,6 +63,7 @@
 	protocol Protocol
 	member   *member
 	service  *Service
+	others   *feed.Follower // follows the other control nodes
 	cache    *staging.Cache // nil where the settings ask for none
 }
 
@@ -91,6 +87,7 @@
 	}
 	n.service.state = NewState(n.changed)
 	n.service.publisher = feed.NewPublisher(feed.Source{
+		Self:          process.Identity,
 		Number:        n.service.state.Number,
 		Document:      n.service.state.Document,
 		Weights:       n.service.state.Weights,
@@ -100,6 +97,7 @@
 	})
 	n.member = newMember(n.memberConfig(seams))
 	n.service.member = n.member
+	n.others = n.newOthers()
 	process.Endpoint.Handle(link.KindControlLog, n.member.serveMessages)
 	process.Endpoint.Handle(link.KindJoin, n.member.serveJoin)
 	process.Endpoint.Handle(link.KindControlCall, n.service.serveCall)
@@ -168,7 +166,9 @@
 	if n.cache != nil {
 		add(n.cache.Run)
 	}
+	add(n.others.Run)
 	add(n.sweep)
+	add(n.retell)
 	add(n.seeds.Run)
 	add(func(ctx context.Context) error { return daemon.WaitSignal(ctx, signals) })
 	err := group.Run()
@@ -189,16 +189,5 @@
 	}, netutil.LimitListener(l, maxConnections))
 }
 
-// sweep tells of backend servers that have gone silent.
-func (n *Node) sweep(ctx context.Context) error {
-	return daemon.Every(ctx, sweepEvery, func() {
-		changed := n.service.registry.Sweep(silentBeats*n.settings.Heartbeat(), forgetAfter)
-		n.service.publisher.Registered(changed...)
-		for _, r := range changed {
-			n.service.logRegistration(r)
-		}
-	})
-}
-
 // Called returns the protocol's name.
 func (p Protocol) Called() string { return p.Name }
--- /dev/null
+++ b/pkg/feed/choice_test.go
@@ -0,0 +1,57 @@
+package feed
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/tidepost/tidepost/pkg/vm"
+)
+
+func self(name string) vm.Identity { return vm.NewIdentity("", 0, "", "hall-a", name) }
+
+func TestPairIsChosen(t *testing.T) {
+	near := candidate{"near", "hall-a", standingUntried}
+	far := candidate{"far", "hall-b", standingSound}
+	cases := []struct {
+		name string
+		all  []candidate
+		want []string
+	}{
+		{"none", nil, nil},
+		{"one", []candidate{far}, []string{"far"}},
+		{"the own failure domain first", []candidate{far, near}, []string{"near", "far"}},
+		{"one that failed is no primary", []candidate{far, {"near", "hall-a", standingFailed}}, []string{"far", "near"}},
+		{"one that is alone stays the primary", []candidate{far, {"near", "hall-a", standingAlone}}, []string{"near", "far"}},
+		{"the backup hears of a leader", []candidate{near, {"alone", "hall-c", standingAlone}, far}, []string{"near", "far"}},
+		{"one that is heard stays the backup", []candidate{near, {"untried", "hall-c", standingUntried}, far}, []string{"near", "far"}},
+		{"one that is untried before one that is alone", []candidate{near, {"untried", "hall-c", standingUntried}, {"alone", "hall-b", standingAlone}}, []string{"near", "untried"}},
+		{"the backup is of another failure domain", []candidate{near, {"near-2", "hall-a", standingSound}, far}, []string{"near-2", "far"}},
+	}
+	for _, c := range cases {
+		if got := choosePair(self("follower"), c.all); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// The followers of a failure domain share out the other nodes as backups.
+func TestBackupsAreSpread(t *testing.T) {
+	all := []candidate{{"node-a", "hall-a", standingUntried}}
+	for i := range 4 {
+		all = append(all, candidate{fmt.Sprintf("node-%d", i), fmt.Sprintf("hall-%d", i), standingUntried})
+	}
+	count := map[string]int{}
+	for i := range 400 {
+		pair := choosePair(self(fmt.Sprintf("10.0.0.%d:7700", i)), all)
+		if pair[0] != "node-a" {
+			t.Fatalf("primary %s", pair[0])
+		}
+		count[pair[1]]++
+	}
+	for node, n := range count {
+		if n < 60 || n > 140 {
+			t.Errorf("%s is the backup of %d of 400", node, n)
+		}
+	}
+}
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -1,7 +1,8 @@
 // ================================================================
-// The follower: one stream to every control node that it knows of, from its
-// settings or from another node. A node that says nothing for a while is
-// dropped and dialed again; what it told before stays in use.
+// The follower: streams to two control nodes, chosen among those that it knows
+// of from its settings or from a node. A control node follows all others. One
+// that says nothing for a while is dropped and another one takes its place; what
+// it told before stays in use.
 // ================================================================
 
 package feed
@@ -16,11 +17,12 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/link"
 )
 
 const (
-	// silence is how long a node may say nothing.
+	// silence is how long a node may say nothing: two beats and a half.
 	silence = 2500 * time.Millisecond
 	// askAgain is when a document is asked of another node.
 	askAgain = 400 * time.Millisecond
@@ -32,9 +34,14 @@
 	mostPause  = 800 * time.Millisecond
 	// lookEvery is the time between looks at the seeds.
 	lookEvery = 500 * time.Millisecond
+	// restAfterLoss is how long a node that was lost stands behind others.
+	restAfterLoss = 2 * time.Second
+	// aloneAfter is how long a node may be without word of a quorum's leader
+	// before another one is followed beside it: an election takes a second.
+	aloneAfter = 2 * time.Second
 )
 
-// Follower keeps streams to all control nodes.
+// Follower keeps streams to control nodes.
 type Follower struct {
 	// Endpoint dials.
 	Endpoint *link.Endpoint
@@ -50,24 +57,31 @@
 	// Logger gets a line for each node that is found or lost.
 	Logger log.Logger
 
-	mu       sync.Mutex
-	told     map[string][]string // by node: the nodes that it told
-	active   map[string]context.CancelFunc
-	gateways map[string]int
-	demands  map[string][]Demand // by node: of the gateways that follow it
-	peers    map[string][]Peer
-	streams  map[string]*link.Stream
-	asked    uint64
-	askedAt  time.Time
+	wake chan struct{}
+
+	mu      sync.Mutex
+	streams map[string]*followed // by node, those that are wanted
+	told    map[string][]Node    // by node: the nodes that it told
+	lostAt  map[string]time.Time // by node: when it was last lost
+	primary *link.Stream         // the stream whose node was told so last
+	census  heardCensus
+	asked   uint64
+	askedAt time.Time
+}
+
+// followed is a node that a stream is kept to.
+type followed struct {
+	cancel context.CancelFunc
+	stream *link.Stream // nil while it is not heard
+	domain string
+	sure   time.Time // when it was last sure that a quorum's leader is there
 }
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	f.mu.Lock()
-	f.told, f.active = map[string][]string{}, map[string]context.CancelFunc{}
-	f.gateways, f.peers = map[string]int{}, map[string][]Peer{}
-	f.demands = map[string][]Demand{}
-	f.streams = map[string]*link.Stream{}
+	f.wake = make(chan struct{}, 1)
+	f.streams, f.told, f.lostAt = map[string]*followed{}, map[string][]Node{}, map[string]time.Time{}
 	f.mu.Unlock()
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
@@ -77,55 +91,138 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case <-f.wake:
 		}
 	}
 }
 
-// adjust starts a stream to each node known of and ends the others.
+// ----------------------------------------------------------------
+// Which nodes are followed
+
+// adjust starts a stream to each node that is wanted and ends the others, and
+// tells the nodes which one is the primary.
 func (f *Follower) adjust(ctx context.Context) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	wanted := map[string]bool{}
-	for _, address := range f.Seeds() {
-		wanted[address] = true
-	}
-	for _, address := range f.knownNodes() {
-		wanted[address] = true
-	}
-	for address := range wanted {
-		if f.active[address] == nil {
+	wanted := f.wanted(time.Now())
+	for _, address := range wanted {
+		if f.streams[address] == nil {
 			c, cancel := context.WithCancel(ctx)
-			f.active[address] = cancel
+			f.streams[address] = &followed{cancel: cancel}
 			go f.keep(c, address)
 		}
 	}
-	for address, cancel := range f.active {
-		if !wanted[address] {
-			cancel()
-			delete(f.active, address)
+	for address, s := range f.streams {
+		if slices.Contains(wanted, address) {
+			continue
 		}
+		s.cancel()
+		delete(f.streams, address)
+		if f.primary == s.stream {
+			f.primary = nil
+		}
+	}
+	words := f.electPrimary(wanted)
+	f.mu.Unlock()
+	for stream, w := range words {
+		// A failure shows in the reading, which then forgets the stream.
+		_ = stream.Send(w)
+	}
+}
+
+// electPrimary makes the first wanted node that is heard the primary, and returns
+// what is to be told of that.
+func (f *Follower) electPrimary(wanted []string) map[*link.Stream]Word {
+	if f.Hello.role == RoleNode {
+		// Every node is told what this one's followers tell.
+		return nil
 	}
+	words := map[*link.Stream]Word{}
+	first := slices.IndexFunc(wanted, func(address string) bool { return f.streams[address].stream != nil })
+	if first < 0 || f.streams[wanted[first]].stream == f.primary {
+		return words
+	}
+	if f.primary != nil {
+		words[f.primary] = Word{subscription: Backup}
+	}
+	f.primary = f.streams[wanted[first]].stream
+	words[f.primary] = Word{subscription: Primary}
+	return words
 }
 
-// knownNodes returns the nodes that others told of: those that are heard now,
-// or all that ever told anything when none is.
-func (f *Follower) knownNodes() []string {
-	var known []string
+// wanted returns the nodes to follow, the primary first.
+func (f *Follower) wanted(now time.Time) []string {
+	known := f.knownNodes()
+	if f.Hello.role == RoleNode {
+		delete(known, f.Hello.self.Address())
+		return slices.Sorted(maps.Keys(known))
+	}
+	var all []candidate
+	for address, domain := range known {
+		all = append(all, candidate{address, domain, f.standing(address, now)})
+	}
+	return choosePair(f.Hello.self, all)
+}
+
+// knownNodes returns the failure domains of the nodes to choose from, by address:
+// the seeds and what was told by nodes that are heard now, or by all that ever
+// told anything when none is.
+func (f *Follower) knownNodes() map[string]string {
+	known := map[string]string{}
+	for _, address := range f.Seeds() {
+		known[address] = ""
+	}
+	heard := f.heardNodes()
 	for address, nodes := range f.told {
-		if _, heard := f.gateways[address]; heard || len(f.gateways) == 0 {
-			known = append(known, nodes...)
+		if !heard[address] && len(heard) > 0 {
+			continue
+		}
+		for _, n := range nodes {
+			if known[n.address] == "" {
+				known[n.address] = n.domain
+			}
+		}
+	}
+	for address, s := range f.streams {
+		if _, there := known[address]; there && s.domain != "" {
+			known[address] = s.domain
 		}
 	}
 	return known
 }
 
+func (f *Follower) heardNodes() map[string]bool {
+	heard := map[string]bool{}
+	for address, s := range f.streams {
+		if s.stream != nil {
+			heard[address] = true
+		}
+	}
+	return heard
+}
+
+func (f *Follower) standing(address string, now time.Time) standing {
+	s := f.streams[address]
+	switch {
+	case s != nil && s.stream != nil && now.Sub(s.sure) < aloneAfter:
+		return standingSound
+	case s != nil && s.stream != nil:
+		return standingAlone
+	case now.Sub(f.lostAt[address]) < restAfterLoss:
+		return standingFailed
+	}
+	return standingUntried
+}
+
+// ----------------------------------------------------------------
+// One node
+
 // keep follows one node until the context ends.
 func (f *Follower) keep(ctx context.Context, address string) {
 	pause := leastPause
 	for ctx.Err() == nil {
 		started := time.Now()
 		err := f.follow(ctx, address)
-		f.lost(address)
+		f.lost(ctx, address)
 		if time.Since(started) > silence {
 			pause = leastPause
 			_ = level.Info(f.Logger).Log("msg", "control node lost", "node", address, "err", err)
@@ -153,7 +250,9 @@
 	for {
 		var u Update
 		if err := stream.Receive(&u); err != nil {
-			f.Endpoint.Drop(address)
+			if ctx.Err() == nil {
+				f.Endpoint.Drop(address)
+			}
 			return err
 		}
 		stream.SetDeadline(time.Now().Add(silence))
@@ -165,6 +264,51 @@
 	}
 }
 
+// note notes what a node told of itself and of the other followers.
+func (f *Follower) note(address string, stream *link.Stream, u Update) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.streams[address]
+	if s == nil {
+		return
+	}
+	now := time.Now()
+	if s.stream != stream {
+		s.stream, s.domain, s.sure = stream, stream.Peer().Domain(), now
+		daemon.Wake(f.wake)
+	}
+	if u.confirmed {
+		s.sure = now
+	}
+	if len(u.nodes) > 0 {
+		f.told[address] = u.nodes
+		daemon.Wake(f.wake)
+	}
+	f.census.take(address, u)
+}
+
+// lost forgets the stream to a node. Its list of nodes stays: it is the way to
+// the others should the seeds be gone.
+func (f *Follower) lost(ctx context.Context, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if ctx.Err() != nil {
+		// It is not wanted any more, and another stream to it may have begun.
+		return
+	}
+	if s := f.streams[address]; s != nil {
+		if f.primary == s.stream {
+			f.primary = nil
+		}
+		s.stream = nil
+	}
+	f.lostAt[address] = time.Now()
+	daemon.Wake(f.wake)
+}
+
+// ----------------------------------------------------------------
+// Documents
+
 // askSoon asks a node for its document: at once where it is near or no near
 // node is heard, else when no near one had it in time. A failure to send shows
 // in the reading.
@@ -205,102 +349,52 @@
 func (f *Follower) hearsNear() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, stream := range f.streams {
-		if f.isNear(stream) {
+	for _, s := range f.streams {
+		if s.stream != nil && f.isNear(s.stream) {
 			return true
 		}
 	}
 	return false
 }
 
-func (f *Follower) note(address string, stream *link.Stream, u Update) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.demands[address] = u.demands
-	if !u.whole {
-		return
-	}
-	f.told[address] = u.nodes
-	f.gateways[address] = u.gateways
-	f.streams[address] = stream
-	f.peers[address] = u.peers
-}
+// ----------------------------------------------------------------
+// What is told to the primary, and heard from it
 
-// lost forgets what only counts while the node is heard. Its list of nodes
-// stays: it is the way to the others should the seeds be gone.
-func (f *Follower) lost(address string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.gateways, address)
-	delete(f.demands, address)
-	delete(f.streams, address)
-	delete(f.peers, address)
-}
+// Tell tells the primary the load of the engine here. It hands it on.
+func (f *Follower) Tell(l Load) { f.tellPrimary(Word{load: &l}) }
 
-// Tell tells one node that is heard the load of the engine here. Which one does
-// not matter: gateways follow all.
-func (f *Follower) Tell(l Load) {
-	f.mu.Lock()
-	var first string
-	for address := range f.streams {
-		if first == "" || address < first {
-			first = address
-		}
-	}
-	stream := f.streams[first]
-	f.mu.Unlock()
-	if stream != nil {
-		// A failure shows in the reading, which then forgets the stream.
-		_ = stream.Send(Word{load: &l})
-	}
-}
+// TellDemand tells the primary how many requests for engines come to the gateway
+// here, a second.
+func (f *Follower) TellDemand(perSecond float64) { f.tellPrimary(Word{demand: perSecond}) }
 
-// TellDemand tells all nodes that are heard how many requests for engines come
-// to the gateway here, a second. Each of them adds up what it is told.
-func (f *Follower) TellDemand(perSecond float64) {
+func (f *Follower) tellPrimary(w Word) {
 	f.mu.Lock()
-	streams := slices.Collect(maps.Values(f.streams))
+	stream := f.primary
 	f.mu.Unlock()
-	for _, stream := range streams {
+	if stream != nil {
 		// A failure shows in the reading, which then forgets the stream.
-		_ = stream.Send(Word{demand: perSecond})
+		_ = stream.Send(w)
 	}
 }
 
 // Demands returns how many requests for engines come to all gateways a second,
-// by failure domain: the largest that a node told of.
+// by failure domain.
 func (f *Follower) Demands() map[string]float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	most := map[string]float64{}
-	for _, demands := range f.demands {
-		for _, d := range demands {
-			most[d.domain] = max(most[d.domain], d.perSecond)
-		}
-	}
-	return most
+	return f.census.byDomain()
 }
 
-// Gateways returns the largest number of gateways that a node told of.
+// Gateways returns how many gateways there are; 0 while that is not known.
 func (f *Follower) Gateways() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	most := 0
-	for _, n := range f.gateways {
-		most = max(most, n)
-	}
-	return most
+	return f.census.gateways
 }
 
-// Peers returns the stagers that any node told of, by address.
+// Peers returns the stagers and caches that there are, by link address.
 func (f *Follower) Peers() map[string]Peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	all := map[string]Peer{}
-	for _, peers := range f.peers {
-		for _, p := range peers {
-			all[p.address] = p
-		}
-	}
-	return all
+	return maps.Clone(f.census.peers)
 }
--- a/pkg/feed/messages.go
+++ b/pkg/feed/messages.go
@@ -1,11 +1,22 @@
 // ================================================================
-// The feed: what control nodes tell gateways and stagers. A follower keeps one
-// stream to every control node it knows, so that no single node's loss or cut
-// hides a change. Documents are large and come from one node only: nodes say
-// the number that they hold, and the follower asks one of them for it.
+// The feed: what control nodes tell gateways and stagers, and each other.
+//
+// A follower keeps streams to two control nodes: its primary, of its own failure
+// domain where there is one, and a backup. Both tell of documents, weights and
+// registrations, so that no single node's loss or cut hides a change; loads,
+// demand and peers are many, and only the primary tells them. Control nodes
+// follow all others and hand on what is told to them directly, so a word crosses
+// between two failure domains once and not once for each follower.
+//
+// Rejected: streams to all control nodes. At 274 followers and 5 nodes a load
+// went to each gateway from wherever its engine was, and links between regions
+// carried 264 MB in 22 s; each start of a follower had all others told anew.
 //
 //	follower -> node   Hello, then Words: asking for a document, telling a load
 //	node -> follower   Update at each change, and one each second without
+//
+// Documents are large and come from one node only: nodes say the number that
+// they hold, and the follower asks one of them for it.
 // ================================================================
 
 // Package feed carries the service configuration, the named weights and the
@@ -30,6 +41,21 @@
 	RoleGateway Role = "gateway"
 	RoleStager  Role = "stager"
 	RoleCache   Role = "cache"
+	// RoleNode is a control node: it follows all others.
+	RoleNode Role = "node"
+)
+
+// Subscription says how much a follower wants to be told.
+type Subscription uint8
+
+// The subscriptions. A stream begins as a backup.
+const (
+	// Unchanged stands in a Word that says nothing of it.
+	Unchanged Subscription = iota
+	// Backup wants documents, weights and registrations.
+	Backup
+	// Primary wants loads, demand and peers too.
+	Primary
 )
 
 // Hello opens a stream of the feed.
@@ -57,6 +83,8 @@
 	// demand is how many requests for engines come to a gateway, a second; 0 in
 	// a Word that tells something else.
 	demand float64
+	// subscription changes what the follower wants to be told.
+	subscription Subscription
 }
 
 // Load is the state of an engine, read on its own VM.
@@ -110,8 +138,18 @@
 	cache bool
 }
 
+// Node is a control node, as told to followers.
+//
+//wire:generate
+type Node struct {
+	// address is its link address.
+	address string
+	// domain is its failure domain; empty where the teller does not know it.
+	domain string
+}
+
 // Update is what a node tells. A part that did not change since the last
-// Update is left empty and its mark is false.
+// Update is left empty.
 //
 //wire:generate
 type Update struct {
@@ -121,22 +159,25 @@
 	document *serviceconfig.Document
 	// weights are all named versions.
 	weights []Weights
-	// registrations are words that followers have not heard from this node.
+	// registrations are words that the follower has not heard from this node.
 	registrations []registry.Registration
-	// whole says that nodes, gateways and peers are told.
-	whole bool
-	// nodes are the link addresses of the control nodes.
-	nodes []string
-	// gateways is how many gateways follow this node.
+	// confirmed says that the node heard of a quorum's leader lately.
+	confirmed bool
+	// nodes are all control nodes.
+	nodes []Node
+	// gateways is how many gateways there are: in all, or those of the node
+	// where another node is told.
 	gateways int
-	// peers are the stagers that follow this node.
+	// whole says that peers are all that there are; else they have come since.
+	whole bool
+	// peers are stagers and caches, and gone the link addresses of those that
+	// have left.
 	peers []Peer
+	gone  []string
 	// loads are those of engines that changed.
 	loads []Load
-	// confirmed says that the node heard of a quorum's leader lately.
-	confirmed bool
-	// demands are the requests for engines that come to the gateways which
-	// follow this node, by failure domain.
+	// demands are the requests for engines that come to gateways, by failure
+	// domain: in all, or those of the node where another node is told.
 	demands []Demand
 }
 
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -1,7 +1,12 @@
 // ================================================================
-// The publisher: a control node's side of the feed. Each follower has a queue
-// of the words that it has not got yet, by incarnation, so a slow follower
-// costs one word a backend server and never holds up the others.
+// The publisher: a control node's side of the feed.
+//
+// What followers tell directly goes to the own primary followers and to the
+// other control nodes; what other nodes tell goes to the own followers only. So
+// each word reaches a gateway by at most two nodes, and none goes round.
+// Registrations are the exception: whichever node learns something new tells all
+// that it serves, since a word that a backend server leaves must arrive also
+// where two nodes do not reach each other.
 // ================================================================
 
 package feed
@@ -11,18 +16,24 @@
 	"sync"
 	"time"
 
-	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/link"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
+	"github.com/tidepost/tidepost/pkg/vm"
 )
 
 const (
 	// beat is the time between Updates when nothing changes.
 	beat = time.Second
-	// loadPause is how long loads wait for others to be told with them.
-	loadPause = 80 * time.Millisecond
+	// loadPause is how long loads wait for others to be told with them, and
+	// relayPause the same towards another node: at 24 engines a node and 5 nodes
+	// 0.1 s would send four times the bytes between regions.
+	loadPause  = 80 * time.Millisecond
+	relayPause = 400 * time.Millisecond
+	// leastUpdatePause lies between two Updates of one follower, whatever happens: a
+	// roll of 120 engines has several urgent words each.
+	leastUpdatePause = 40 * time.Millisecond
 	// sendTimeout bounds one Update; a follower that takes longer is cut off.
 	sendTimeout = 3 * time.Second
 	// maxFollowers bounds the streams that a node serves.
@@ -32,6 +43,8 @@
 // Source is where a publisher reads what it tells. All of it is called from
 // several goroutines.
 type Source struct {
+	// Self is the node.
+	Self vm.Identity
 	// Number returns the newest applied document's number.
 	Number func() uint64
 	// Document returns that document; nil when there is none.
@@ -52,26 +65,23 @@
 
 	mu          sync.Mutex
 	subscribers map[*subscriber]bool
-	loads       map[string]Load // the newest, by engine
+	loads       map[string]toldLoad // the newest told here, by engine
+	census      *census
 }
 
-// subscriber is one follower's queue.
-type subscriber struct {
-	hello Hello
-	wake  chan struct{} // something is to be told at once
-	soon  chan struct{} // something may wait for more
-
-	mu      sync.Mutex
-	pending map[string]registry.Registration
-	loads   map[string]Load // by engine
-	asked   bool
-	whole   bool
-	demand  float64 // requests for engines a second, of a gateway
+// toldLoad is a load and when it was told.
+type toldLoad struct {
+	load Load
+	at   time.Time
 }
 
+// loadLife is for how long a load is told to a new follower: stagers tell theirs
+// anew each second.
+const loadLife = 2 * time.Second
+
 // NewPublisher returns a publisher without followers.
 func NewPublisher(s Source) *Publisher {
-	return &Publisher{source: s, subscribers: map[*subscriber]bool{}, loads: map[string]Load{}}
+	return &Publisher{source: s, subscribers: map[*subscriber]bool{}, loads: map[string]toldLoad{}, census: newCensus()}
 }
 
 // Registered queues a word for every follower.
@@ -86,24 +96,20 @@
 	})
 }
 
-// loaded queues a load for the gateways.
-func (p *Publisher) loaded(l Load) {
+// Retell queues words for the other control nodes, which forget what is not told
+// again.
+func (p *Publisher) Retell(words []registry.Registration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	urgent := l.Urgent(p.loads[l.engine])
-	p.loads[l.engine] = l
 	for s := range p.subscribers {
-		if s.hello.role != RoleGateway {
+		if s.hello.role != RoleNode {
 			continue
 		}
-		s.mu.Lock()
-		s.loads[l.engine] = l
-		s.mu.Unlock()
-		if urgent {
-			daemon.Wake(s.wake)
-		} else {
-			daemon.Wake(s.soon)
-		}
+		s.change(func(s *subscriber) {
+			for _, r := range words {
+				s.pending[r.Incarnation()] = r
+			}
+		})
 	}
 }
 
@@ -111,7 +117,7 @@
 func (p *Publisher) Changed() { p.each(func(*subscriber) {}) }
 
 // NodesChanged has the control nodes told anew.
-func (p *Publisher) NodesChanged() { p.each(func(s *subscriber) { s.whole = true }) }
+func (p *Publisher) NodesChanged() { p.each(func(s *subscriber) { s.nodes = true }) }
 
 func (p *Publisher) each(change func(*subscriber)) {
 	p.mu.Lock()
@@ -121,13 +127,57 @@
 	}
 }
 
-func (s *subscriber) change(change func(*subscriber)) {
-	s.mu.Lock()
-	change(s)
-	s.mu.Unlock()
-	daemon.Wake(s.wake)
+// loaded takes a load that the stager beside the engine told here.
+func (p *Publisher) loaded(l Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	urgent := l.Urgent(p.loads[l.engine].load)
+	p.loads[l.engine] = toldLoad{l, time.Now()}
+	for s := range p.subscribers {
+		s.queueLoads([]Load{l}, urgent)
+	}
+}
+
+// Relayed takes what another control node told of its own followers.
+func (p *Publisher) Relayed(node string, u Update) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	joined, gone := p.census.relay(node, u, time.Now())
+	p.tellFollowers(u.loads, joined, gone)
+}
+
+// Sweep forgets old loads, and what silent control nodes told.
+func (p *Publisher) Sweep() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for engine, told := range p.loads {
+		if now.Sub(told.at) > loadLife {
+			delete(p.loads, engine)
+		}
+	}
+	p.tellFollowers(nil, nil, p.census.forgetSilent(now))
+}
+
+// tellFollowers queues what other nodes told for the followers here, other nodes
+// excepted.
+func (p *Publisher) tellFollowers(loads []Load, joined []Peer, gone []string) {
+	for s := range p.subscribers {
+		if s.hello.role == RoleNode {
+			continue
+		}
+		if len(loads) > 0 {
+			s.queueLoads(loads, false)
+		}
+		if len(joined)+len(gone) > 0 {
+			s.queuePeers(joined, gone)
+		}
+	}
 }
 
+// ----------------------------------------------------------------
+// Followers
+
 // Serve serves one follower until its stream breaks.
 func (p *Publisher) Serve(ctx context.Context, stream *link.Stream) error {
 	stream.SetDeadline(time.Now().Add(sendTimeout))
@@ -135,8 +185,7 @@
 	if err := stream.Receive(&hello); err != nil {
 		return err
 	}
-	s := &subscriber{hello: hello, wake: make(chan struct{}, 1), soon: make(chan struct{}, 1),
-		pending: map[string]registry.Registration{}, loads: map[string]Load{}, whole: true}
+	s := newSubscriber(hello)
 	for _, r := range p.source.Registrations() {
 		s.pending[r.Incarnation()] = r
 	}
@@ -157,15 +206,18 @@
 		p.subscribers[s] = true
 	}
 	p.mu.Unlock()
-	p.NodesChanged()
+	if s.hello.role == RoleNode && !full {
+		// Its failure domain is known from now on.
+		p.NodesChanged()
+	}
 	return !full
 }
 
 func (p *Publisher) remove(s *subscriber) {
+	p.subscribe(s, Backup)
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	delete(p.subscribers, s)
-	p.mu.Unlock()
-	p.NodesChanged()
 }
 
 // takeWords reads what the follower tells; the end of the stream ends it.
@@ -176,11 +228,14 @@
 		if err := stream.Receive(&w); err != nil {
 			return
 		}
+		if w.subscription != Unchanged {
+			p.subscribe(s, w.subscription)
+		}
 		if w.load != nil {
 			p.loaded(*w.load)
 		}
 		if w.demand > 0 {
-			s.tookDemand(w.demand)
+			p.demanded(s, w.demand)
 		}
 		if w.ask {
 			s.change(func(s *subscriber) { s.asked = true })
@@ -188,31 +243,83 @@
 	}
 }
 
-func (s *subscriber) tookDemand(perSecond float64) {
+// subscribe makes this node a follower's primary, or takes that back. The census
+// counts a follower where it has its primary.
+func (p *Publisher) subscribe(s *subscriber, to Subscription) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	primary := to == Primary
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.demand = perSecond
+	changed := s.primary != primary
+	s.primary = primary
+	s.wholePeers = s.wholePeers || primary
+	if primary {
+		for engine, told := range p.loads {
+			s.loads[engine] = told.load
+		}
+	}
+	demand := s.demand
+	s.mu.Unlock()
+	if !changed || !p.subscribers[s] {
+		return
+	}
+	p.count(s, primary, demand)
+	if primary {
+		s.change(func(*subscriber) {})
+	}
 }
 
-// demands adds up what the gateways that follow told of theirs.
-func (p *Publisher) demands() []Demand {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	byDomain := map[string]float64{}
+// count takes a follower into the census, or out of it.
+func (p *Publisher) count(s *subscriber, in bool, demand float64) {
+	sign := 1
+	if !in {
+		sign = -1
+	}
+	switch s.hello.role {
+	case RoleGateway:
+		p.census.of(here).gateways += sign
+		p.census.changeDemand(s.hello.self.Domain(), float64(sign)*demand)
+	case RoleStager, RoleCache:
+		p.countPeer(s.hello, in)
+	}
+}
+
+func (p *Publisher) countPeer(h Hello, in bool) {
+	address := h.self.Address()
+	peer := NewPeer(address, h.self.Domain(), h.service, h.engine, h.role == RoleCache)
+	var joined []Peer
+	var gone []string
+	if in {
+		p.census.join(here, peer)
+		joined = []Peer{peer}
+	} else {
+		delete(p.census.of(here).peers, address)
+		gone = []string{address}
+	}
 	for s := range p.subscribers {
-		s.mu.Lock()
-		byDomain[s.hello.self.Domain()] += s.demand
-		s.mu.Unlock()
-	}
-	var all []Demand
-	for domain, perSecond := range byDomain {
-		if perSecond > 0 {
-			all = append(all, Demand{domain, perSecond})
+		if s.hello.role != RoleNode && !in && p.census.knowsAddress(address) {
+			continue
 		}
+		s.queuePeers(joined, gone)
 	}
-	return all
 }
 
+// demanded notes what comes to a gateway.
+func (p *Publisher) demanded(s *subscriber, perSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.mu.Lock()
+	before, primary := s.demand, s.primary
+	s.demand = perSecond
+	s.mu.Unlock()
+	if primary {
+		p.census.changeDemand(s.hello.self.Domain(), perSecond-before)
+	}
+}
+
+// ----------------------------------------------------------------
+// Updates
+
 func (p *Publisher) send(ctx context.Context, stream *link.Stream, s *subscriber) error {
 	ticker := time.NewTicker(beat)
 	defer ticker.Stop()
@@ -221,50 +328,104 @@
 		if err := stream.Send(p.update(s)); err != nil {
 			return err
 		}
+		if !wait(ctx, leastUpdatePause, nil) {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.wake:
 		case <-ticker.C:
 		case <-s.soon:
-			select {
-			case <-ctx.Done():
+			if !wait(ctx, s.gather()-leastUpdatePause, s.wake) {
 				return nil
-			case <-s.wake:
-			case <-time.After(loadPause):
 			}
 		}
 	}
 }
 
+// wait waits for a time or a wake-up, and returns false when the context ended.
+func wait(ctx context.Context, pause time.Duration, wake <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-wake:
+	case <-time.After(pause):
+	}
+	return true
+}
+
 // update takes what waits for the follower.
 func (p *Publisher) update(s *subscriber) Update {
-	s.mu.Lock()
-	pending, asked, whole := s.pending, s.asked, s.whole
-	loads := s.loads
-	s.pending, s.asked, s.whole = map[string]registry.Registration{}, false, false
-	s.loads = map[string]Load{}
-	s.mu.Unlock()
+	t := s.take()
 	u := Update{number: p.source.Number(), weights: p.source.Weights(), confirmed: p.source.Confirmed()}
-	if s.hello.role == RoleGateway {
-		u.demands = p.demands()
-	}
-	if asked {
+	if t.asked {
 		u.document = p.documentFor(s.hello.role)
 	}
-	for _, l := range loads {
+	for _, l := range t.loads {
 		u.loads = append(u.loads, l)
 	}
-	for _, r := range pending {
+	for _, r := range t.registrations {
 		u.registrations = append(u.registrations, r)
 	}
-	if whole {
-		u.whole, u.nodes = true, p.source.Nodes()
-		u.gateways, u.peers = p.followers()
+	if t.nodes {
+		u.nodes = p.nodes()
+	}
+	if t.primary {
+		p.addCensus(&u, s, t)
 	}
 	return u
 }
 
+// addCensus adds what the census says to a primary follower's Update.
+func (p *Publisher) addCensus(u *Update, s *subscriber, t taken) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	isNode := s.hello.role == RoleNode
+	switch {
+	case isNode:
+		u.gateways, u.demands = p.census.of(here).gateways, p.census.demandsHere()
+	case s.hello.role == RoleGateway:
+		u.gateways, u.demands = p.census.gateways(), p.census.demands()
+		return
+	}
+	if t.wholePeers {
+		u.whole = true
+		if isNode {
+			u.peers = p.census.peersHere()
+		} else {
+			u.peers = p.census.peers()
+		}
+		return
+	}
+	for address, peer := range t.peers {
+		if peer == nil {
+			u.gone = append(u.gone, address)
+		} else {
+			u.peers = append(u.peers, *peer)
+		}
+	}
+}
+
+// nodes returns the control nodes, with the failure domains of those that
+// follow here: all others do.
+func (p *Publisher) nodes() []Node {
+	addresses := p.source.Nodes()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	domains := map[string]string{p.source.Self.Address(): p.source.Self.Domain()}
+	for s := range p.subscribers {
+		if s.hello.role == RoleNode {
+			domains[s.hello.self.Address()] = s.hello.self.Domain()
+		}
+	}
+	var all []Node
+	for _, a := range addresses {
+		all = append(all, Node{a, domains[a]})
+	}
+	return all
+}
+
 // documentFor returns the document as a role needs it; nil when there is none.
 // Routes and keys are most of it, and only gateways read them.
 func (p *Publisher) documentFor(role Role) *serviceconfig.Document {
@@ -275,19 +436,3 @@
 	engines := d.ForEngines()
 	return &engines
 }
-
-// followers counts the gateways and lists the stagers and caches that follow.
-func (p *Publisher) followers() (gateways int, peers []Peer) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for s := range p.subscribers {
-		switch s.hello.role {
-		case RoleGateway:
-			gateways++
-		case RoleStager, RoleCache:
-			self := s.hello.self
-			peers = append(peers, NewPeer(self.Address(), self.Domain(), s.hello.service, s.hello.engine, s.hello.role == RoleCache))
-		}
-	}
-	return gateways, peers
-}
--- /dev/null
+++ b/pkg/feed/subscriber.go
@@ -0,0 +1,120 @@
+// ================================================================
+// A subscriber: one follower's queue at a control node. It holds the newest word
+// of each backend server, engine and peer that the follower has not got yet, so
+// a slow follower costs one word each and never holds up the others.
+// ================================================================
+
+package feed
+
+import (
+	"sync"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/daemon"
+	"github.com/tidepost/tidepost/pkg/registry"
+)
+
+// subscriber is one follower's queue.
+type subscriber struct {
+	hello Hello
+	wake  chan struct{} // something is to be told at once
+	soon  chan struct{} // something may wait for more
+
+	mu         sync.Mutex
+	primary    bool // it wants loads, demand and peers
+	pending    map[string]registry.Registration
+	loads      map[string]Load  // by engine
+	peers      map[string]*Peer // changes by link address; nil is one that left
+	wholePeers bool             // all peers are to be told
+	nodes      bool             // the control nodes are to be told
+	asked      bool             // the document is to be told
+	demand     float64          // requests for engines a second, of a gateway
+}
+
+func newSubscriber(hello Hello) *subscriber {
+	return &subscriber{
+		hello: hello, wake: make(chan struct{}, 1), soon: make(chan struct{}, 1),
+		primary: hello.role == RoleNode, wholePeers: hello.role == RoleNode, nodes: true,
+		pending: map[string]registry.Registration{}, loads: map[string]Load{}, peers: map[string]*Peer{},
+	}
+}
+
+// change changes what waits and has it told at once.
+func (s *subscriber) change(change func(*subscriber)) {
+	s.mu.Lock()
+	change(s)
+	s.mu.Unlock()
+	daemon.Wake(s.wake)
+}
+
+// takesLoads tells whether loads are for this follower.
+func (s *subscriber) takesLoads() bool {
+	return s.primary && (s.hello.role == RoleGateway || s.hello.role == RoleNode)
+}
+
+// takesPeers tells whether stagers and caches are told to this follower.
+func (s *subscriber) takesPeers() bool { return s.primary && s.hello.role != RoleGateway }
+
+// queueLoads queues loads for a follower that takes them.
+func (s *subscriber) queueLoads(loads []Load, urgent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.takesLoads() {
+		return
+	}
+	for _, l := range loads {
+		s.loads[l.engine] = l
+	}
+	if urgent {
+		daemon.Wake(s.wake)
+	} else {
+		daemon.Wake(s.soon)
+	}
+}
+
+// queuePeers queues changes of the peers for a follower that is told of them.
+func (s *subscriber) queuePeers(joined []Peer, gone []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.takesPeers() {
+		return
+	}
+	for _, p := range joined {
+		s.peers[p.address] = &p
+	}
+	for _, address := range gone {
+		s.peers[address] = nil
+	}
+	daemon.Wake(s.soon)
+}
+
+// gather is how long what may wait does so, for more to be told with it. Between
+// nodes it is longer: links between regions are narrow, and gateways use engines
+// of other failure domains for what their own cannot take.
+func (s *subscriber) gather() time.Duration {
+	if s.hello.role == RoleNode {
+		return relayPause
+	}
+	return loadPause
+}
+
+// taken is what was taken off a queue to be told.
+type taken struct {
+	registrations map[string]registry.Registration
+	loads         map[string]Load
+	peers         map[string]*Peer
+	wholePeers    bool
+	nodes         bool
+	asked         bool
+	primary       bool
+}
+
+// take empties the queue.
+func (s *subscriber) take() taken {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := taken{s.pending, s.loads, s.peers, s.wholePeers, s.nodes, s.asked, s.primary}
+	s.pending, s.loads, s.peers = map[string]registry.Registration{}, map[string]Load{}, map[string]*Peer{}
+	s.wholePeers, s.nodes, s.asked = false, false, false
+	return t
+}
--- a/pkg/feed/wire_generated.go
+++ b/pkg/feed/wire_generated.go
@@ -153,6 +153,45 @@
 	return nil
 }
 
+// NewNode returns a Node with the given fields.
+func NewNode(address string, domain string) Node {
+	return Node{address: address, domain: domain}
+}
+
+// Address is its link address.
+func (n Node) Address() string { return n.address }
+
+// Domain is its failure domain; empty where the teller does not know it.
+func (n Node) Domain() string { return n.domain }
+
+// EncodeMsgpack writes the fields in order, as one array.
+func (n Node) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(2); err != nil {
+		return err
+	}
+	return enc.EncodeMulti(n.address, n.domain)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
+func (n *Node) DecodeMsgpack(dec *msgpack.Decoder) error {
+	count, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := []any{&n.address, &n.domain}
+	for i := 0; i < count; i++ {
+		if i >= len(fields) {
+			err = dec.Skip()
+		} else {
+			err = dec.Decode(fields[i])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // NewPeer returns a Peer with the given fields.
 func NewPeer(address string, domain string, service string, engine string, cache bool) Peer {
 	return Peer{address: address, domain: domain, service: service, engine: engine, cache: cache}
@@ -202,8 +241,8 @@
 }
 
 // NewUpdate returns a Update with the given fields.
-func NewUpdate(number uint64, document *serviceconfig.Document, weights []Weights, registrations []registry.Registration, whole bool, nodes []string, gateways int, peers []Peer, loads []Load, confirmed bool, demands []Demand) Update {
-	return Update{number: number, document: document, weights: weights, registrations: registrations, whole: whole, nodes: nodes, gateways: gateways, peers: peers, loads: loads, confirmed: confirmed, demands: demands}
+func NewUpdate(number uint64, document *serviceconfig.Document, weights []Weights, registrations []registry.Registration, confirmed bool, nodes []Node, gateways int, whole bool, peers []Peer, gone []string, loads []Load, demands []Demand) Update {
+	return Update{number: number, document: document, weights: weights, registrations: registrations, confirmed: confirmed, nodes: nodes, gateways: gateways, whole: whole, peers: peers, gone: gone, loads: loads, demands: demands}
 }
 
 // Number is the newest document applied at the node; 0 is none.
@@ -215,37 +254,42 @@
 // Weights are all named versions.
 func (u Update) Weights() []Weights { return u.weights }
 
-// Registrations are words that followers have not heard from this node.
+// Registrations are words that the follower has not heard from this node.
 func (u Update) Registrations() []registry.Registration { return u.registrations }
 
-// Whole says that nodes, gateways and peers are told.
-func (u Update) Whole() bool { return u.whole }
+// Confirmed says that the node heard of a quorum's leader lately.
+func (u Update) Confirmed() bool { return u.confirmed }
 
-// Nodes are the link addresses of the control nodes.
-func (u Update) Nodes() []string { return u.nodes }
+// Nodes are all control nodes.
+func (u Update) Nodes() []Node { return u.nodes }
 
-// Gateways is how many gateways follow this node.
+// Gateways is how many gateways there are: in all, or those of the node
+// where another node is told.
 func (u Update) Gateways() int { return u.gateways }
 
-// Peers are the stagers that follow this node.
+// Whole says that peers are all that there are; else they have come since.
+func (u Update) Whole() bool { return u.whole }
+
+// Peers are stagers and caches, and gone the link addresses of those that
+// have left.
 func (u Update) Peers() []Peer { return u.peers }
 
+// Gone returns the field of that name.
+func (u Update) Gone() []string { return u.gone }
+
 // Loads are those of engines that changed.
 func (u Update) Loads() []Load { return u.loads }
 
-// Confirmed says that the node heard of a quorum's leader lately.
-func (u Update) Confirmed() bool { return u.confirmed }
-
-// Demands are the requests for engines that come to the gateways which
-// follow this node, by failure domain.
+// Demands are the requests for engines that come to gateways, by failure
+// domain: in all, or those of the node where another node is told.
 func (u Update) Demands() []Demand { return u.demands }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (u Update) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(11); err != nil {
+	if err := enc.EncodeArrayLen(12); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(u.number, u.document, u.weights, u.registrations, u.whole, u.nodes, u.gateways, u.peers, u.loads, u.confirmed, u.demands)
+	return enc.EncodeMulti(u.number, u.document, u.weights, u.registrations, u.confirmed, u.nodes, u.gateways, u.whole, u.peers, u.gone, u.loads, u.demands)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -254,7 +298,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&u.number, &u.document, &u.weights, &u.registrations, &u.whole, &u.nodes, &u.gateways, &u.peers, &u.loads, &u.confirmed, &u.demands}
+	fields := []any{&u.number, &u.document, &u.weights, &u.registrations, &u.confirmed, &u.nodes, &u.gateways, &u.whole, &u.peers, &u.gone, &u.loads, &u.demands}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -311,8 +355,8 @@
 }
 
 // NewWord returns a Word with the given fields.
-func NewWord(ask bool, load *Load, demand float64) Word {
-	return Word{ask: ask, load: load, demand: demand}
+func NewWord(ask bool, load *Load, demand float64, subscription Subscription) Word {
+	return Word{ask: ask, load: load, demand: demand, subscription: subscription}
 }
 
 // Ask asks for the document that the node holds.
@@ -325,12 +369,15 @@
 // a Word that tells something else.
 func (w Word) Demand() float64 { return w.demand }
 
+// Subscription changes what the follower wants to be told.
+func (w Word) Subscription() Subscription { return w.subscription }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (w Word) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(3); err != nil {
+	if err := enc.EncodeArrayLen(4); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(w.ask, w.load, w.demand)
+	return enc.EncodeMulti(w.ask, w.load, w.demand, w.subscription)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -339,7 +386,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&w.ask, &w.load, &w.demand}
+	fields := []any{&w.ask, &w.load, &w.demand, &w.subscription}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/registry/table.go
+++ b/pkg/registry/table.go
@@ -22,6 +22,7 @@
 type entry struct {
 	registration Registration
 	heard        time.Time
+	relayed      bool // another node told of it: its heartbeats do not come here
 }
 
 type shard struct {
@@ -52,25 +53,51 @@
 	return &t.shards[xxhash.Sum64String(incarnation)%shardCount]
 }
 
-// Hear takes a word and tells whether followers have to hear of it: it is new,
-// it differs, or the words between went to another node.
+// Hear takes a word of a backend server itself and tells whether others have to
+// hear of it: it is new, it differs, or the words between went to another node.
 func (t *Table) Hear(r Registration) (changed bool) {
+	old, known, taken := t.put(r, false)
+	before := old.registration
+	return taken && (!known || old.relayed || !r.sameWord(before) || r.sequence > before.sequence+1)
+}
+
+// HearRelayed takes a word that another node told, and returns what others have to
+// hear: r where it is new or differs, or the word held where r calls a backend
+// server silent whose heartbeats come here. Unlike the backend server's own word it
+// says nothing of when the next one is due.
+func (t *Table) HearRelayed(r Registration) (word Registration, tell bool) {
+	old, known, taken := t.put(r, true)
+	if !taken {
+		held := old.registration
+		return held, r.state == Silent && held.state == Ready && !old.relayed
+	}
+	return r, !known || !r.sameWord(old.registration)
+}
+
+// put takes a word unless the one held goes before it.
+func (t *Table) put(r Registration, relayed bool) (old entry, known, taken bool) {
 	s := t.shard(r.incarnation)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held, known := s.entries[r.incarnation]
-	old := held.registration
-	if known && !supersedes(r, old) {
-		return false
+	old, known = s.entries[r.incarnation]
+	if known && !mayFollow(r, old.registration) {
+		return old, known, false
 	}
-	if known && old.state.leaving() && !r.state.leaving() {
-		return false
+	if known && relayed && r.sequence == old.registration.sequence && r.sameWord(old.registration) {
+		// The same word again: who hears the heartbeats goes on doing so.
+		relayed = old.relayed
 	}
-	if known && old.state == Gone {
+	s.entries[r.incarnation] = entry{r, t.now(), relayed}
+	return old, known, true
+}
+
+// mayFollow tells whether r may take the place of old.
+func mayFollow(r, old Registration) bool {
+	switch {
+	case old.state == Gone, !supersedes(r, old):
 		return false
 	}
-	s.entries[r.incarnation] = entry{r, t.now()}
-	return !known || !r.sameWord(old) || r.sequence > old.sequence+1
+	return r.state.leaving() || !old.state.leaving()
 }
 
 // supersedes tells whether r may take the place of old. Words without a
@@ -89,7 +116,7 @@
 	r.incarnation = incarnation
 	changed := !known || r.state != Gone
 	r.state = Gone
-	s.entries[incarnation] = entry{r, t.now()}
+	s.entries[incarnation] = entry{registration: r, heard: t.now()}
 	return r, changed
 }
 
@@ -102,24 +129,42 @@
 	return held.registration, known
 }
 
+// Direct returns the words of the backend servers whose heartbeats come here.
+func (t *Table) Direct() []Registration {
+	return t.pick(func(e entry) bool { return !e.relayed })
+}
+
 // All returns every word, sorted by incarnation.
-func (t *Table) All() []Registration {
-	var all []Registration
+func (t *Table) All() []Registration { return t.pick(func(entry) bool { return true }) }
+
+func (t *Table) pick(want func(entry) bool) []Registration {
+	var picked []Registration
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
 		for _, e := range s.entries {
-			all = append(all, e.registration)
+			if want(e) {
+				picked = append(picked, e.registration)
+			}
 		}
 		s.mu.Unlock()
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].incarnation < all[j].incarnation })
-	return all
+	sort.Slice(picked, func(i, j int) bool { return picked[i].incarnation < picked[j].incarnation })
+	return picked
 }
 
-// Sweep marks what was not heard for silentAfter as silent, forgets what was
-// not heard for forgetAfter, and returns the words that changed.
-func (t *Table) Sweep(silentAfter, forgetAfter time.Duration) []Registration {
+// Patience is how long a table waits for the next word.
+type Patience struct {
+	// Direct is how long a backend server may say nothing here, and Relayed how
+	// long another node may say nothing of it, until it is silent.
+	Direct, Relayed time.Duration
+	// Forget is when a word is forgotten.
+	Forget time.Duration
+}
+
+// Sweep marks what was not heard in time as silent, forgets what was not heard
+// for long, and returns the words that changed.
+func (t *Table) Sweep(p Patience) []Registration {
 	var changed []Registration
 	now := t.now()
 	for i := range t.shards {
@@ -127,11 +172,11 @@
 		s.mu.Lock()
 		for id, e := range s.entries {
 			age := now.Sub(e.heard)
-			if age > forgetAfter {
+			if age > p.Forget {
 				delete(s.entries, id)
 				continue
 			}
-			if age > silentAfter && e.registration.state == Ready {
+			if age > p.of(e) && e.registration.state == Ready {
 				e.registration.state = Silent
 				s.entries[id] = e
 				changed = append(changed, e.registration)
@@ -141,3 +186,10 @@
 	}
 	return changed
 }
+
+func (p Patience) of(e entry) time.Duration {
+	if e.relayed {
+		return p.Relayed
+	}
+	return p.Direct
+}
