--- a/pkg/feed/demand_test.go
+++ b/pkg/feed/demand_test.go
@@ -96,3 +96,23 @@
 		t.Fatalf("peers %v", c.peers)
 	}
 }
+
+// A stager whose stream broke is back before the old stream is found broken: the
+// end of that one must not take it off the list.
+func TestStagerThatIsBackStays(t *testing.T) {
+	p := NewPublisher(Source{})
+	hello := NewHello(RoleStager, vm.NewIdentity("s", 1, "", "hall-a", "10.0.0.1:7700"), "menu", "10.0.0.1:80")
+	old, back := newSubscriber(hello), newSubscriber(hello)
+	for _, s := range []*subscriber{old, back} {
+		p.add(s)
+		p.subscribe(s, Primary)
+	}
+	p.remove(old)
+	if got := p.census.peers(); len(got) != 1 {
+		t.Fatalf("peers %v after the old stream ended", got)
+	}
+	p.remove(back)
+	if got := p.census.peers(); len(got) != 0 {
+		t.Fatalf("peers %v after both ended", got)
+	}
+}
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -280,27 +280,41 @@
 		p.census.of(here).gateways += sign
 		p.census.changeDemand(s.hello.self.Domain(), float64(sign)*demand)
 	case RoleStager, RoleCache:
-		p.countPeer(s.hello, in)
+		if in {
+			p.peerJoined(s.hello)
+		} else if !p.isServedAgain(s) {
+			p.peerLeft(s.hello.self.Address())
+		}
 	}
 }
 
-func (p *Publisher) countPeer(h Hello, in bool) {
-	address := h.self.Address()
-	peer := NewPeer(address, h.self.Domain(), h.service, h.engine, h.role == RoleCache)
-	var joined []Peer
-	var gone []string
-	if in {
-		p.census.join(here, peer)
-		joined = []Peer{peer}
-	} else {
-		delete(p.census.of(here).peers, address)
-		gone = []string{address}
+// isServedAgain tells whether a follower has another stream here: it came back
+// before its old stream was found broken.
+func (p *Publisher) isServedAgain(s *subscriber) bool {
+	for other := range p.subscribers {
+		if other != s && other.hello.self.Address() == s.hello.self.Address() && other.hello.role == s.hello.role && other.isPrimary() {
+			return true
+		}
 	}
+	return false
+}
+
+func (p *Publisher) peerJoined(h Hello) {
+	peer := NewPeer(h.self.Address(), h.self.Domain(), h.service, h.engine, h.role == RoleCache)
+	p.census.join(here, peer)
 	for s := range p.subscribers {
-		if s.hello.role != RoleNode && !in && p.census.knowsAddress(address) {
-			continue
+		s.queuePeers([]Peer{peer}, nil)
+	}
+}
+
+// peerLeft tells the other nodes, and the followers here unless another node has
+// it by now.
+func (p *Publisher) peerLeft(address string) {
+	gone := p.census.leave(here, address)
+	for s := range p.subscribers {
+		if gone || s.hello.role == RoleNode {
+			s.queuePeers(nil, []string{address})
 		}
-		s.queuePeers(joined, gone)
 	}
 }
 
--- a/pkg/feed/subscriber.go
+++ b/pkg/feed/subscriber.go
@@ -47,6 +47,12 @@
 	daemon.Wake(s.wake)
 }
 
+func (s *subscriber) isPrimary() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.primary
+}
+
 // takesLoads tells whether loads are for this follower.
 func (s *subscriber) takesLoads() bool {
 	return s.primary && (s.hello.role == RoleGateway || s.hello.role == RoleNode)
