Gateways use places that nobody else is expected to take

Hypothesis: with 30 gateways before 24 engines of a failure domain whole places of an engine fall by lot to gateways that have no request just then. Second: prompts that wait to be read were counted as if the engine stood still until its next word. Change: an engine of the own failure domain has a spare place for whoever has a request, once what the others send on average is taken off; the last one costs more than another failure domain. Prompts are read between words. Loads are found by the engine's address (204 backend servers were looked at for each of 24 loads).

--- a/pkg/gateway/backends.go
+++ b/pkg/gateway/backends.go
@@ -29,6 +29,12 @@
 type backendShard struct {
 	mu       sync.RWMutex
 	services map[string]map[string]*backend // by service, by incarnation
+	places   map[place]*backend             // the newest at each address
+}
+
+// place is where a backend server takes requests of a service.
+type place struct {
+	service, address string
 }
 
 // backends are all backend servers that this gateway was told of.
@@ -43,6 +49,7 @@
 	t := &backends{departed: map[string]time.Time{}}
 	for i := range t.shards {
 		t.shards[i].services = map[string]map[string]*backend{}
+		t.shards[i].places = map[place]*backend{}
 	}
 	return t
 }
@@ -78,6 +85,7 @@
 		b.isGone()
 	}
 	service[r.Incarnation()] = b
+	s.places[place{r.Service(), r.Address()}] = b
 }
 
 // depart notes that an incarnation is gone, whatever its service.
@@ -116,15 +124,14 @@
 	}
 }
 
-// hearLoad takes the load of an engine.
+// hearLoad takes the load of an engine. Hundreds of engines tell theirs several
+// times a second, so it is found by its address and not by a look at all.
 func (t *backends) hearLoad(l feed.Load) {
 	s := t.shard(l.Service())
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	for _, b := range s.services[l.Service()] {
-		if b.address == l.Engine() {
-			b.hearLoad(l)
-		}
+	if b := s.places[place{l.Service(), l.Engine()}]; b != nil {
+		b.hearLoad(l)
 	}
 }
 
@@ -166,7 +173,15 @@
 			if b.word().State() == registry.Gone {
 				b.pool.Close()
 				delete(service, incarnation)
+				s.forgetPlace(b)
 			}
 		}
 	}
 }
+
+func (s *backendShard) forgetPlace(gone *backend) {
+	at := place{gone.word().Service(), gone.address}
+	if s.places[at] == gone {
+		delete(s.places, at)
+	}
+}
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -25,6 +25,12 @@
 	// only taken when none of the own has a place. A stream has many packets, and
 	// one that is lost or held up on the way makes the answer late.
 	farStreamPenalty = 500 * time.Millisecond
+	// sparePenalty is what a place costs that is not of the own share: less than
+	// another failure domain, and more than the differences between engines. The
+	// last one costs more than another failure domain: whoever has a share in it
+	// takes it first.
+	sparePenalty = 200 * time.Millisecond
+	lastPenalty  = 600 * time.Millisecond
 	// silentPenalty is what missed heartbeats cost, as work.
 	silentPenalty = 300 * time.Millisecond
 	// failurePenalty multiplies the cost of one that fails all requests.
@@ -66,7 +72,7 @@
 	all := g.candidates(w, now)
 	var places shares
 	if w.wait > 0 {
-		places = g.shares(now, w.capacity(all))
+		places = g.shares(now, w.engines(all))
 	}
 	var best, resting cheapest
 	full := false
@@ -78,10 +84,15 @@
 			full = true
 		case l.resting:
 			resting.offer(b, g.cost(l, w))
-		case w.isLoaded(l, places.at(l.domain), now):
+		case w.isLoaded(l):
 			full = true
-		default:
+		case w.hasPlace(l, places, now):
 			best.offer(b, g.cost(l, w))
+		default:
+			full = true
+			if penalty, spare := w.sparePenalty(l, places, now); spare {
+				best.offer(b, g.cost(l, w)+float64(penalty))
+			}
 		}
 	}
 	if best.backend == nil && !full {
@@ -131,26 +142,46 @@
 	return w.engine.Slots() > 0 && l.fresh && l.told.load.Busy()
 }
 
-// isLoaded tells whether the request had better not be sent to an engine, where
-// requests from here have a share of the places.
-func (w wanted) isLoaded(l load, share float64, now time.Time) bool {
-	if w.wait <= 0 {
-		return false
+// isLoaded tells whether the request would wait too long at an engine.
+func (w wanted) isLoaded(l load) bool { return w.wait > 0 && w.waitAt(l) > w.wait }
+
+// hasPlace tells whether the share of an engine's places that is for requests from
+// here has one left.
+func (w wanted) hasPlace(l load, s shares, now time.Time) bool {
+	return w.wait <= 0 || !l.fresh || l.told.hasPlace(w.engine, s.at(l.domain), now)
+}
+
+// sparePenalty returns what a place costs at an engine of the own failure domain
+// that the others are not expected to take; false where there is none.
+func (w wanted) sparePenalty(l load, s shares, now time.Time) (penalty time.Duration, spare bool) {
+	if l.domain != s.domain {
+		return 0, false
 	}
-	return w.waitAt(l) > w.wait || l.fresh && !l.told.hasPlace(w.engine, share, now)
+	switch places := l.told.spare(w.engine, s.others, now); {
+	case places >= 2:
+		return sparePenalty, true
+	case places >= 1:
+		return lastPenalty, true
+	}
+	return 0, false
+}
+
+// engines are those that may take a request, by failure domain.
+type engines struct {
+	count    map[string]int
+	capacity map[string]float64 // requests that they finish a second
 }
 
-// capacity returns the requests that engines finish a second, by failure domain.
-func (w wanted) capacity(all []candidate) map[string]float64 {
+func (w wanted) engines(all []candidate) engines {
+	e := engines{map[string]int{}, map[string]float64{}}
 	turn := w.engine.Turn().Seconds()
-	if turn <= 0 {
-		return nil
-	}
-	capacity := map[string]float64{}
 	for _, c := range all {
-		capacity[c.load.domain] += 1 / (turn * max(c.load.told.load.Pace(), 1))
+		e.count[c.load.domain]++
+		if turn > 0 {
+			e.capacity[c.load.domain] += 1 / (turn * max(c.load.told.load.Pace(), 1))
+		}
 	}
-	return capacity
+	return e
 }
 
 func (w wanted) allows(b *backend, now time.Time) bool {
--- a/pkg/gateway/places.go
+++ b/pkg/gateway/places.go
@@ -16,6 +16,7 @@
 package gateway
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -30,6 +31,9 @@
 	// readingAhead bounds the prompts that wait to be read at an engine, as the
 	// time that it reads: tokens of others pause meanwhile.
 	readingAhead = 150 * time.Millisecond
+	// onTheWay is how old a load is when it comes: it waits half of 80 ms at the
+	// control node for others, and a few ms in links.
+	onTheWay = 50 * time.Millisecond
 )
 
 // toldLoad is the load that a stager told, and what was sent from here since.
@@ -58,16 +62,32 @@
 	return float64(t.sent+1) <= share*t.freePlaces(e, now)+t.lot
 }
 
+// spare is how many places an engine has left once others sent what they do on
+// average, whatever the share here is. Where many gateways share few places, whole
+// places fall to some that have no request just then.
+func (t toldLoad) spare(e serviceconfig.Engine, others float64, now time.Time) float64 {
+	sent := float64(t.sent) + others*(now.Sub(t.at)+onTheWay).Seconds()
+	return t.freePlaces(e, now) - sent
+}
+
 // freePlaces is how many requests an engine may be sent by all gateways
 // together, from the word on until now.
 func (t toldLoad) freePlaces(e serviceconfig.Engine, now time.Time) float64 {
-	free := e.Slots() + waitingPlaces - t.load.Running() - t.load.Queued()
-	unread := min(t.load.Queued(), e.Slots()-t.load.Running())
-	if reads := e.UsualReading(); reads > 0 {
-		// An engine that reads longer for a single prompt gets one at a time.
-		free = min(free, max(int(readingAhead/reads), 1)-unread)
+	free := float64(e.Slots()+waitingPlaces-t.load.Running()-t.load.Queued()) + t.endedSince(e, now)
+	return max(min(free, t.promptsToRead(e, now)), 0)
+}
+
+// promptsToRead is how many more prompts may wait to be read at an engine. It
+// goes on reading while no word comes.
+func (t toldLoad) promptsToRead(e serviceconfig.Engine, now time.Time) float64 {
+	reads := e.UsualReading()
+	if reads <= 0 {
+		return math.Inf(1)
 	}
-	return max(float64(free)+t.endedSince(e, now), 0)
+	unread := min(t.load.Queued(), e.Slots()-t.load.Running())
+	// An engine that reads longer for a single prompt gets one at a time.
+	ahead := max(int(readingAhead/reads), 1) - unread
+	return float64(ahead) + float64(now.Sub(t.at))/float64(reads)
 }
 
 // endedSince is how many requests a full engine has ended since the word; 0 when
