Engines without a word are shared out, and a load is a sign of life

Hypothesis: after a loss of power at 149 gateways the engines' queues fill and stay full. Change: the share counts for engines whose load is not heard; a told load is a sign of life to the watchdog. Taken back: prompts read between words (they are read beside the tokens of others, so the engine took in more than it could). Ruled out: slow copies (all engines had their order 5.1 s after the loss).

--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -9,6 +9,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,7 +75,7 @@
 }
 
 func newBackend(r registry.Registration) *backend {
-	return &backend{registration: r, address: r.Address(), pool: upstream.NewPool(r.Address())}
+	return &backend{registration: r, address: r.Address(), pool: upstream.NewPool(r.Address()), told: toldLoad{lot: rand.Float64()}}
 }
 
 func (b *backend) word() registry.Registration {
@@ -115,6 +116,18 @@
 	}
 }
 
+// heard returns when there was last a sign of life: bytes to a request from here,
+// or a load that the stager beside it read.
+func (b *backend) heard() time.Time {
+	b.mu.Lock()
+	told := b.told.at
+	b.mu.Unlock()
+	if bytes := time.Unix(0, b.heardAt.Load()); bytes.After(told) {
+		return bytes
+	}
+	return told
+}
+
 // begin notes work under way that waits for its first event; end takes it off.
 // takeBack, if not nil, ends the attempt while it waits.
 func (b *backend) begin(work time.Duration, takeBack func()) *waiting {
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -146,15 +146,23 @@
 func (w wanted) isLoaded(l load) bool { return w.wait > 0 && w.waitAt(l) > w.wait }
 
 // hasPlace tells whether the share of an engine's places that is for requests from
-// here has one left.
+// here has one left. Of an engine whose load is not heard, for instance one that has
+// just come, the share is one of all its places: a hundred gateways that each send
+// what they like fill it before its first word.
 func (w wanted) hasPlace(l load, s shares, now time.Time) bool {
-	return w.wait <= 0 || !l.fresh || l.told.hasPlace(w.engine, s.at(l.domain), now)
+	switch {
+	case w.wait <= 0:
+		return true
+	case l.fresh:
+		return l.told.hasPlace(w.engine, s.at(l.domain), now)
+	}
+	return float64(l.inFlight+1) <= s.at(l.domain)*float64(w.engine.Slots()+waitingPlaces)+l.told.lot
 }
 
 // sparePenalty returns what a place costs at an engine of the own failure domain
 // that the others are not expected to take; false where there is none.
 func (w wanted) sparePenalty(l load, s shares, now time.Time) (penalty time.Duration, spare bool) {
-	if l.domain != s.domain {
+	if l.domain != s.domain || !l.fresh {
 		return 0, false
 	}
 	switch places := l.told.spare(w.engine, s.others, now); {
--- a/pkg/gateway/places.go
+++ b/pkg/gateway/places.go
@@ -16,7 +16,6 @@
 package gateway
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -73,21 +72,13 @@
 // freePlaces is how many requests an engine may be sent by all gateways
 // together, from the word on until now.
 func (t toldLoad) freePlaces(e serviceconfig.Engine, now time.Time) float64 {
-	free := float64(e.Slots()+waitingPlaces-t.load.Running()-t.load.Queued()) + t.endedSince(e, now)
-	return max(min(free, t.promptsToRead(e, now)), 0)
-}
-
-// promptsToRead is how many more prompts may wait to be read at an engine. It
-// goes on reading while no word comes.
-func (t toldLoad) promptsToRead(e serviceconfig.Engine, now time.Time) float64 {
-	reads := e.UsualReading()
-	if reads <= 0 {
-		return math.Inf(1)
-	}
+	free := e.Slots() + waitingPlaces - t.load.Running() - t.load.Queued()
 	unread := min(t.load.Queued(), e.Slots()-t.load.Running())
-	// An engine that reads longer for a single prompt gets one at a time.
-	ahead := max(int(readingAhead/reads), 1) - unread
-	return float64(ahead) + float64(now.Sub(t.at))/float64(reads)
+	if reads := e.UsualReading(); reads > 0 {
+		// An engine that reads longer for a single prompt gets one at a time.
+		free = min(free, max(int(readingAhead/reads), 1)-unread)
+	}
+	return max(float64(free)+t.endedSince(e, now), 0)
 }
 
 // endedSince is how many requests a full engine has ended since the word; 0 when
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -4,8 +4,10 @@
 //
 // An engine under load is slow to begin, and a request taken from its queue
 // has waited in vain. So before the first event the attempt is only given up
-// early when the backend server is silent to all requests from here, or when
-// the version of the weights there is about to lapse.
+// early when the backend server is silent to all requests from here and the
+// stager beside it tells nothing of it either, or when the version of the weights
+// there is about to lapse. Without the stager's word a gateway that has one request
+// at an engine, as most have where there are hundreds, took it away after a second.
 // ================================================================
 
 package gateway
@@ -109,8 +111,7 @@
 	if w.flowing.Load() {
 		return gapPatience
 	}
-	heard := time.Unix(0, w.exchange.backend.heardAt.Load())
-	if time.Since(heard) > silentAfter {
+	if time.Since(w.exchange.backend.heard()) > silentAfter {
 		return silentAfter
 	}
 	return patience
