The census counts from the primary's stream only

A node that was the primary until just now sends its whole list before it hears of that; the list came after the new primary's and took its place, and changes of the new one were passed over from then on. TestLateListOfTheFormerPrimaryIsLeft fails before. Ruled out: a lost stream (the follower still heard both nodes). After: it passes, and the herd test six times beside eight busy processes.

--- a/pkg/feed/demand_test.go
+++ b/pkg/feed/demand_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/link"
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
@@ -116,3 +117,22 @@
 		t.Fatalf("peers %v after both ended", got)
 	}
 }
+
+// What a node told all peers of just before it heard that it is the primary no
+// more comes after the new primary's list, and is older.
+func TestLateListOfTheFormerPrimaryIsLeft(t *testing.T) {
+	former, primary := &link.Stream{}, &link.Stream{}
+	f := &Follower{
+		wake:    make(chan struct{}, 1),
+		streams: map[string]*followed{"a": {stream: former}, "b": {stream: primary}},
+		primary: primary,
+	}
+	one := NewPeer("10.0.0.1:7700", "hall-a", "menu", "", false)
+	two := NewPeer("10.0.0.2:7700", "hall-a", "menu", "", false)
+	f.note("b", primary, Update{whole: true, peers: []Peer{one}})
+	f.note("a", former, Update{whole: true})
+	f.note("b", primary, Update{peers: []Peer{two}})
+	if got := f.Peers(); len(got) != 2 {
+		t.Fatalf("peers %v", got)
+	}
+}
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -284,7 +284,10 @@
 		f.told[address] = u.nodes
 		daemon.Wake(f.wake)
 	}
-	f.census.take(address, u)
+	if stream == f.primary {
+		// A node that was the primary just now may still tell its census.
+		f.census.take(address, u)
+	}
 }
 
 // lost forgets the stream to a node. Its list of nodes stays: it is the way to
