--- a/pkg/control/cluster_test.go
+++ b/pkg/control/cluster_test.go
@@ -31,6 +31,7 @@
 	name, links, calls string
 	bootstrap          bool
 	disk               *disk.Memory
+	cut                map[string]bool // link addresses that it cannot dial
 	node               *Node
 	signals            chan os.Signal
 	ended              chan error
@@ -81,7 +82,11 @@
 		c.t.Fatal(err)
 	}
 	n.node, err = New(s, "", Own(), nil, Seams{
-		Seams:  daemon.Seams{Log: io.Discard, Listen: func(a string) (net.Listener, error) { return net.Listen("tcp", a) }},
+		Seams: daemon.Seams{
+			Log:    io.Discard,
+			Listen: func(a string) (net.Listener, error) { return net.Listen("tcp", a) },
+			Dial:   n.dial,
+		},
 		Folder: func() (*disk.Folder, error) { return n.disk.Folder(), nil },
 	})
 	if err != nil {
@@ -89,11 +94,20 @@
 	}
 	// The nodes of a test share an address and differ by port.
 	n.node.member.config.seeds = func() []string { return c.seeds() }
+	n.node.others.Seeds = n.node.member.config.seeds
 	n.signals, n.ended = make(chan os.Signal, 1), make(chan error, 1)
 	node, signals, ended := n.node, n.signals, n.ended
 	go func() { ended <- node.Run(signals) }()
 }
 
+func (n *testNode) dial(ctx context.Context, address string) (net.Conn, error) {
+	if n.cut[address] {
+		return nil, fmt.Errorf("%s is cut off from %s", n.name, address)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 func (c *cluster) seeds() []string {
 	var seeds []string
 	for _, n := range c.nodes[:3] {
--- /dev/null
+++ b/pkg/control/others_test.go
@@ -0,0 +1,70 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/tidepost/tidepost/pkg/disk"
+	"github.com/tidepost/tidepost/pkg/registry"
+)
+
+func heartbeat(state registry.State, sequence uint64) registry.Registration {
+	return registry.NewRegistration("i-1", "menu", "10.0.0.1:80", "north", "v1", 4, state, 0, nil, sequence)
+}
+
+// awaitState waits until a node knows the backend server in a state.
+func (c *cluster) awaitState(n *testNode, state registry.State) {
+	c.t.Helper()
+	c.eventually(fmt.Sprintf("%s at %s", state, n.name), func() error {
+		r, known := n.node.service.registry.Get("i-1")
+		if !known || r.State() != state {
+			return fmt.Errorf("known %v, state %q", known, r.State())
+		}
+		return nil
+	})
+}
+
+// A backend server calls one node; followers of the others hear of it too, and of
+// its end wherever it says so.
+func TestNodesTellEachOtherOfBackendServers(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitVoters(c.nodes...)
+	c.eventually("heartbeat", func() error { return c.nodes[0].node.service.Hear(heartbeat(registry.Ready, 1)) })
+	for _, n := range c.nodes {
+		c.awaitState(n, registry.Ready)
+	}
+	c.eventually("leave", func() error { return c.nodes[1].node.service.Leave("i-1") })
+	for _, n := range c.nodes {
+		c.awaitState(n, registry.Gone)
+	}
+}
+
+// Two nodes that do not reach each other both reach the third, which tells each of
+// them what the other one heard: a backend server that leaves must get nothing from
+// gateways that follow any node.
+func TestWordsGoRoundACutBetweenTwoNodes(t *testing.T) {
+	c := &cluster{t: t}
+	for i := range 3 {
+		c.nodes = append(c.nodes, &testNode{
+			name: fmt.Sprintf("control-%d", i), links: freeAddress(t), calls: freeAddress(t), bootstrap: true, disk: disk.NewMemory(),
+		})
+	}
+	first, last := c.nodes[0], c.nodes[2]
+	first.cut = map[string]bool{last.links: true}
+	last.cut = map[string]bool{first.links: true}
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			c.stop(n)
+		}
+	})
+	if err := first.node.service.Hear(heartbeat(registry.Ready, 1)); err != nil {
+		t.Fatal(err)
+	}
+	c.awaitState(last, registry.Ready)
+	// It is told on also where it is not acknowledged, since the last node may lead.
+	_ = first.node.service.Hear(heartbeat(registry.Draining, 2))
+	c.awaitState(last, registry.Draining)
+}
