--- a/pkg/feed/choice_test.go
+++ b/pkg/feed/choice_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
+	"github.com/tidepost/tidepost/pkg/link"
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
@@ -55,3 +57,26 @@
 		}
 	}
 }
+
+// A control node that has just come back counts few of the others: it takes the
+// place of a primary that works only after a while, and of none at once.
+func TestNodeThatCameBackSettlesFirst(t *testing.T) {
+	now := time.Unix(100, 0)
+	near := &followed{stream: &link.Stream{}, since: now}
+	far := &followed{stream: &link.Stream{}, since: now.Add(-time.Minute)}
+	f := &Follower{streams: map[string]*followed{"near": near, "far": far}, primary: far.stream}
+	wanted := []string{"near", "far"}
+	if words := f.electPrimary(wanted, now.Add(settleFor/2)); len(words) != 0 || f.primary != far.stream {
+		t.Fatal("a node took the place of a primary that works before it had settled")
+	}
+	words := f.electPrimary(wanted, now.Add(settleFor))
+	if f.primary != near.stream || words[near.stream].subscription != Primary || words[far.stream].subscription != Backup {
+		t.Fatalf("words %v", words)
+	}
+	f.primary = nil
+	far.stream = nil
+	near.since = now
+	if f.electPrimary(wanted, now); f.primary != near.stream {
+		t.Fatal("there is no primary although a node is heard")
+	}
+}
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -39,6 +39,10 @@
 	// aloneAfter is how long a node may be without word of a quorum's leader
 	// before another one is followed beside it: an election takes a second.
 	aloneAfter = 2 * time.Second
+	// settleFor is how long a node is heard before it takes the place of a primary
+	// that works. One that has just started counts few of the others, and gateways
+	// that take its count for all send engines more than they have places for.
+	settleFor = 2 * time.Second
 )
 
 // Follower keeps streams to control nodes.
@@ -74,6 +78,7 @@
 	cancel context.CancelFunc
 	stream *link.Stream // nil while it is not heard
 	domain string
+	since  time.Time // when it was first heard
 	sure   time.Time // when it was last sure that a quorum's leader is there
 }
 
@@ -103,7 +108,8 @@
 // tells the nodes which one is the primary.
 func (f *Follower) adjust(ctx context.Context) {
 	f.mu.Lock()
-	wanted := f.wanted(time.Now())
+	now := time.Now()
+	wanted := f.wanted(now)
 	for _, address := range wanted {
 		if f.streams[address] == nil {
 			c, cancel := context.WithCancel(ctx)
@@ -121,7 +127,7 @@
 			f.primary = nil
 		}
 	}
-	words := f.electPrimary(wanted)
+	words := f.electPrimary(wanted, now)
 	f.mu.Unlock()
 	for stream, w := range words {
 		// A failure shows in the reading, which then forgets the stream.
@@ -129,15 +135,15 @@
 	}
 }
 
-// electPrimary makes the first wanted node that is heard the primary, and returns
+// electPrimary makes the first wanted node that may be it the primary, and returns
 // what is to be told of that.
-func (f *Follower) electPrimary(wanted []string) map[*link.Stream]Word {
+func (f *Follower) electPrimary(wanted []string, now time.Time) map[*link.Stream]Word {
 	if f.Hello.role == RoleNode {
 		// Every node is told what this one's followers tell.
 		return nil
 	}
 	words := map[*link.Stream]Word{}
-	first := slices.IndexFunc(wanted, func(address string) bool { return f.streams[address].stream != nil })
+	first := slices.IndexFunc(wanted, func(address string) bool { return f.mayBePrimary(f.streams[address], now) })
 	if first < 0 || f.streams[wanted[first]].stream == f.primary {
 		return words
 	}
@@ -149,6 +155,17 @@
 	return words
 }
 
+// mayBePrimary tells whether a node may be the primary, or go on to be it.
+func (f *Follower) mayBePrimary(s *followed, now time.Time) bool {
+	switch {
+	case s.stream == nil:
+		return false
+	case f.primary == nil, s.stream == f.primary:
+		return true
+	}
+	return now.Sub(s.since) >= settleFor
+}
+
 // wanted returns the nodes to follow, the primary first.
 func (f *Follower) wanted(now time.Time) []string {
 	known := f.knownNodes()
@@ -274,7 +291,7 @@
 	}
 	now := time.Now()
 	if s.stream != stream {
-		s.stream, s.domain, s.sure = stream, stream.Peer().Domain(), now
+		s.stream, s.domain, s.since, s.sure = stream, stream.Peer().Domain(), now, now
 		daemon.Wake(f.wake)
 	}
 	if u.confirmed {
