--- a/pkg/feed/census.go
+++ b/pkg/feed/census.go
@@ -16,15 +16,15 @@
 	"time"
 )
 
-// here is the source of what this node's own followers told.
+// here stands for this node among the nodes.
 const here = ""
 
-// sourceLife is how long another node may be silent before what it told is
+// countLife is how long another node may be silent before what it told is
 // forgotten. Its followers have gone to their backups by then.
-const sourceLife = 5 * time.Second
+const countLife = 5 * time.Second
 
-// source is what one node counts among its primary followers.
-type source struct {
+// nodeCount is what one node counts among its primary followers.
+type nodeCount struct {
 	gateways int
 	demands  map[string]float64 // requests for engines a second, by failure domain
 	peers    map[string]Peer    // by link address
@@ -34,16 +34,16 @@
 // census counts the followers of all control nodes. It is not safe for
 // concurrent use.
 type census struct {
-	sources map[string]*source // by the node's link address
+	nodes map[string]*nodeCount // by the node's link address
 }
 
-func newCensus() *census { return &census{sources: map[string]*source{}} }
+func newCensus() *census { return &census{nodes: map[string]*nodeCount{}} }
 
-func (c *census) of(node string) *source {
-	s := c.sources[node]
+func (c *census) of(node string) *nodeCount {
+	s := c.nodes[node]
 	if s == nil {
-		s = &source{demands: map[string]float64{}, peers: map[string]Peer{}}
-		c.sources[node] = s
+		s = &nodeCount{demands: map[string]float64{}, peers: map[string]Peer{}}
+		c.nodes[node] = s
 	}
 	return s
 }
@@ -51,7 +51,7 @@
 // gateways counts the gateways of all nodes.
 func (c *census) gateways() int {
 	all := 0
-	for _, s := range c.sources {
+	for _, s := range c.nodes {
 		all += s.gateways
 	}
 	return all
@@ -60,7 +60,7 @@
 // demands adds up what comes to the gateways of all nodes, by failure domain.
 func (c *census) demands() []Demand {
 	sum := map[string]float64{}
-	for _, s := range c.sources {
+	for _, s := range c.nodes {
 		for domain, perSecond := range s.demands {
 			sum[domain] += perSecond
 		}
@@ -91,7 +91,7 @@
 // peers returns the stagers and caches of all nodes.
 func (c *census) peers() []Peer {
 	all := map[string]Peer{}
-	for _, s := range c.sources {
+	for _, s := range c.nodes {
 		maps.Copy(all, s.peers)
 	}
 	return slices.Collect(maps.Values(all))
@@ -117,7 +117,7 @@
 }
 
 func (c *census) knows(p Peer) bool {
-	for _, s := range c.sources {
+	for _, s := range c.nodes {
 		if s.peers[p.address] == p {
 			return true
 		}
@@ -126,7 +126,7 @@
 }
 
 func (c *census) knowsAddress(address string) bool {
-	for _, s := range c.sources {
+	for _, s := range c.nodes {
 		if _, there := s.peers[address]; there {
 			return true
 		}
@@ -161,8 +161,8 @@
 	return joined, gone
 }
 
-// absentFrom returns the peers of a source that are not among those told.
-func (s *source) absentFrom(told []Peer) []string {
+// absentFrom returns the peers of a node that are not among those told.
+func (s *nodeCount) absentFrom(told []Peer) []string {
 	there := map[string]bool{}
 	for _, p := range told {
 		there[p.address] = true
@@ -179,8 +179,8 @@
 // forgetSilent forgets what nodes told that are silent, and returns the stagers
 // and caches that no other node has.
 func (c *census) forgetSilent(now time.Time) (gone []string) {
-	for node, s := range c.sources {
-		if node == here || now.Sub(s.heard) < sourceLife {
+	for node, s := range c.nodes {
+		if node == here || now.Sub(s.heard) < countLife {
 			continue
 		}
 		for address := range maps.Clone(s.peers) {
@@ -188,7 +188,7 @@
 				gone = append(gone, address)
 			}
 		}
-		delete(c.sources, node)
+		delete(c.nodes, node)
 	}
 	return gone
 }
--- a/pkg/feed/demand_test.go
+++ b/pkg/feed/demand_test.go
@@ -74,7 +74,7 @@
 	if c.join(here, peer) {
 		t.Fatal("a known peer is no news")
 	}
-	if gone := c.forgetSilent(now.Add(sourceLife)); len(gone) != 0 || c.gateways() != 1 {
+	if gone := c.forgetSilent(now.Add(countLife)); len(gone) != 0 || c.gateways() != 1 {
 		t.Fatalf("gone %v, %d gateways", gone, c.gateways())
 	}
 	if !c.leave(here, peer.Address()) {
