--- a/pkg/gateway/backends.go
+++ b/pkg/gateway/backends.go
@@ -27,13 +27,13 @@
 )
 
 type backendShard struct {
-	mu       sync.RWMutex
-	services map[string]map[string]*backend // by service, by incarnation
-	places   map[place]*backend             // the newest at each address
+	mu        sync.RWMutex
+	services  map[string]map[string]*backend // by service, by incarnation
+	addressed map[serviceAddress]*backend    // the newest at each address
 }
 
-// place is where a backend server takes requests of a service.
-type place struct {
+// serviceAddress is where a backend server takes requests of a service.
+type serviceAddress struct {
 	service, address string
 }
 
@@ -49,7 +49,7 @@
 	t := &backends{departed: map[string]time.Time{}}
 	for i := range t.shards {
 		t.shards[i].services = map[string]map[string]*backend{}
-		t.shards[i].places = map[place]*backend{}
+		t.shards[i].addressed = map[serviceAddress]*backend{}
 	}
 	return t
 }
@@ -85,7 +85,7 @@
 		b.isGone()
 	}
 	service[r.Incarnation()] = b
-	s.places[place{r.Service(), r.Address()}] = b
+	s.addressed[serviceAddress{r.Service(), r.Address()}] = b
 }
 
 // depart notes that an incarnation is gone, whatever its service.
@@ -130,7 +130,7 @@
 	s := t.shard(l.Service())
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if b := s.places[place{l.Service(), l.Engine()}]; b != nil {
+	if b := s.addressed[serviceAddress{l.Service(), l.Engine()}]; b != nil {
 		b.hearLoad(l)
 	}
 }
@@ -173,15 +173,16 @@
 			if b.word().State() == registry.Gone {
 				b.pool.Close()
 				delete(service, incarnation)
-				s.forgetPlace(b)
+				s.forgetAddress(b)
 			}
 		}
 	}
 }
 
-func (s *backendShard) forgetPlace(gone *backend) {
-	at := place{gone.word().Service(), gone.address}
-	if s.places[at] == gone {
-		delete(s.places, at)
+// forgetAddress forgets where a backend server was, unless another one is there.
+func (s *backendShard) forgetAddress(gone *backend) {
+	at := serviceAddress{gone.word().Service(), gone.address}
+	if s.addressed[at] == gone {
+		delete(s.addressed, at)
 	}
 }
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -31,6 +31,8 @@
 	// takes it first.
 	sparePenalty = 200 * time.Millisecond
 	lastPenalty  = 600 * time.Millisecond
+	// amplePlaces are left at an engine that has more than the last one.
+	amplePlaces = 2
 	// silentPenalty is what missed heartbeats cost, as work.
 	silentPenalty = 300 * time.Millisecond
 	// failurePenalty multiplies the cost of one that fails all requests.
@@ -165,10 +167,10 @@
 	if l.domain != s.domain || !l.fresh {
 		return 0, false
 	}
-	switch places := l.told.spare(w.engine, s.others, now); {
-	case places >= 2:
+	switch left := l.told.spare(w.engine, s.others, now); {
+	case left >= amplePlaces:
 		return sparePenalty, true
-	case places >= 1:
+	case left >= 1:
 		return lastPenalty, true
 	}
 	return 0, false
--- a/pkg/registry/table.go
+++ b/pkg/registry/table.go
@@ -93,8 +93,7 @@
 
 // mayFollow tells whether r may take the place of old.
 func mayFollow(r, old Registration) bool {
-	switch {
-	case old.state == Gone, !supersedes(r, old):
+	if old.state == Gone || !supersedes(r, old) {
 		return false
 	}
 	return r.state.leaving() || !old.state.leaving()
