A member without a free upload names others that have the chunk

Hypothesis: at 41 stagers a failure domain its cache's link is what copies wait for. Cause, from the small twin beside the whole site: with 3 or 4 stagers a cache all copies of version 3 are whole 2.3 s after the origin is back, with 41 the first was served 5.3 s after it; 41 copies of 2.36 MB are 4.6 s of a link of 170 Mbit/s, while the stagers' own links, 300 Mbit/s together, only receive. Ruled out: the origin's link (1.9 copies sent for two versions). Change: where no upload is free, the answer names up to three others of the asker's failure domain that are known to have the chunk; the asker asks them, and one of those without a free upload says so at once.

--- a/pkg/staging/exchange.go
+++ b/pkg/staging/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/vm"
 )
 
 const (
@@ -35,7 +36,8 @@
 	version uint64
 	// number is the chunk's, or manifestNumber or heldNumber.
 	number int
-	// draw has the one asked bring it there if need be.
+	// draw has the one asked bring it there if need be; without it one that has no
+	// upload free says so at once.
 	draw bool
 	// held are the chunks that the asker has, one bit each.
 	held []byte
@@ -51,6 +53,9 @@
 	data []byte
 	// held are the chunks that the one asked has, one bit each.
 	held []byte
+	// holders are link addresses of others in the asker's failure domain that have
+	// the chunk, where the one asked has no upload free.
+	holders []string
 }
 
 // serveQuestion answers another stager.
@@ -77,9 +82,47 @@
 	if data == nil {
 		return stream.Send(reply{held: held})
 	}
+	if holders := m.redirect(q, stream.Peer()); len(holders) > 0 {
+		return stream.Send(reply{held: held, holders: holders})
+	}
+	if !q.draw && m.isBusy() {
+		// The asker was sent here and has others to ask.
+		return stream.Send(reply{held: held})
+	}
 	return m.upload(ctx, stream, reply{data: data, held: held})
 }
 
+// mostHolders bounds the others that an asker is sent to.
+const mostHolders = 3
+
+// redirect returns others in the asker's failure domain that have a chunk, where no
+// upload is free here: a cache's link carries 23 copies at a time to links of 7.3
+// Mbit/s, and 41 stagers waited for it while their own links sent nothing.
+func (m *Member) redirect(q question, asker vm.Identity) []string {
+	c := m.copyOf(q.model, q.version)
+	if c == nil || !m.isBusy() {
+		return nil
+	}
+	domains, _ := m.members(q.model)
+	return holdersNear(asker, c.knownAt(q.number), domains)
+}
+
+// isBusy tells whether no upload is free.
+func (m *Member) isBusy() bool { return len(m.uploads) == cap(m.uploads) }
+
+// holdersNear returns some of those known to have a chunk that are of the asker's
+// failure domain, others for each asker.
+func holdersNear(asker vm.Identity, known map[string]bool, domains map[string]string) []string {
+	var holders []string
+	for address := range known {
+		// A map's order is random, so askers are spread.
+		if domains[address] == asker.Domain() && address != asker.Address() && len(holders) < mostHolders {
+			holders = append(holders, address)
+		}
+	}
+	return holders
+}
+
 // heldOf returns the chunks that are here of a version.
 func (m *Member) heldOf(q question) []byte {
 	if c := m.copyOf(q.model, q.version); c != nil {
--- a/pkg/staging/gather.go
+++ b/pkg/staging/gather.go
@@ -115,17 +115,31 @@
 		m.draw(ctx, c, number)
 		return true
 	}
-	r, err := m.ask(ctx, source, question{c.manifest.model, c.manifest.version, number, true, c.held()})
+	holders, answered := m.askFor(ctx, c, source, number, true)
+	for _, holder := range holders {
+		if c.get(number) != nil {
+			break
+		}
+		m.askFor(ctx, c, holder, number, false)
+	}
+	return answered
+}
+
+// askFor asks another member for a chunk and takes it. Where that one has no upload
+// free it names others that have the chunk; answered is false where it does not
+// answer. draw has it bring the chunk there if need be.
+func (m *Member) askFor(ctx context.Context, c *weightsCopy, source string, number int, draw bool) (holders []string, answered bool) {
+	r, err := m.ask(ctx, source, question{c.manifest.model, c.manifest.version, number, draw, c.held()})
 	if err != nil {
 		m.failing.failed(source)
 		_ = level.Info(m.process.Logger).Log("msg", "stager lost", "address", source, "chunk", number, "err", err)
-		return false
+		return nil, false
 	}
 	c.learn(source, r.held)
 	if r.data != nil {
 		m.take(c, number, r.data, sourcePeer, source)
 	}
-	return true
+	return r.holders, true
 }
 
 // fetchKey is a fetch under way.
--- a/pkg/staging/wire_generated.go
+++ b/pkg/staging/wire_generated.go
@@ -115,16 +115,16 @@
 }
 
 // newReply returns a reply with the given fields.
-func newReply(manifest *Manifest, data []byte, held []byte) reply {
-	return reply{manifest: manifest, data: data, held: held}
+func newReply(manifest *Manifest, data []byte, held []byte, holders []string) reply {
+	return reply{manifest: manifest, data: data, held: held, holders: holders}
 }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (r reply) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(3); err != nil {
+	if err := enc.EncodeArrayLen(4); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(r.manifest, r.data, r.held)
+	return enc.EncodeMulti(r.manifest, r.data, r.held, r.holders)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -133,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&r.manifest, &r.data, &r.held}
+	fields := []any{&r.manifest, &r.data, &r.held, &r.holders}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
