--- a/pkg/staging/redirect_test.go
+++ b/pkg/staging/redirect_test.go
@@ -1,10 +1,21 @@
 package staging
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"slices"
 	"testing"
+	"time"
 
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/tidepost/tidepost/pkg/daemon"
+	"github.com/tidepost/tidepost/pkg/event"
+	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
@@ -50,3 +61,59 @@
 		t.Fatal("no upload is free")
 	}
 }
+
+// endpointOf returns an endpoint that answers questions, and its address. Without
+// an answer it only asks.
+func endpointOf(t *testing.T, answer func(question) reply) (*link.Endpoint, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	e := link.NewEndpoint(link.Config{
+		Own: vm.NewIdentity(vm.ID(address), 1, "", "a", address), Clock: event.NewClock(time.Now), Logger: log.NewNopLogger(),
+	})
+	e.Handle(link.KindChunkOf, func(_ context.Context, s *link.Stream) error {
+		var q question
+		if err := s.Receive(&q); err != nil {
+			return err
+		}
+		return s.Send(answer(q))
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		_ = l.Close()
+		e.Close()
+	})
+	go func() { _ = e.Serve(ctx, l) }()
+	return e, address
+}
+
+// A member that is sent to a holder asks it, and not for it to bring the chunk.
+func TestAskerGoesToTheHolderThatIsNamed(t *testing.T) {
+	data := []byte("a chunk")
+	_, holder := endpointOf(t, func(q question) reply {
+		if q.draw {
+			return reply{}
+		}
+		return reply{data: data}
+	})
+	_, busy := endpointOf(t, func(question) reply { return reply{holders: []string{holder}} })
+	own, address := endpointOf(t, func(question) reply { return reply{} })
+	m := &Member{
+		process: &daemon.Process{
+			Endpoint: own, Logger: log.NewNopLogger(), Identity: vm.NewIdentity("s", 1, "", "a", address),
+		},
+		follower: &feed.Follower{}, registry: registry.NewTable(nil), failing: newFailingPeers(),
+		metrics: newMetrics(prometheus.NewRegistry()), underWay: map[fetchKey]bool{},
+	}
+	c := newCopy(Manifest{model: "menu", version: 2, digests: []string{digestOf(data)}})
+	if answered := m.fetch(t.Context(), c, busy, 0); !answered {
+		t.Fatal("the busy member did not answer")
+	}
+	if string(c.get(0)) != string(data) {
+		t.Fatal("the chunk did not come from the holder")
+	}
+}
