Read once more: words are queued in one place, loads only for who takes them

Three loops put words of backend servers into a follower's queue; one method does. A stager that made a node its primary got all loads of engines in its first Update, which it passes over; the check that the other way of queueing has is asked there too. Decisions are as they were.

--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/link"
 	"github.com/tidepost/tidepost/pkg/registry"
@@ -89,11 +90,7 @@
 	if len(words) == 0 {
 		return
 	}
-	p.each(func(s *subscriber) {
-		for _, r := range words {
-			s.pending[r.Incarnation()] = r
-		}
-	})
+	p.each(func(s *subscriber) { s.queueWords(words) })
 }
 
 // Retell queues words for the other control nodes, which forget what is not told
@@ -102,14 +99,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for s := range p.subscribers {
-		if s.hello.role != RoleNode {
-			continue
+		if s.hello.role == RoleNode {
+			s.change(func(s *subscriber) { s.queueWords(words) })
 		}
-		s.change(func(s *subscriber) {
-			for _, r := range words {
-				s.pending[r.Incarnation()] = r
-			}
-		})
 	}
 }
 
@@ -186,9 +178,7 @@
 		return err
 	}
 	s := newSubscriber(hello)
-	for _, r := range p.source.Registrations() {
-		s.pending[r.Incarnation()] = r
-	}
+	s.queueWords(p.source.Registrations())
 	if !p.add(s) {
 		return failure.New(failure.Overloaded, "%d followers are served already", maxFollowers)
 	}
@@ -253,7 +243,7 @@
 	changed := s.primary != primary
 	s.primary = primary
 	s.wholePeers = s.wholePeers || primary
-	if primary {
+	if s.takesLoads() {
 		for engine, told := range p.loads {
 			s.loads[engine] = told.load
 		}
@@ -265,7 +255,7 @@
 	}
 	p.count(s, primary, demand)
 	if primary {
-		s.change(func(*subscriber) {})
+		daemon.Wake(s.wake)
 	}
 }
 
--- a/pkg/feed/subscriber.go
+++ b/pkg/feed/subscriber.go
@@ -47,6 +47,14 @@
 	daemon.Wake(s.wake)
 }
 
+// queueWords queues words of backend servers. The caller holds the lock, or is the
+// only one who knows s.
+func (s *subscriber) queueWords(words []registry.Registration) {
+	for _, r := range words {
+		s.pending[r.Incarnation()] = r
+	}
+}
+
 func (s *subscriber) isPrimary() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
