Near engines in time go before idle ones elsewhere; less waiting for stagers with chunks on their link

Change: once a near engine is known that begins in time, no other failure domain is asked. Stagers say in their load that chunks are on their link; they are awaited for 20 ms, and no answer is not held against the engine.

--- a/pkg/feed/herd_test.go
+++ b/pkg/feed/herd_test.go
@@ -163,7 +163,7 @@
 		t.Errorf("%d bytes over all links until all know each other, over %d", got, most)
 	}
 	for _, f := range stagers {
-		f.Tell(NewLoad("menu", f.Hello.Engine(), "menu", 1, 1, 0, 1, false))
+		f.Tell(NewLoad("menu", f.Hello.Engine(), "menu", 1, 1, 0, 1, false, false))
 	}
 	h.eventually("every gateway hears of every engine", func() bool {
 		h.mu.Lock()
--- a/pkg/feed/messages.go
+++ b/pkg/feed/messages.go
@@ -105,10 +105,15 @@
 	pace float64
 	// busy says that an order is under way: it takes nothing new.
 	busy bool
+	// exchanging says that chunks are on their way over the VM's link: a question to
+	// the stager would wait behind them.
+	exchanging bool
 }
 
 // Urgent tells whether followers should hear of l at once after old.
-func (l Load) Urgent(old Load) bool { return l.version != old.version || l.busy != old.busy }
+func (l Load) Urgent(old Load) bool {
+	return l.version != old.version || l.busy != old.busy || l.exchanging != old.exchanging
+}
 
 // Weights is a named version of a model.
 //
--- a/pkg/feed/wire_generated.go
+++ b/pkg/feed/wire_generated.go
@@ -97,8 +97,8 @@
 }
 
 // NewLoad returns a Load with the given fields.
-func NewLoad(service string, engine string, model string, version uint64, running int, queued int, pace float64, busy bool) Load {
-	return Load{service: service, engine: engine, model: model, version: version, running: running, queued: queued, pace: pace, busy: busy}
+func NewLoad(service string, engine string, model string, version uint64, running int, queued int, pace float64, busy bool, exchanging bool) Load {
+	return Load{service: service, engine: engine, model: model, version: version, running: running, queued: queued, pace: pace, busy: busy, exchanging: exchanging}
 }
 
 // Service is the engine's service.
@@ -125,12 +125,16 @@
 // Busy says that an order is under way: it takes nothing new.
 func (l Load) Busy() bool { return l.busy }
 
+// Exchanging says that chunks are on their way over the VM's link: a question to
+// the stager would wait behind them.
+func (l Load) Exchanging() bool { return l.exchanging }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (l Load) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(8); err != nil {
+	if err := enc.EncodeArrayLen(9); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(l.service, l.engine, l.model, l.version, l.running, l.queued, l.pace, l.busy)
+	return enc.EncodeMulti(l.service, l.engine, l.model, l.version, l.running, l.queued, l.pace, l.busy, l.exchanging)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -139,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&l.service, &l.engine, &l.model, &l.version, &l.running, &l.queued, &l.pace, &l.busy}
+	fields := []any{&l.service, &l.engine, &l.model, &l.version, &l.running, &l.queued, &l.pace, &l.busy, &l.exchanging}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -67,6 +67,7 @@
 	resting     bool
 	full        bool
 	asked       bool // the stager beside it is asked for places
+	unanswered  bool // it did not answer lately, and not for the chunks on its link
 	lost        bool
 	failureRate float64
 	pace        float64
@@ -123,8 +124,8 @@
 		inFlight: b.inFlight, work: b.work, failureRate: b.failureRate, pace: b.pace,
 		resting: now.Before(b.restUntil),
 		oldest:  b.waits.oldest(now), lost: b.lost,
-		asked: !now.Before(b.unaskedUntil),
-		full:  now.Before(b.fullUntil), state: r.State(), domain: r.Domain(),
+		asked: b.isAsked(now), unanswered: now.Before(b.unaskedUntil) && !(b.told.isFresh(now) && b.told.load.Exchanging()),
+		full: now.Before(b.fullUntil), state: r.State(), domain: r.Domain(),
 	}
 }
 
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -33,9 +33,9 @@
 	lastPenalty  = 600 * time.Millisecond
 	// amplePlaces are left at an engine that has more than the last one.
 	amplePlaces = 2
-	// unaskedPenalty is what an engine costs whose stager does not answer: its link
+	// unansweredPenalty is what an engine costs whose stager does not answer: its link
 	// is full, or its VM in trouble. It is used when no other engine has a place.
-	unaskedPenalty = 700 * time.Millisecond
+	unansweredPenalty = 700 * time.Millisecond
 	// silentPenalty is what missed heartbeats cost, as work.
 	silentPenalty = 300 * time.Millisecond
 	// failurePenalty multiplies the cost of one that fails all requests.
@@ -252,8 +252,8 @@
 	if l.state == registry.Silent {
 		total += float64(silentPenalty)
 	}
-	if w.engine.Slots() > 0 && !l.asked {
-		total += float64(unaskedPenalty)
+	if w.engine.Slots() > 0 && l.unanswered {
+		total += float64(unansweredPenalty)
 	}
 	// Gateways that choose alike at the same moment must not all choose one.
 	return total * (1 + choiceNoise*rand.Float64())
--- a/pkg/gateway/places_test.go
+++ b/pkg/gateway/places_test.go
@@ -18,7 +18,7 @@
 }
 
 func toldOf(running, queued int, now time.Time, lot float64) toldLoad {
-	return toldLoad{load: feed.NewLoad("menu", "127.0.0.1:9", "menu", 1, running, queued, 1, false), at: now, lot: lot}
+	return toldLoad{load: feed.NewLoad("menu", "127.0.0.1:9", "menu", 1, running, queued, 1, false, false), at: now, lot: lot}
 }
 
 // sentByAll is how many requests gateways with equal shares send to an engine
@@ -140,7 +140,7 @@
 func (f *fixture) hearEngineAt(address, domain string, running int) {
 	id := fmt.Sprintf("i-%s", address)
 	f.gateway.backends.hear(registry.NewRegistration(id, "menu", address, domain, "v1", 16, registry.Ready, 0, nil, 1))
-	f.gateway.backends.hearLoad(feed.NewLoad("menu", address, "menu", 1, running, 0, 1, false))
+	f.gateway.backends.hearLoad(feed.NewLoad("menu", address, "menu", 1, running, 0, 1, false, false))
 }
 
 // A stream from another failure domain is late when a packet is lost or held up
--- a/pkg/gateway/reserve.go
+++ b/pkg/gateway/reserve.go
@@ -2,9 +2,9 @@
 // Reserving a place at an engine before a request is sent there. The stager beside
 // the engine answers from a look at it; see pkg/reservation.
 //
-// A stager that cannot be asked, for instance because it was killed while its
-// engine works on, is not asked again for a while: at its engine the gateway takes
-// its share of the places instead.
+// A stager that does not answer, for instance because it was killed while its engine
+// works on or its link is full of chunks, is not asked again for a while: at its engine
+// the gateway takes its share of the places instead.
 // ================================================================
 
 package gateway
@@ -25,6 +25,9 @@
 	// take up to 6 ms, and an objective is some hundred. One that takes longer has
 	// a link full of chunks.
 	reserveTimeout = 40 * time.Millisecond
+	// exchangingTimeout is the same while chunks are on the link of its VM: behind one
+	// of them the answer is worth less than the time.
+	exchangingTimeout = 20 * time.Millisecond
 	// firstUnasked is how long a stager is not asked that did not answer in time;
 	// twice as long each time in a row, up to longestUnasked.
 	firstUnasked   = time.Second
@@ -53,7 +56,7 @@
 
 // choosePlace chooses a backend server. Engines are asked for a place: the first one
 // that nobody waits at gets the request, else the one that begins it first, if that
-// is in time. A request that was sent before goes on wherever it begins first.
+// is in time; one of the own failure domain that is goes before others. A request that was sent before goes on wherever it begins first.
 func (g *Gateway) choosePlace(q *request, w wanted) (b *backend, loaded bool) {
 	if w.engine.Slots() == 0 {
 		return g.choose(w)
@@ -64,7 +67,7 @@
 	for range mostAsks {
 		b, full := g.choose(w)
 		loaded = loaded || full
-		if b == nil {
+		if b == nil || first && best.begins <= q.timeToBegin() && g.isNear(best.backend) && !g.isNear(b) {
 			break
 		}
 		o := g.reserve(q, b, 0)
@@ -81,6 +84,11 @@
 	return g.reserveInTime(q, best), loaded
 }
 
+// isNear tells whether a backend server is in the failure domain of this gateway.
+func (g *Gateway) isNear(b *backend) bool {
+	return b != nil && b.word().Domain() == g.process.Identity.Domain()
+}
+
 // reserveInTime asks the engine that begins a request first for a place behind
 // others; nil when it would not begin in time.
 func (g *Gateway) reserveInTime(q *request, best offer) *backend {
@@ -125,7 +133,7 @@
 		pause = 0
 	}
 	started := time.Now()
-	ctx, cancel := context.WithTimeout(q.ctx, reserveTimeout)
+	ctx, cancel := context.WithTimeout(q.ctx, b.reserveTimeout(started))
 	defer cancel()
 	answer, err := g.askStager(ctx, address, reservation.NewAsk(q.call.PromptTokens, within, pause))
 	if err != nil {
@@ -177,8 +185,24 @@
 	b.unanswered++
 }
 
+// reserveTimeout is how long the stager beside the engine may take to answer.
+func (b *backend) reserveTimeout(now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.told.isFresh(now) && b.told.load.Exchanging() {
+		return exchangingTimeout
+	}
+	return reserveTimeout
+}
+
+// mayBeAsked tells whether the stager beside an engine is asked for places.
 func (b *backend) mayBeAsked(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.isAsked(now)
+}
+
+// isAsked is mayBeAsked for whoever holds the lock.
+func (b *backend) isAsked(now time.Time) bool {
 	return !now.Before(b.unaskedUntil)
 }
--- a/pkg/gateway/reserve_test.go
+++ b/pkg/gateway/reserve_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/reservation"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
@@ -27,7 +28,7 @@
 		return reservation.Answer{}, errors.New("no answer")
 	}
 	granted := begins <= max(a.Within(), s.idle)
-	return reservation.NewAnswer(granted, begins, feed.NewLoad("menu", "", "menu", 1, 3, 0, 1, false)), nil
+	return reservation.NewAnswer(granted, begins, feed.NewLoad("menu", "", "menu", 1, 3, 0, 1, false, false)), nil
 }
 
 // newReserving returns a gateway that knows three engines of its failure domain, and a
@@ -114,3 +115,44 @@
 		}
 	}
 }
+
+// A stream from another failure domain breaks when the way there is cut, and one that
+// begins in time nearby is as good.
+func TestNearEngineThatBeginsInTimeGoesBeforeAnIdleOneElsewhere(t *testing.T) {
+	s := &stagerStandIn{idle: idleBegin, waits: map[string]time.Duration{"127.0.0.21:1": idleBegin}}
+	for _, near := range []string{"127.0.0.11:1", "127.0.0.12:1", "127.0.0.13:1"} {
+		s.waits[near] = 250 * time.Millisecond
+	}
+	g, q := newReserving(t, s)
+	f := fixture{gateway: g}
+	f.hearEngineAt("127.0.0.21:9", "hall-b", 0)
+	if b, refused := g.pick(q); b == nil || !g.isNear(b) {
+		t.Fatalf("picked %v, refused with %v, asked %v", b, refused, s.asked)
+	}
+	for address := range s.waits {
+		if address != "127.0.0.21:1" {
+			s.waits[address] = 500 * time.Millisecond
+		}
+	}
+	if b, refused := g.pick(q); b == nil || b.address != "127.0.0.21:9" {
+		t.Fatalf("picked %v, refused with %v, where those nearby would begin late", b, refused)
+	}
+}
+
+// Behind the chunks on a link an answer takes longer than it is worth.
+func TestStagersWithChunksOnTheirLinkAreAwaitedForLess(t *testing.T) {
+	now := time.Now()
+	b := newBackend(registry.NewRegistration("i", "menu", "127.0.0.1:9", "hall-a", "v1", 16, registry.Ready, 0, nil, 1))
+	b.hearLoad(feed.NewLoad("menu", "127.0.0.1:9", "menu", 1, 3, 0, 1, false, true))
+	if got := b.reserveTimeout(now); got != exchangingTimeout {
+		t.Errorf("awaited for %s", got)
+	}
+	b.notAnswered(now)
+	if l := b.load(now); l.asked || l.unanswered {
+		t.Errorf("asked %t, held against the engine %t", l.asked, l.unanswered)
+	}
+	b.hearLoad(feed.NewLoad("menu", "127.0.0.1:9", "menu", 1, 3, 0, 1, false, false))
+	if l := b.load(now); !l.unanswered {
+		t.Error("a stager without chunks on its link did not answer, and it is not held against the engine")
+	}
+}
--- a/pkg/gateway/waits_test.go
+++ b/pkg/gateway/waits_test.go
@@ -31,7 +31,7 @@
 // An engine where requests from here wait is full, whatever its load told.
 func TestOwnWaitsCountBeforeToldLoad(t *testing.T) {
 	w := wanted{engine: serviceconfig.NewEngine(16, []string{"menu"}, 1, 96, 24576, 9*time.Millisecond, 0, 20000, 979, 92, 0, 5)}
-	l := load{fresh: true, told: toldLoad{load: feed.NewLoad("menu", "127.0.0.1:9", "menu", 1, 2, 0, 1, false)}, state: registry.Ready}
+	l := load{fresh: true, told: toldLoad{load: feed.NewLoad("menu", "127.0.0.1:9", "menu", 1, 2, 0, 1, false, false)}, state: registry.Ready}
 	if wait := w.waitAt(l); wait != 0 {
 		t.Fatalf("%s at an idle engine", wait)
 	}
--- a/pkg/staging/loads.go
+++ b/pkg/staging/loads.go
@@ -58,5 +58,5 @@
 		return feed.Load{}, false
 	}
 	version := wholeVersion(report.Holdings, model, max(service.Engine().Layers(), 1))
-	return feed.NewLoad(service.Name(), s.settings.Engine(), model, version, report.Running, report.Queued, report.Pace, report.Busy || s.withdrawn.Load()), true
+	return feed.NewLoad(service.Name(), s.settings.Engine(), model, version, report.Running, report.Queued, report.Pace, report.Busy || s.withdrawn.Load(), s.isExchanging()), true
 }
--- a/pkg/staging/reservations.go
+++ b/pkg/staging/reservations.go
@@ -81,6 +81,6 @@
 	if version > 0 && !busy {
 		granted, begins, work = s.book.Decide(time.Now(), service.Engine(), work, ask)
 	}
-	load := feed.NewLoad(service.Name(), s.settings.Engine(), model, version, work.Running, work.Queued, work.Pace, busy)
+	load := feed.NewLoad(service.Name(), s.settings.Engine(), model, version, work.Running, work.Queued, work.Pace, busy, s.isExchanging())
 	return reservation.NewAnswer(granted, begins, load)
 }
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -159,6 +159,7 @@
 	if s.gathering.Swap(want.Version()) == want.Version() {
 		return
 	}
+	s.tellSoon()
 	go func() {
 		c, err := s.obtain(ctx, model, want, s.served.Load)
 		if err != nil {
@@ -185,6 +186,9 @@
 	}
 }
 
+// isExchanging tells whether chunks come or go over the VM's link.
+func (s *Stager) isExchanging() bool { return s.gathering.Load() != 0 || len(s.uploads) > 0 }
+
 func (s *Stager) report(ctx context.Context) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
