Silent connections are dropped within 4 s; a late heartbeat takes no load from a newer incarnation

Registrations: the loads of an address went to the incarnation heard of last, so a late heartbeat of an earlier one took them, and once that was gone nobody got them (TestLateHeartbeatOfAnEarlierIncarnation fails before). Requests sent to the earlier incarnation are answered "not run" and go elsewhere, as before.

--- a/pkg/gateway/backends.go
+++ b/pkg/gateway/backends.go
@@ -10,6 +10,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -29,7 +30,7 @@
 type backendShard struct {
 	mu        sync.RWMutex
 	services  map[string]map[string]*backend // by service, by incarnation
-	addressed map[serviceAddress]*backend    // the newest at each address
+	addressed map[serviceAddress][]*backend  // those heard of at each address, the latest last
 }
 
 // serviceAddress is where a backend server takes requests of a service.
@@ -49,7 +50,7 @@
 	t := &backends{departed: map[string]time.Time{}}
 	for i := range t.shards {
 		t.shards[i].services = map[string]map[string]*backend{}
-		t.shards[i].addressed = map[serviceAddress]*backend{}
+		t.shards[i].addressed = map[serviceAddress][]*backend{}
 	}
 	return t
 }
@@ -85,7 +86,8 @@
 		b.isGone()
 	}
 	service[r.Incarnation()] = b
-	s.addressed[serviceAddress{r.Service(), r.Address()}] = b
+	at := serviceAddress{r.Service(), r.Address()}
+	s.addressed[at] = append(s.addressed[at], b)
 }
 
 // depart notes that an incarnation is gone, whatever its service.
@@ -125,12 +127,14 @@
 }
 
 // hearLoad takes the load of an engine. Hundreds of engines tell theirs several
-// times a second, so it is found by its address and not by a look at all.
+// times a second, so it is found by its address and not by a look at all. A late
+// heartbeat may make an earlier incarnation known after the one that is there now:
+// all at the address take the load, and the first answer tells them apart.
 func (t *backends) hearLoad(l feed.Load) {
 	s := t.shard(l.Service())
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if b := s.addressed[serviceAddress{l.Service(), l.Engine()}]; b != nil {
+	for _, b := range s.addressed[serviceAddress{l.Service(), l.Engine()}] {
 		b.hearLoad(l)
 	}
 }
@@ -179,10 +183,11 @@
 	}
 }
 
-// forgetAddress forgets where a backend server was, unless another one is there.
+// forgetAddress forgets where a backend server was; others may be there.
 func (s *backendShard) forgetAddress(gone *backend) {
 	at := serviceAddress{gone.word().Service(), gone.address}
-	if s.addressed[at] == gone {
+	s.addressed[at] = slices.DeleteFunc(s.addressed[at], func(b *backend) bool { return b == gone })
+	if len(s.addressed[at]) == 0 {
 		delete(s.addressed, at)
 	}
 }
--- a/pkg/gateway/backends_test.go
+++ b/pkg/gateway/backends_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/registry"
 )
 
@@ -44,3 +46,35 @@
 		t.Fatalf("a late heartbeat after the sweep made it %s", states[0])
 	}
 }
+
+// A heartbeat that a cut held back came after its sender had crashed and a new
+// incarnation had registered at the address: the new one's loads went to the old one,
+// and to nobody once that was known to be gone.
+func TestLateHeartbeatOfAnEarlierIncarnation(t *testing.T) {
+	all := newBackends()
+	at := func(incarnation string, sequence uint64) registry.Registration {
+		return registry.NewRegistration(incarnation, "menu", "127.0.0.1:9", "hall-a", "v1", 16, registry.Ready, 0, nil, sequence)
+	}
+	all.hear(at("i-new", 1))
+	all.hear(at("i-old", 40))
+	tell := func() { all.hearLoad(feed.NewLoad("menu", "127.0.0.1:9", "menu", 1, 3, 0, 1, false, false)) }
+	fresh := func() bool {
+		for _, b := range all.of("menu") {
+			if b.word().Incarnation() == "i-new" && b.load(time.Now()).fresh {
+				return true
+			}
+		}
+		return false
+	}
+	tell()
+	if !fresh() {
+		t.Error("the load of the engine is not known of the incarnation that is there")
+	}
+	all.depart("i-old")
+	all.sweep()
+	all.hear(at("i-old", 41))
+	tell()
+	if !fresh() || len(all.of("menu")) != 1 {
+		t.Errorf("after the earlier one is gone: load known %t, %d backend servers", fresh(), len(all.of("menu")))
+	}
+}
--- a/pkg/link/accept.go
+++ b/pkg/link/accept.go
@@ -49,7 +49,7 @@
 		_ = level.Warn(e.config.Logger).Log("msg", "handshake failed", "from", conn.RemoteAddr().String(), "err", err)
 		return
 	}
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := yamux.Server(conn, e.sessionConfig())
 	if err != nil {
 		return
 	}
--- a/pkg/link/dial.go
+++ b/pkg/link/dial.go
@@ -129,7 +129,7 @@
 		_ = conn.Close()
 		return nil, vm.Identity{}, err
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(conn, e.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, vm.Identity{}, err
--- a/pkg/link/endpoint.go
+++ b/pkg/link/endpoint.go
@@ -24,9 +24,12 @@
 )
 
 const (
-	dialTimeout       = 1500 * time.Millisecond
-	keepAliveInterval = 5 * time.Second
-	writeTimeout      = 5 * time.Second
+	dialTimeout = 1500 * time.Millisecond
+	// keepAliveInterval lies between two pings of a connection, and writeTimeout is
+	// how long one may stay unanswered: a connection that went silent without a reset
+	// is dropped after 4 s at the most. A ping costs some ten microseconds.
+	keepAliveInterval = 2 * time.Second
+	writeTimeout      = 2 * time.Second
 	// streamWindow is what may be in transit on one stream, in bytes. The
 	// smallest that yamux takes; more would only let chunks queue up.
 	streamWindow = 256 << 10
@@ -49,6 +52,9 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// MaxConnections bounds the incoming connections.
 	MaxConnections int
+	// KeepAlive is how often a connection is pinged, and how long a ping may stay
+	// unanswered; a seam for tests, zero is keepAliveInterval and writeTimeout.
+	KeepAlive, Unanswered time.Duration
 }
 
 // Endpoint is one process's end of its links.
@@ -81,6 +87,9 @@
 	if c.MaxConnections == 0 {
 		c.MaxConnections = DefaultMaxConnections
 	}
+	if c.KeepAlive == 0 {
+		c.KeepAlive, c.Unanswered = keepAliveInterval, writeTimeout
+	}
 	return &Endpoint{
 		config:   c,
 		handlers: map[Kind]Handler{},
@@ -120,11 +129,11 @@
 	}
 }
 
-func sessionConfig() *yamux.Config {
+func (e *Endpoint) sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.LogOutput = io.Discard
-	c.KeepAliveInterval = keepAliveInterval
-	c.ConnectionWriteTimeout = writeTimeout
+	c.KeepAliveInterval = e.config.KeepAlive
+	c.ConnectionWriteTimeout = e.config.Unanswered
 	c.MaxStreamWindowSize = streamWindow
 	return c
 }
