--- a/pkg/gateway/reserve.go
+++ b/pkg/gateway/reserve.go
@@ -33,7 +33,7 @@
 	firstUnasked   = time.Second
 	longestUnasked = 4 * time.Second
 	// mostAsks bounds the engines that are asked for one request.
-	mostAsks = 4
+	mostAsks = 8
 	// wayBack is what an event takes from the engine to the caller.
 	wayBack = 5 * time.Millisecond
 )
