Spare places are taken out; a benchmark of a stream's way through a gateway

Ablation: since places are reserved, shares count only at engines whose stager does not answer, and places that others are not expected to take there are worth nothing.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -25,14 +25,6 @@
 	// only taken when none of the own has a place. A stream has many packets, and
 	// one that is lost or held up on the way makes the answer late.
 	farStreamPenalty = 500 * time.Millisecond
-	// sparePenalty is what a place costs that is not of the own share: less than
-	// another failure domain, and more than the differences between engines. The
-	// last one costs more than another failure domain: whoever has a share in it
-	// takes it first.
-	sparePenalty = 200 * time.Millisecond
-	lastPenalty  = 600 * time.Millisecond
-	// amplePlaces are left at an engine that has more than the last one.
-	amplePlaces = 2
 	// unansweredPenalty is what an engine costs whose stager does not answer: its link
 	// is full, or its VM in trouble. It is used when no other engine has a place.
 	unansweredPenalty = 700 * time.Millisecond
@@ -77,7 +69,7 @@
 	all := g.candidates(w, now)
 	var places shares
 	if w.wait > 0 {
-		places = g.shares(now, w.engines(all))
+		places = g.shares(now, w.capacity(all))
 	}
 	var best, resting cheapest
 	full := false
@@ -95,9 +87,6 @@
 			best.offer(b, g.cost(l, w))
 		default:
 			full = true
-			if penalty, spare := w.sparePenalty(l, places, now); spare {
-				best.offer(b, g.cost(l, w)+float64(penalty))
-			}
 		}
 	}
 	if best.backend == nil && !full {
@@ -164,37 +153,18 @@
 	return float64(l.inFlight+1) <= s.at(l.domain)*float64(w.engine.Slots()+waitingPlaces)+l.told.lot
 }
 
-// sparePenalty returns what a place costs at an engine of the own failure domain
-// that the others are not expected to take; false where there is none.
-func (w wanted) sparePenalty(l load, s shares, now time.Time) (penalty time.Duration, spare bool) {
-	if l.domain != s.domain || !l.fresh {
-		return 0, false
-	}
-	switch left := l.told.spare(w.engine, s.others, now); {
-	case left >= amplePlaces:
-		return sparePenalty, true
-	case left >= 1:
-		return lastPenalty, true
-	}
-	return 0, false
-}
-
-// engines are those that may take a request, by failure domain.
-type engines struct {
-	count    map[string]int
-	capacity map[string]float64 // requests that they finish a second
-}
-
-func (w wanted) engines(all []candidate) engines {
-	e := engines{map[string]int{}, map[string]float64{}}
+// capacity is how many requests the engines that may take one finish a second, by
+// failure domain.
+func (w wanted) capacity(all []candidate) map[string]float64 {
+	capacity := map[string]float64{}
 	turn := w.engine.Turn().Seconds()
+	if turn <= 0 {
+		return capacity
+	}
 	for _, c := range all {
-		e.count[c.load.domain]++
-		if turn > 0 {
-			e.capacity[c.load.domain] += 1 / (turn * max(c.load.told.load.Pace(), 1))
-		}
+		capacity[c.load.domain] += 1 / (turn * max(c.load.told.load.Pace(), 1))
 	}
-	return e
+	return capacity
 }
 
 func (w wanted) allows(b *backend, now time.Time) bool {
--- a/pkg/gateway/demand.go
+++ b/pkg/gateway/demand.go
@@ -71,9 +71,6 @@
 	// taken is the part that the gateways of a failure domain take of its
 	// engines' places.
 	taken map[string]float64
-	// others is how many requests a second the other gateways of the own failure
-	// domain send to each of its engines, on average; infinite while not known.
-	others float64
 }
 
 // at returns the share at an engine of a failure domain.
@@ -84,14 +81,13 @@
 	return s.far * max(1-s.taken[domain], leastFar)
 }
 
-// shares returns the shares as demand is now, for the engines that may take a
-// request.
-func (g *Gateway) shares(now time.Time, engines engines) shares {
-	capacity := engines.capacity
+// shares returns the shares as demand is now, where the engines that may take a
+// request finish so many a second, by failure domain.
+func (g *Gateway) shares(now time.Time, capacity map[string]float64) shares {
 	own := g.demand.rate(now)
 	domain := g.process.Identity.Domain()
 	even := 1 / float64(g.gateways())
-	s := shares{domain: domain, near: even, far: even, taken: map[string]float64{}, others: math.Inf(1)}
+	s := shares{domain: domain, near: even, far: even, taken: map[string]float64{}}
 	demands := g.heardDemands()
 	all := 0.0
 	for d, perSecond := range demands {
@@ -103,9 +99,6 @@
 	if all <= 0 {
 		return s
 	}
-	if demands[domain] > 0 {
-		s.others = max(demands[domain]-own, 0) / float64(max(engines.count[domain], 1))
-	}
 	s.near = evenPart*even + (1-evenPart)*min(own/max(demands[domain], own), 1)
 	s.far = evenPart*even + (1-evenPart)*min(own/max(all, own), 1)
 	return s
--- /dev/null
+++ b/pkg/gateway/path_bench_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/registry"
+	"github.com/tidepost/tidepost/pkg/reservation"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
+)
+
+// BenchmarkStream measures a stream of 22 events from a caller through the gateway to
+// one of 45 engines, with a place reserved; caller and engine are in the same process.
+//
+//	go test ./pkg/gateway -bench Stream -cpuprofile cpu.out
+func BenchmarkStream(b *testing.B) {
+	const engines, events = 45, 22
+	s := newStandIn(b, "i-0", func(w *bufio.Writer, r *http.Request) bool {
+		writeEvents(w, r, 1, events)
+		_, _ = fmt.Fprint(w, "0\r\n\r\n")
+		return true
+	})
+	f := newFixture(b, serviceconfig.Stream, true, s)
+	g := f.gateway
+	g.askStager = func(context.Context, string, reservation.Ask) (reservation.Answer, error) {
+		return reservation.NewAnswer(true, 100*time.Millisecond, feed.NewLoad("menu", "", "menu", 1, 3, 0, 1, false, false)), nil
+	}
+	route := serviceconfig.NewRoute("r", "menus.example", "/draft/", serviceconfig.Stream, 3*time.Second, 400*time.Millisecond, 400*time.Millisecond, 1,
+		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, 2, false, true)
+	g.index.Raise(serviceconfig.NewDocument(2, []serviceconfig.Route{route},
+		[]serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", testEngine(), true)},
+		[]serviceconfig.Organisation{serviceconfig.NewOrganisation("larder", []string{"k1"}, 0, false)}, serviceconfig.Limits{}))
+	for i := range engines {
+		g.backends.hear(registry.NewRegistration(fmt.Sprintf("i-%d", i), "menu", s.listener.Addr().String(), "hall-a", "v1", 16, registry.Ready, 0, nil, 1))
+	}
+	for b.Loop() {
+		r := f.request(b, http.MethodPost, "id", "a soft breakfast")
+		r.Header.Set(headerModel, "")
+		answer, err := http.DefaultTransport.RoundTrip(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		n, err := io.Copy(io.Discard, answer.Body)
+		_ = answer.Body.Close()
+		if err != nil || answer.StatusCode != http.StatusOK || n == 0 {
+			b.Fatal(answer.Status, n, err)
+		}
+	}
+}
--- a/pkg/gateway/places.go
+++ b/pkg/gateway/places.go
@@ -30,9 +30,6 @@
 	// readingAhead bounds the prompts that wait to be read at an engine, as the
 	// time that it reads: tokens of others pause meanwhile.
 	readingAhead = 150 * time.Millisecond
-	// onTheWay is how old a load is when it comes: it waits half of 80 ms at the
-	// control node for others, and a few ms in links.
-	onTheWay = 50 * time.Millisecond
 )
 
 // toldLoad is the load that a stager told, and what was sent from here since.
@@ -61,14 +58,6 @@
 	return float64(t.sent+1) <= share*t.freePlaces(e, now)+t.lot
 }
 
-// spare is how many places an engine has left once others sent what they do on
-// average, whatever the share here is. Where many gateways share few places, whole
-// places fall to some that have no request just then.
-func (t toldLoad) spare(e serviceconfig.Engine, others float64, now time.Time) float64 {
-	sent := float64(t.sent) + others*(now.Sub(t.at)+onTheWay).Seconds()
-	return t.freePlaces(e, now) - sent
-}
-
 // freePlaces is how many requests an engine may be sent by all gateways
 // together, from the word on until now.
 func (t toldLoad) freePlaces(e serviceconfig.Engine, now time.Time) float64 {
--- a/pkg/gateway/reserve.go
+++ b/pkg/gateway/reserve.go
@@ -112,12 +112,7 @@
 func (g *Gateway) hasShare(w wanted, b *backend) bool {
 	now := time.Now()
 	l := b.load(now)
-	places := g.shares(now, w.engines(g.candidates(w, now)))
-	if w.hasPlace(l, places, now) {
-		return true
-	}
-	_, spare := w.sparePenalty(l, places, now)
-	return spare
+	return w.hasPlace(l, g.shares(now, w.capacity(g.candidates(w, now))), now)
 }
 
 // reserve asks for a place for a request whose first event has to come within a
