--- a/pkg/gateway/reserve.go
+++ b/pkg/gateway/reserve.go
@@ -32,8 +32,11 @@
 	// twice as long each time in a row, up to longestUnasked.
 	firstUnasked   = time.Second
 	longestUnasked = 4 * time.Second
-	// mostAsks bounds the engines that are asked for one request.
-	mostAsks = 8
+	// mostAsks bounds the engines that are asked for one request, and askingPart of
+	// its objective the time for it: where one stager after the other does not answer,
+	// the caller hears soon that nobody serves.
+	mostAsks   = 8
+	askingPart = 0.25
 	// wayBack is what an event takes from the engine to the caller.
 	wayBack = 5 * time.Millisecond
 )
@@ -56,7 +59,8 @@
 
 // choosePlace chooses a backend server. Engines are asked for a place: the first one
 // that nobody waits at gets the request, else the one that begins it first, if that
-// is in time; one of the own failure domain that is goes before others. A request that was sent before goes on wherever it begins first.
+// is in time; one of the own failure domain that is goes before others. A request
+// that was sent before goes on wherever it begins first.
 func (g *Gateway) choosePlace(q *request, w wanted) (b *backend, loaded bool) {
 	if w.engine.Slots() == 0 {
 		return g.choose(w)
@@ -64,7 +68,8 @@
 	w.tried = maps.Clone(w.tried)
 	first := q.sent == 0
 	var best offer
-	for range mostAsks {
+	until := time.Now().Add(time.Duration(askingPart * float64(q.route.Objective())))
+	for asks := 0; asks < mostAsks && (asks == 0 || time.Now().Before(until)); asks++ {
 		b, full := g.choose(w)
 		loaded = loaded || full
 		if b == nil || first && best.begins <= q.timeToBegin() && g.isNear(best.backend) && !g.isNear(b) {
--- a/pkg/gateway/reserve_test.go
+++ b/pkg/gateway/reserve_test.go
@@ -156,3 +156,24 @@
 		t.Error("a stager without chunks on its link did not answer, and it is not held against the engine")
 	}
 }
+
+// A caller whom nobody can serve hears it at once, also where stagers are silent.
+func TestAskingEndsAfterAPartOfTheObjective(t *testing.T) {
+	s := &stagerStandIn{waits: map[string]time.Duration{}}
+	g, q := newReserving(t, s)
+	slow := func(ctx context.Context, address string, a reservation.Ask) (reservation.Answer, error) {
+		<-ctx.Done()
+		return s.ask(ctx, address, a)
+	}
+	g.askStager = slow
+	// Nearly all demand comes to others, and no lot rounds the share up.
+	g.heardDemands = func() map[string]float64 { return map[string]float64{"hall-a": 1e9} }
+	for _, b := range g.backends.of("menu") {
+		b.told.lot = 0
+	}
+	route := serviceconfig.NewRoute("r", "h", "/", serviceconfig.Stream, time.Minute, reserveTimeout, 0, 1, nil, 2, false, true)
+	q.route = &route
+	if b, refused := g.pick(q); b != nil || refused == nil || len(s.asked) != 1 {
+		t.Fatalf("picked %v, refused with %v, asked %v", b, refused, s.asked)
+	}
+}
--- a/pkg/gateway/returning.go
+++ b/pkg/gateway/returning.go
@@ -55,22 +55,22 @@
 	r.refusedAt = now
 }
 
-// cameBack tells whether a caller that brings some time has come back, and learns
-// from it.
-func (r *returning) cameBack(route time.Duration, brings time.Duration, now time.Time) bool {
+// cameBack tells whether a caller that brings some time, on a route that allows
+// some, has come back, and learns from it.
+func (r *returning) cameBack(allowed, brings time.Duration, now time.Time) bool {
 	if brings <= 0 {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	f := r.routes[route]
+	f := r.routes[allowed]
 	if now.Sub(r.refusedAt) > calmAfter {
 		if f == nil {
 			f = &firstTimes{}
 			if r.routes == nil {
 				r.routes = map[time.Duration]*firstTimes{}
 			}
-			r.routes[route] = f
+			r.routes[allowed] = f
 		}
 		f.add(brings)
 		return false
