How long an engine reads a prompt is worked out in one place

The same quotient stood in serviceconfig, in the gateway's estimate and in the forecast; Engine.Reading serves all three.

--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -73,9 +73,7 @@
 	if q.call.LikelyTokens > 0 {
 		answer = min(answer, q.call.LikelyTokens)
 	}
-	if rate := e.PrefillPerSecond(); rate > 0 {
-		q.prefill = time.Duration(float64(prompt) / rate * float64(time.Second))
-	}
+	q.prefill = e.Reading(prompt)
 	q.work = q.prefill + time.Duration(answer)*e.Step()/time.Duration(e.Slots())
 }
 
--- a/pkg/reservation/engine_model_test.go
+++ b/pkg/reservation/engine_model_test.go
@@ -37,7 +37,7 @@
 	for _, r := range m.waiting[:admitted] {
 		unread += r.prompt
 	}
-	m.now += passOf(e, len(m.running)) + reading(e, unread)
+	m.now += passOf(e, len(m.running)) + e.Reading(unread)
 	var still []*modelRequest
 	for _, r := range append(m.running, m.waiting[:admitted]...) {
 		if r.left -= e.Stride(); r.left > 0 {
--- a/pkg/reservation/forecast.go
+++ b/pkg/reservation/forecast.go
@@ -46,8 +46,8 @@
 func forecastOf(e serviceconfig.Engine, w Work, prompt int) forecast {
 	pace := max(w.Pace, 1)
 	steps := time.Duration(float64(passOf(e, w.Running)) * pace)
-	own := time.Duration(float64(reading(e, prompt)) * pace)
-	before := time.Duration(float64(reading(e, w.Unread)) * pace)
+	own := time.Duration(float64(e.Reading(prompt)) * pace)
+	before := time.Duration(float64(e.Reading(w.Unread)) * pace)
 	f := forecast{alone: steps + steps/2 + own, pass: steps + before + own}
 	f.begins = f.alone + before
 	if waiting := w.Running + w.Queued + 1 - e.Slots(); waiting > 0 {
@@ -60,11 +60,3 @@
 func passOf(e serviceconfig.Engine, running int) time.Duration {
 	return time.Duration(max(e.Stride(), 1)) * (e.Step() + time.Duration(running)*e.PerSequence())
 }
-
-// reading is how long an engine reads some tokens; 0 when its rate is not known.
-func reading(e serviceconfig.Engine, tokens int) time.Duration {
-	if e.PrefillPerSecond() <= 0 {
-		return 0
-	}
-	return time.Duration(float64(tokens) / e.PrefillPerSecond() * float64(time.Second))
-}
--- a/pkg/serviceconfig/document.go
+++ b/pkg/serviceconfig/document.go
@@ -201,9 +201,13 @@
 
 // UsualReading is how long an engine reads the prompt of a usual request; 0
 // when its rate is not known.
-func (e Engine) UsualReading() time.Duration {
+func (e Engine) UsualReading() time.Duration { return e.Reading(e.usualPrompt) }
+
+// Reading is how long an engine reads some prompt tokens; 0 when its rate is not
+// known.
+func (e Engine) Reading(tokens int) time.Duration {
 	if e.prefillPerSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(e.usualPrompt) / e.prefillPerSecond * float64(time.Second))
+	return time.Duration(float64(tokens) / e.prefillPerSecond * float64(time.Second))
 }
