--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -48,6 +48,8 @@
 	eventAt    time.Time     // of the last event passed on
 	pause      time.Duration // the longest between two events passed on
 	forecast   time.Duration // of the first event, by the stager that granted a place
+	served     uint64        // version of the weights at the last backend server when it was sent there
+	lapses     time.Time     // when that version's time ends, as known then; zero when it does not
 }
 
 // remaining is how much of the time is left.
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -56,11 +56,13 @@
 		return
 	}
 	served := w.exchange.backend.servedVersion(q.call.Model, max(engine.Layers(), 1))
+	q.served, q.lapses = served, time.Time{}
 	next := g.versions.Next(q.call.Model, served)
 	if served == 0 || next.Version() == 0 {
 		return
 	}
 	at := next.Since().Add(g.settings.WeightsWithin())
+	q.lapses = at
 	w.lapse = time.AfterFunc(time.Until(at)-lapseMargin, func() {
 		if !w.flowing.Load() {
 			w.lapsed.Store(true)
