--- /dev/null
+++ b/pkg/gateway/lapse_test.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"bufio"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+
+	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/registry"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
+)
+
+// Seen: a request waited 1.5 s at an engine and began on a version whose time was over;
+// its gateway had not taken it back, and passed the answer on.
+//
+// How: the gateway sent it 1.4 s before that time ended, and what it knew then of the
+// versions was all that counted afterwards. Cause: the moment at which a request has to
+// be taken back was worked out once, in the gateway alone. A version, or an earlier naming
+// of one, that is heard of later did not move it, and the engine never learned of it.
+//
+// Proved by the tests here: each fails where that moment is worked out once, or where the
+// request does not carry it.
+
+// lapsing is a gateway before two engines, of which the first is preferred and serves
+// version 1, and the second version 2.
+func newLapsing(t *testing.T, first, second exchangeScript) *fixture {
+	t.Helper()
+	old, young := newStandIn(t, "i-old", first), newStandIn(t, "i-young", second)
+	f := newFixture(t, serviceconfig.Stream, true)
+	f.gateway.index.Raise(engineDocument(t))
+	f.hearVersion(old, 1)
+	f.hearVersion(young, 2)
+	for _, b := range f.gateway.backends.of("menu") {
+		if b.word().Incarnation() == young.incarnation {
+			b.begin(time.Second, nil)
+		}
+	}
+	return f
+}
+
+func engineDocument(t *testing.T) serviceconfig.Document {
+	t.Helper()
+	route := serviceconfig.NewRoute("r", "menus.example", "/draft/", serviceconfig.Stream, time.Minute, 400*time.Millisecond, 400*time.Millisecond, 1,
+		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, 2, false, true)
+	d := serviceconfig.NewDocument(2, []serviceconfig.Route{route},
+		[]serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", testEngine(), false)},
+		[]serviceconfig.Organisation{serviceconfig.NewOrganisation("larder", []string{"k1"}, 0, false)}, serviceconfig.Limits{})
+	if err := d.Check(); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// hearVersion makes an engine known by a heartbeat that tells what it serves.
+func (f *fixture) hearVersion(s *standIn, version uint64) {
+	f.gateway.backends.hear(registry.NewRegistration(s.incarnation, "menu", s.listener.Addr().String(), "hall-a", "v1", 16, registry.Ready, 0,
+		[]registry.Holding{registry.NewHolding("menu", version, 0, 1)}, 1))
+}
+
+// hearNamed has the gateway hear that version 2 was named when so much of its time was
+// left.
+func (f *fixture) hearNamed(left time.Duration) {
+	f.gateway.versions.Hear([]feed.Weights{feed.NewWeights("menu", 2, f.gateway.settings.WeightsWithin()-left)}, time.Now())
+}
+
+func (f *fixture) draft(t *testing.T) *http.Request {
+	r := f.request(t, http.MethodPost, "a", "draft")
+	r.Header.Set(headerModel, "menu")
+	r.Header.Set(headerDeadline, "60000")
+	return r
+}
+
+// lapsed counts the attempts that were taken back for their version.
+func (f *fixture) lapsed(t *testing.T) float64 {
+	var m dto.Metric
+	if err := f.gateway.metrics.attempts.WithLabelValues(string(attemptLapsed)).Write(&m); err != nil {
+		t.Fatal(err)
+	}
+	return m.GetCounter().GetValue()
+}
+
+// waitsUntilBroken is an engine that says nothing until its connection breaks.
+func waitsUntilBroken(came chan<- *http.Request) exchangeScript {
+	return func(w *bufio.Writer, r *http.Request) bool {
+		came <- r
+		for {
+			if _, err := w.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil || w.Flush() != nil {
+				return false
+			}
+			<-time.After(100 * time.Millisecond)
+		}
+	}
+}
+
+func wholeStream(w *bufio.Writer, r *http.Request) bool {
+	writeEvents(w, r, 1, 3)
+	_, _ = w.WriteString("0\r\n\r\n")
+	return true
+}
+
+func TestVersionHeardWhileTheRequestWaitsTakesItBack(t *testing.T) {
+	cases := map[string]func(f *fixture){
+		"named and heard of after the sending": func(*fixture) {},
+		"heard of too young before the sending": func(f *fixture) {
+			f.hearNamed(f.gateway.settings.WeightsWithin())
+		},
+	}
+	for name, before := range cases {
+		t.Run(name, func(t *testing.T) {
+			came := make(chan *http.Request, 1)
+			f := newLapsing(t, waitsUntilBroken(came), wholeStream)
+			before(f)
+			go func() {
+				<-came
+				f.hearNamed(lapseMargin / 2)
+			}()
+			status, _, body, err := f.do(t, f.draft(t))
+			if status != http.StatusOK || body != events(1, 3) || err != nil {
+				t.Fatalf("%d %q %v", status, body, err)
+			}
+			if f.lapsed(t) != 1 {
+				t.Fatal("the request was not taken back for its version")
+			}
+		})
+	}
+}
+
+func (f *fixture) backend(incarnation string) *backend {
+	for _, b := range f.gateway.backends.of("menu") {
+		if b.word().Incarnation() == incarnation {
+			return b
+		}
+	}
+	return nil
+}
+
+// The engine drops for itself what has not begun in time: the break may come late or not
+// at all, since it lies behind whatever is on the link.
+func TestRequestCarriesTheTimeThatItsVersionHasLeft(t *testing.T) {
+	came := make(chan *http.Request, 1)
+	f := newLapsing(t, func(w *bufio.Writer, r *http.Request) bool {
+		came <- r
+		return wholeStream(w, r)
+	}, breakOff)
+	const left = 4 * time.Second
+	f.hearNamed(left)
+	if status, _, _, _ := f.do(t, f.draft(t)); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	told, err := strconv.Atoi((<-came).Header.Get(headerDeadline))
+	if err != nil || time.Duration(told)*time.Millisecond > left {
+		t.Fatalf("the engine may begin it for %d ms, %v; its version has %s left", told, err, left)
+	}
+}
+
+// A stream that runs longer than was thought is ended by the engine when the version's
+// time is over. It goes on elsewhere, and the engine is not taken for one that fails.
+func TestStreamThatLapsedAtTheEngineGoesOnElsewhere(t *testing.T) {
+	untilAllowed := func(w *bufio.Writer, r *http.Request) bool {
+		writeEvents(w, r, 1, 1)
+		left, _ := strconv.Atoi(r.Header.Get(headerDeadline))
+		<-time.After(time.Duration(left) * time.Millisecond)
+		return false
+	}
+	goesOn := func(w *bufio.Writer, r *http.Request) bool {
+		writeEvents(w, r, 2, 3)
+		_, _ = w.WriteString("0\r\n\r\n")
+		return true
+	}
+	f := newLapsing(t, untilAllowed, goesOn)
+	f.hearNamed(leastMargin + time.Second)
+	status, _, body, err := f.do(t, f.draft(t))
+	if status != http.StatusOK || body != events(1, 3) || err != nil {
+		t.Fatalf("%d %q %v", status, body, err)
+	}
+	if l := f.backend("i-old").load(time.Now()); l.failureRate > 0 || f.lapsed(t) != 1 {
+		t.Fatalf("taken for an engine that fails: %+v", l)
+	}
+}
