The moment at which a version lapses is worked out anew at each look, and travels with the request

Cause: it was worked out once, in the gateway, when the request was sent. A version or an earlier naming that was heard of later did not move it; and the engine knew nothing of it, so all hung on a break that comes when the link lets it.

Now: the watchdog asks at each look, and at the moment itself, what is known then; an engine that has gone on is left alone. The request's deadline ends 0.1 s before the version lapses, so the engine drops or ends it by itself; what ended so goes on elsewhere and counts as no failure of the engine. The choice leaves out engines whose version lapses before the request would be over.

Ruled out by the record: a break that was sent and did not arrive. Weighed: the deadline only for requests that would be over in time; those that begin late are just the others.

What it costs is seen where no engine has the new version in time: requests that would run past the end are refused there sooner.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -42,7 +42,8 @@
 		}
 		return false
 	}
-	if q.remaining() < leastTime {
+	q.lapse = g.lapseOf(q, b, 0)
+	if q.allowed() < leastTime {
 		conn.Close()
 		return false
 	}
@@ -111,7 +112,7 @@
 	x.gateway.protocol.Prepare(header, Attempt{
 		Incarnation:  x.backend.word().Incarnation(),
 		Organisation: q.organisation,
-		Remaining:    q.remaining(),
+		Remaining:    q.allowed(),
 		Version:      x.gateway.expectedVersion(q, x.backend),
 		Urgency:      q.urgency,
 		LastEvent:    q.lastEvent,
@@ -127,7 +128,7 @@
 	q.runs++
 	switch {
 	case q.ctx.Err() != nil:
-	case x.watch.lapsed.Load():
+	case x.watch.lapsed.Load() || q.hasLapsed():
 		x.gateway.note(q, attemptLapsed, "the version of the weights there lapsed before the request began")
 	case x.backend.isWithdrawn(time.Now()):
 		x.gateway.note(q, attemptCut, why)
@@ -151,6 +152,10 @@
 		x.gateway.note(q, attemptElsewhere, "the address belongs to "+told.Incarnation)
 		return false
 	}
+	if q.hasLapsed() {
+		x.gateway.note(q, attemptLapsed, answer.Status)
+		return false
+	}
 	x.backend.refused(time.Now())
 	x.gateway.note(q, attemptRefused, answer.Status)
 	return false
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -218,7 +218,7 @@
 	w := wanted{service: q.service.Name(), work: q.work, tried: q.tried, engine: q.service.Engine()}
 	if w.engine.Slots() > 0 && q.call.Model != "" {
 		w.model, w.layers = q.call.Model, max(w.engine.Layers(), 1)
-		w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.call.Model, begins) }
+		w.least = func(begins time.Duration) uint64 { return g.leastVersion(q, begins) }
 		if q.sent == 0 {
 			w.wait = time.Duration(longestWait * float64(q.route.Objective()))
 		}
--- a/pkg/gateway/lapse_test.go
+++ b/pkg/gateway/lapse_test.go
@@ -129,6 +129,31 @@
 	}
 }
 
+// An engine that has gone on to the next version while the request waits serves it, and
+// one of which nothing is known now counts as it did when the request was sent.
+func TestLapseGoesByWhatIsKnownNow(t *testing.T) {
+	f := newLapsing(t, breakOff, breakOff)
+	q := &request{service: f.service(t), call: Call{Model: "menu"}}
+	old := f.backend("i-old")
+	f.hearNamed(time.Second)
+	first := f.gateway.lapseOf(q, old, 1)
+	if !first.lapses() {
+		t.Fatal("version 1 does not lapse")
+	}
+	f.hearNamed(time.Second / 2)
+	if second := f.gateway.lapseOf(q, old, 1); !second.at.Before(first.at) {
+		t.Fatalf("an earlier naming did not move the lapse from %s to before %s", second.at, first.at)
+	}
+	old.hearLoad(feed.NewLoad("menu", old.address, "menu", 0, 1, 0, 1, true, false))
+	if third := f.gateway.lapseOf(q, old, 1); third.served != 1 || !third.lapses() {
+		t.Fatalf("an engine of which nothing is known: %+v", third)
+	}
+	old.hearLoad(feed.NewLoad("menu", old.address, "menu", 2, 1, 0, 1, false, false))
+	if fourth := f.gateway.lapseOf(q, old, 1); fourth.lapses() {
+		t.Fatalf("the newest version lapses at %s", fourth.at)
+	}
+}
+
 func (f *fixture) backend(incarnation string) *backend {
 	for _, b := range f.gateway.backends.of("menu") {
 		if b.word().Incarnation() == incarnation {
@@ -138,6 +163,28 @@
 	return nil
 }
 
+func (f *fixture) service(t *testing.T) *serviceconfig.Service {
+	s, found := f.gateway.index.Load().Service("menu")
+	if !found {
+		t.Fatal("no service")
+	}
+	return s
+}
+
+// A request that would still run when the version's time ends goes to an engine that
+// serves the next one, however short it would wait.
+func TestRequestThatWouldNotEndInTimeGoesElsewhere(t *testing.T) {
+	f := newLapsing(t, wholeStream, wholeStream)
+	f.hearNamed(leastMargin + time.Second)
+	short, long := &request{call: Call{Model: "menu"}}, &request{call: Call{Model: "menu"}, run: 2 * time.Second}
+	if v := f.gateway.leastVersion(short, 0); v != 0 {
+		t.Fatalf("a short request needs version %d", v)
+	}
+	if v := f.gateway.leastVersion(long, 0); v != 2 {
+		t.Fatalf("a request of 2 s may go where version %d serves for 1.3 s yet", v)
+	}
+}
+
 // The engine drops for itself what has not begun in time: the break may come late or not
 // at all, since it lies behind whatever is on the link.
 func TestRequestCarriesTheTimeThatItsVersionHasLeft(t *testing.T) {
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -46,7 +46,7 @@
 	g.metrics.attempts.WithLabelValues(string(end)).Inc()
 	_ = level.Info(g.process.Logger).Log("msg", "attempt", "request", q.call.ID, "end", string(end), "backend", q.backend,
 		"service", q.service.Name(), "sent", q.sent, "left_ms", q.remaining().Milliseconds(),
-		"version", q.served, "lapses_ms", q.untilLapse(), "why", why)
+		"version", q.lapse.served, "lapses_ms", q.untilLapse(), "why", why)
 }
 
 // end logs and counts a request that is over.
@@ -65,16 +65,16 @@
 		"configuration", q.number, "organisation", q.organisation, "backend", q.backend, "sent", q.sent,
 		"sent_ms", q.sentAfter.Milliseconds(), "came_back", q.cameBack, "forecast_ms", q.forecast.Milliseconds(), "first_ms", q.firstByte.Milliseconds(), "pause_ms", q.pause.Milliseconds(),
 		"objective_ms", objective.Milliseconds(), "pause_objective_ms", pauseObjective.Milliseconds(), "allowed_ms", q.call.Deadline.Milliseconds(), "ms", time.Since(q.started).Milliseconds(),
-		"version", q.served, "lapses_ms", q.untilLapse(), "why", why)
+		"version", q.lapse.served, "lapses_ms", q.untilLapse(), "why", why)
 }
 
 // untilLapse is for how long yet, in milliseconds, the version where the request went
 // last may serve, by what was known when it was sent there; nil when it does not lapse.
 func (q *request) untilLapse() any {
-	if q.lapses.IsZero() {
+	if !q.lapse.lapses() {
 		return nil
 	}
-	return time.Until(q.lapses).Milliseconds()
+	return time.Until(q.lapse.at).Milliseconds()
 }
 
 // refusal is the body of a refusal.
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -58,6 +58,10 @@
 	q.mayHaveRun = true
 	q.runs++
 	q.fallback = held
+	if q.hasLapsed() {
+		x.gateway.note(q, attemptLapsed, strconv.Itoa(held.status))
+		return false
+	}
 	x.backend.failedRequest()
 	x.gateway.note(q, attemptFailed, strconv.Itoa(held.status))
 	return false
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -30,9 +30,10 @@
 	cameBack bool // the caller was refused before
 
 	started  time.Time
-	deadline time.Time // of the answer: the caller's or the route's
-	work     time.Duration
+	deadline time.Time     // of the answer: the caller's or the route's
+	work     time.Duration // what it takes of an engine's time
 	prefill  time.Duration
+	run      time.Duration // from its first turn at an engine to its last event
 
 	tried      map[*backend]bool
 	sent       int // attempts that reached a backend server
@@ -48,8 +49,7 @@
 	eventAt    time.Time     // of the last event passed on
 	pause      time.Duration // the longest between two events passed on
 	forecast   time.Duration // of the first event, by the stager that granted a place
-	served     uint64        // version of the weights at the last backend server when it was sent there
-	lapses     time.Time     // when that version's time ends, as known then; zero when it does not
+	lapse      lapse         // of the version at the last backend server, as known when it was sent there
 }
 
 // remaining is how much of the time is left.
@@ -76,7 +76,9 @@
 		answer = min(answer, q.call.LikelyTokens)
 	}
 	q.prefill = e.Reading(prompt)
-	q.work = q.prefill + time.Duration(answer)*e.Step()/time.Duration(e.Slots())
+	writing := time.Duration(answer) * e.Step()
+	q.work = q.prefill + writing/time.Duration(e.Slots())
+	q.run = q.prefill + writing
 }
 
 // sawEvents notes that events come, and how long none had come before.
--- a/pkg/gateway/versions.go
+++ b/pkg/gateway/versions.go
@@ -2,8 +2,8 @@
 // Which version of a model's weights a request may use. Shortly after a version
 // was named both the old and the new one serve; from some time before the end
 // of the agreed time on only the new one does. How long before depends on how
-// long requests took to begin at the backend server of late: one that waits
-// there must not begin on the old version after the agreed time.
+// long requests took to begin at the backend server of late, and on how long the request
+// runs: it has to be over by then, since its deadline there ends with the agreed time.
 //
 // Rejected: the same margin for all. 1.2 s took old engines out too early when
 // all of them were quick, and was too short behind a narrow link.
@@ -18,16 +18,13 @@
 	// time an old version gets no more requests.
 	leastMargin = 300 * time.Millisecond
 	mostMargin  = 3 * time.Second
-	// lapseMargin is how long before that a request that has not begun on an
-	// old version is taken back.
-	lapseMargin = 600 * time.Millisecond
 )
 
 // leastVersion returns the least version that a request may use at a backend
 // server where requests took begins to begin.
-func (g *Gateway) leastVersion(model string, begins time.Duration) uint64 {
-	margin := min(leastMargin+begins, mostMargin)
-	return g.versions.Due(model, g.settings.WeightsWithin()-margin, time.Now())
+func (g *Gateway) leastVersion(q *request, begins time.Duration) uint64 {
+	margin := min(leastMargin+begins+q.run, mostMargin)
+	return g.versions.Due(q.call.Model, g.settings.WeightsWithin()-margin, time.Now())
 }
 
 // expectedVersion returns the version that a backend server is told to insist
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -34,50 +34,34 @@
 	last     atomic.Int64 // of this attempt, since its start
 	flowing  atomic.Bool  // events come
 	barked   atomic.Bool
-	lapse    *time.Timer // nil where the version does not lapse
-	lapsed   atomic.Bool
+	served   uint64      // the version there when the request was sent
+	lapsed   atomic.Bool // it was taken back for its version
 }
 
 func newWatchdog(x *exchange) *watchdog {
-	w := &watchdog{exchange: x}
+	w := &watchdog{exchange: x, served: x.request.lapse.served}
 	if x.request.route.Idempotent() {
-		w.timer = time.AfterFunc(lookAfter, w.look)
-		w.watchLapse()
+		// It must be there before the first look, which sets it again.
+		w.timer = time.AfterFunc(time.Hour, w.look)
+		w.timer.Reset(w.untilLook())
 	}
 	return w
 }
 
-// watchLapse has the request taken back that has not begun when the version
-// that its backend server serves lapses.
-func (w *watchdog) watchLapse() {
-	q, g := w.exchange.request, w.exchange.gateway
-	engine := q.service.Engine()
-	if engine.Slots() == 0 || q.call.Model == "" {
-		return
-	}
-	served := w.exchange.backend.servedVersion(q.call.Model, max(engine.Layers(), 1))
-	q.served, q.lapses = served, time.Time{}
-	next := g.versions.Next(q.call.Model, served)
-	if served == 0 || next.Version() == 0 {
-		return
-	}
-	at := next.Since().Add(g.settings.WeightsWithin())
-	q.lapses = at
-	w.lapse = time.AfterFunc(time.Until(at)-lapseMargin, func() {
-		if !w.flowing.Load() {
-			w.lapsed.Store(true)
-			w.exchange.conn.Abort()
-		}
-	})
-}
-
 func (w *watchdog) stop() {
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	if w.lapse != nil {
-		w.lapse.Stop()
+}
+
+// untilLook is the time to the next look: none misses the moment at which the attempt is
+// taken back, and what is heard of a version counts from the next one on.
+func (w *watchdog) untilLook() time.Duration {
+	left, lapses := w.untilTakenBack()
+	if !lapses || w.flowing.Load() {
+		return lookAfter
 	}
+	return max(0, min(left, lookAfter))
 }
 
 // progress notes that the backend server said something.
@@ -93,7 +77,7 @@
 }
 
 func (w *watchdog) look() {
-	if w.exchange.request.ctx.Err() != nil {
+	if w.exchange.request.ctx.Err() != nil || w.takeBackLapsed() {
 		return
 	}
 	if b := w.exchange.backend; time.Since(time.Unix(0, b.heardAt.Load())) > silentBeforeDial {
@@ -105,7 +89,7 @@
 		w.exchange.conn.Abort()
 		return
 	}
-	w.timer.Reset(lookAfter)
+	w.timer.Reset(w.untilLook())
 }
 
 // limit is how long the attempt may be silent now.
