--- a/pkg/control/cluster_test.go
+++ b/pkg/control/cluster_test.go
@@ -232,6 +232,33 @@
 	c.mustRead(c.nodes[2], 8)
 }
 
+// One node loses its disk at the moment at which all others lose power: what was
+// acknowledged just before is read from the disks that are left, whichever node it was.
+func TestDiskIsLostWhileAllOthersLosePower(t *testing.T) {
+	for i, name := range []string{"first", "second", "third"} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3)
+			c.awaitVoters(c.nodes...)
+			c.put(c.nodes[0], 7)
+			c.put(c.nodes[i], 8)
+			for j, n := range c.nodes {
+				c.stop(n)
+				n.bootstrap = false
+				n.disk.Crash(0)
+				if j == i {
+					n.disk = disk.NewMemory()
+				}
+			}
+			for _, n := range c.nodes {
+				c.start(n)
+			}
+			for _, n := range c.nodes {
+				c.mustRead(n, 8)
+			}
+		})
+	}
+}
+
 // All nodes at once lose power; their disks hold what was acknowledged.
 func TestAllNodesRestart(t *testing.T) {
 	c := newCluster(t, 3)
