Tests that fail: a named version's age is lost by those who start anew

Seen: an engine on old weights got a request after the agreed time. The age of a named version is kept only in the memory of processes that lived through its naming.

Passing before and after, as guards: TestSnapshotsOfAnEarlierReleaseAreRead, TestVersionThatFellOutIsNotHeardAnew, TestShorterHelloIsRead.

Seams without effect yet, so that the tests build: State's clock, the follower's Weights, the member's agreed time.

--- /dev/null
+++ b/pkg/control/ages_test.go
@@ -0,0 +1,232 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/tidepost/tidepost/pkg/disk"
+	"github.com/tidepost/tidepost/pkg/event"
+	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/vm"
+)
+
+// stateOn returns a state on a clock.
+func stateOn(clock *time.Time) *State {
+	s := NewState(func() {})
+	s.now = func() time.Time { return *clock }
+	return s
+}
+
+func nameAt(t *testing.T, s *State, version uint64) {
+	t.Helper()
+	data, err := msgpack.Marshal(command{version: &VersionName{"menu", version}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.apply(0, data)
+}
+
+// agesOf returns the ages that a state tells, by version.
+func agesOf(s *State) map[uint64]time.Duration {
+	ages := map[uint64]time.Duration{}
+	for _, w := range s.Weights() {
+		ages[w.Version()] = w.Age()
+	}
+	return ages
+}
+
+func mustTell(t *testing.T, s *State, ages map[uint64]time.Duration) {
+	t.Helper()
+	got := agesOf(s)
+	if len(got) != len(ages) {
+		t.Fatalf("told %v, wanted %v", got, ages)
+	}
+	for version, age := range ages {
+		if got[version] != age {
+			t.Fatalf("told %v, wanted %v", got, ages)
+		}
+	}
+}
+
+// awaitAge waits until a node tells that a version was named at least age ago.
+func (c *cluster) awaitAge(n *testNode, version uint64, age time.Duration) {
+	c.t.Helper()
+	c.eventually(fmt.Sprintf("age at %s", n.name), func() error {
+		if got := agesOf(n.node.service.state); got[version] < age {
+			return fmt.Errorf("version %d is told to be %s old, not %s", version, got[version], age)
+		}
+		return nil
+	})
+}
+
+// longAgo is more than passes while a test waits.
+const longAgo = time.Hour
+
+// Seen: an engine on old weights got a request after the agreed time. A node that
+// had started anew stamped the version with the time at which it read its own log
+// again, told the feed so, and a gateway that had started beside it gave the old
+// engine as much time as if the version had just been named, although other nodes
+// knew better all the while. Proved by the age that the node goes on telling.
+func TestRestartedNodeLearnsTheAgeFromTheOthers(t *testing.T) {
+	for name, restart := range map[string]func(*testNode){
+		"from its disk":          func(*testNode) {},
+		"with its disk replaced": func(n *testNode) { n.disk = disk.NewMemory() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3)
+			c.awaitVoters(c.nodes...)
+			c.eventually("name", func() error { return c.nodes[0].node.service.NameVersion(context.Background(), "menu", 2) })
+			for _, n := range c.nodes {
+				c.awaitAge(n, 2, 1)
+			}
+			c.ahead.Add(int64(longAgo))
+			again := c.nodes[2]
+			c.stop(again)
+			restart(again)
+			again.bootstrap = false
+			c.start(again)
+			c.awaitAge(again, 2, longAgo)
+		})
+	}
+}
+
+// Seen: as above, where the node joined late. The snapshot that it took named the
+// version and held no time, so it stamped that with the moment of its joining.
+func TestSnapshotHoldsTheAges(t *testing.T) {
+	here := time.Unix(1000, 0)
+	s := stateOn(&here)
+	nameAt(t, s, 2)
+	here = here.Add(6 * time.Second)
+	nameAt(t, s, 3)
+	here = here.Add(time.Second)
+	raw, err := s.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Another machine's clock shows another time.
+	there := time.Unix(5, 0)
+	joining := stateOn(&there)
+	if err := joining.restore(raw); err != nil {
+		t.Fatal(err)
+	}
+	mustTell(t, joining, map[uint64]time.Duration{2: 7 * time.Second, 3: time.Second})
+	there = there.Add(2 * time.Second)
+	mustTell(t, joining, map[uint64]time.Duration{2: 9 * time.Second, 3: 3 * time.Second})
+	// A node that opens its disk again keeps what it knows.
+	here = here.Add(10 * time.Second)
+	if err := s.restore(raw); err != nil {
+		t.Fatal(err)
+	}
+	mustTell(t, s, map[uint64]time.Duration{2: 17 * time.Second, 3: 11 * time.Second})
+}
+
+// Snapshots go between releases both ways: an earlier one writes a version's name
+// alone, one of each model, and reads the first two parts of each.
+func TestSnapshotsOfAnEarlierReleaseAreRead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := stateOn(&now)
+	earlier, err := msgpack.Marshal([]any{nil, []VersionName{{"menu", 3}, {"soup", 8}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.restore(earlier); err != nil {
+		t.Fatal(err)
+	}
+	if s.Version("menu") != 3 || s.Version("soup") != 8 {
+		t.Fatalf("versions %d and %d", s.Version("menu"), s.Version("soup"))
+	}
+	nameAt(t, s, 4)
+	raw, err := s.snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var parts []msgpack.RawMessage
+	if err := msgpack.Unmarshal(raw, &parts); err != nil {
+		t.Fatal(err)
+	}
+	var names []VersionName
+	if err := msgpack.Unmarshal(parts[1], &names); err != nil {
+		t.Fatal(err)
+	}
+	newest := map[string]uint64{}
+	for _, n := range names {
+		newest[n.Model()] = max(newest[n.Model()], n.Version())
+	}
+	if newest["menu"] != 4 || newest["soup"] != 8 {
+		t.Fatalf("an earlier release reads %v", names)
+	}
+}
+
+// Seen: an engine on old weights got requests until the time of the later of two
+// versions. A gateway had started anew after the later one was named; nodes told
+// only that one, so it could not know that the earlier one was due before. Only
+// gateways that had lived through both sent nothing there.
+func TestFollowerThatStartsAnewHearsOfTheEarlierVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := stateOn(&now)
+	nameAt(t, s, 2)
+	now = now.Add(5 * time.Second)
+	nameAt(t, s, 3)
+	now = now.Add(time.Second)
+	anew := feed.NewVersions()
+	anew.Hear(s.Weights(), now)
+	if next := anew.Next("menu", 1); next.Version() != 2 || now.Sub(next.Since()) != 6*time.Second {
+		t.Fatalf("version %d, named %s ago, is the next above 1", next.Version(), now.Sub(next.Since()))
+	}
+	if due := anew.Due("menu", 6*time.Second, now); due != 2 {
+		t.Fatalf("version %d has been named for 6 s", due)
+	}
+	if s.Version("menu") != 3 || anew.Newest("menu").Version() != 3 {
+		t.Fatal("the newest version is not the last one named")
+	}
+}
+
+// Seen: as in the first test, with all nodes killed at one moment: none of them
+// knew the version's age then, but gateways and stagers did, and nobody asked
+// them. What they tell counts for versions that the log holds, and names none.
+func TestAgesOutliveAllNodesInAFollower(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitVoters(c.nodes...)
+	c.eventually("name", func() error { return c.nodes[0].node.service.NameVersion(context.Background(), "menu", 2) })
+	for _, n := range c.nodes {
+		c.stop(n)
+		n.disk.Crash(0)
+		n.bootstrap = false
+	}
+	c.follow([]feed.Weights{feed.NewWeights("menu", 2, longAgo), feed.NewWeights("menu", 9, longAgo)})
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	for _, n := range c.nodes {
+		c.awaitAge(n, 2, longAgo)
+		if version := n.node.service.state.Version("menu"); version != 2 {
+			t.Fatalf("%s takes version %d as named, which only a follower told", n.name, version)
+		}
+	}
+}
+
+// follow starts a gateway's follower that knows of versions.
+func (c *cluster) follow(known []feed.Weights) {
+	identity := vm.NewIdentity("front-1", 1, "north", "hall-front", "127.0.0.1:1")
+	e := link.NewEndpoint(link.Config{
+		Own: identity, Clock: event.NewClock(time.Now), Logger: log.NewNopLogger(), Dial: (&testNode{name: "front-1"}).dial,
+	})
+	f := &feed.Follower{
+		Endpoint: e, Hello: feed.NewHello(feed.RoleGateway, identity, "", ""), Seeds: c.seeds,
+		Held: func() uint64 { return math.MaxUint64 }, Take: func(string, feed.Update) {},
+		Weights: func() []feed.Weights { return known }, Logger: log.NewNopLogger(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.t.Cleanup(func() {
+		cancel()
+		e.Close()
+	})
+	go func() { _ = f.Run(ctx) }()
+}
--- a/pkg/control/cluster_test.go
+++ b/pkg/control/cluster_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +25,7 @@
 type cluster struct {
 	t     *testing.T
 	nodes []*testNode
+	ahead atomic.Int64 // how far the clock of named versions runs ahead
 }
 
 // testNode is one node with its disk, which outlives it.
@@ -92,6 +94,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	n.node.service.state.now = func() time.Time { return time.Now().Add(time.Duration(c.ahead.Load())) }
 	// The nodes of a test share an address and differ by port.
 	n.node.member.config.seeds = func() []string { return c.seeds() }
 	n.node.others.Seeds = n.node.member.config.seeds
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -72,6 +72,7 @@
 // State is the agreed state at one node. It is safe for concurrent use.
 type State struct {
 	changed func()
+	now     func() time.Time
 
 	mu            sync.RWMutex
 	configuration *Configuration
@@ -81,7 +82,7 @@
 // NewState returns an empty state; changed is called after each change, from
 // the goroutine that applied it.
 func NewState(changed func()) *State {
-	return &State{changed: changed, versions: map[string]namedVersion{}}
+	return &State{changed: changed, now: time.Now, versions: map[string]namedVersion{}}
 }
 
 // StateMachine is the state as the control log applies commands to it.
@@ -112,7 +113,7 @@
 		changed = true
 	}
 	if v != nil && v.version > s.versions[v.model].version {
-		s.versions[v.model] = namedVersion{v.version, time.Now()}
+		s.versions[v.model] = namedVersion{v.version, s.now()}
 		changed = true
 	}
 	return changed
@@ -182,7 +183,7 @@
 	defer s.mu.RUnlock()
 	var all []feed.Weights
 	for model, named := range s.versions {
-		all = append(all, feed.NewWeights(model, named.version, time.Since(named.at)))
+		all = append(all, feed.NewWeights(model, named.version, s.now().Sub(named.at)))
 	}
 	sort.Slice(all, func(a, b int) bool { return all[a].Model() < all[b].Model() })
 	return all
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -58,6 +58,8 @@
 	// Take takes an Update of the node at an address. It is called from one
 	// goroutine a node, at the same time for several nodes.
 	Take func(address string, u Update)
+	// Weights returns the named versions that are known here.
+	Weights func() []Weights
 	// Logger gets a line for each node that is found or lost.
 	Logger log.Logger
 
--- /dev/null
+++ b/pkg/feed/versions_test.go
@@ -0,0 +1,107 @@
+package feed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/tidepost/tidepost/pkg/vm"
+)
+
+var heardAt = time.Unix(1000, 0)
+
+func mustNext(t *testing.T, table *Versions, above, version uint64, age time.Duration) {
+	t.Helper()
+	if n := table.Next("menu", above); n.Version() != version || heardAt.Sub(n.Since()) != age {
+		t.Fatalf("above version %d: version %d, named %s ago; wanted %d, %s", above, n.Version(), heardAt.Sub(n.Since()), version, age)
+	}
+}
+
+// Seen: an engine on old weights got requests after the agreed time. A gateway
+// heard of two versions from a node that had started anew, and so took both for
+// younger than they were. A node that had lived through told their ages, and only
+// that of the last version was put right: the time of the one before, which ends
+// first, stayed too late.
+func TestEarlierTimeIsTakenForEveryVersion(t *testing.T) {
+	table := NewVersions()
+	table.Hear([]Weights{NewWeights("menu", 2, 0)}, heardAt)
+	table.Hear([]Weights{NewWeights("menu", 3, 0)}, heardAt)
+	if table.Hear([]Weights{NewWeights("menu", 2, 5*time.Second), NewWeights("menu", 3, 2*time.Second)}, heardAt) {
+		t.Fatal("a version that was known counts as newly heard")
+	}
+	mustNext(t, table, 1, 2, 5*time.Second)
+	mustNext(t, table, 2, 3, 2*time.Second)
+	// A node that knows less moves nothing.
+	table.Hear([]Weights{NewWeights("menu", 2, time.Second), NewWeights("menu", 3, 0)}, heardAt)
+	mustNext(t, table, 1, 2, 5*time.Second)
+}
+
+// Seen: as above, where the gateway had heard of the last version alone, from a
+// node that told no other. The one before was then told by another node and was
+// dropped, being lower than what was held.
+func TestOlderVersionHeardLateIsDueAtItsOwnTime(t *testing.T) {
+	table := NewVersions()
+	table.Hear([]Weights{NewWeights("menu", 3, time.Second)}, heardAt)
+	both := []Weights{NewWeights("menu", 2, 3*time.Second), NewWeights("menu", 3, time.Second)}
+	if !table.Hear(both, heardAt) {
+		t.Fatal("a version that was not known does not count as newly heard")
+	}
+	if table.Hear(both, heardAt) {
+		t.Fatal("versions that are known count as newly heard")
+	}
+	mustNext(t, table, 1, 2, 3*time.Second)
+	mustNext(t, table, 2, 3, time.Second)
+	if newest := table.Newest("menu").Version(); newest != 3 {
+		t.Fatalf("the newest version is %d", newest)
+	}
+	if due := table.Due("menu", 2*time.Second, heardAt); due != 2 {
+		t.Fatalf("version %d has been named for 2 s", due)
+	}
+	if due := table.Due("menu", time.Second, heardAt); due != 3 {
+		t.Fatalf("version %d has been named for 1 s", due)
+	}
+}
+
+// Versions are named in order, so whoever knows the age of one knows that the
+// earlier ones are no younger: a node that started anew and heard of the last
+// one's age alone must not tell that an earlier one has all of its time.
+func TestEarlierVersionIsNoYoungerThanALaterOne(t *testing.T) {
+	table := NewVersions()
+	table.Hear([]Weights{NewWeights("menu", 2, 0), NewWeights("menu", 3, 4*time.Second)}, heardAt)
+	mustNext(t, table, 1, 2, 4*time.Second)
+	table.Hear([]Weights{NewWeights("menu", 4, 6*time.Second)}, heardAt)
+	mustNext(t, table, 1, 2, 6*time.Second)
+	mustNext(t, table, 2, 3, 6*time.Second)
+}
+
+// The table is bounded, and what fell out of it is told again with each Update: it
+// must not wake those who wait for something new each time.
+func TestVersionThatFellOutIsNotHeardAnew(t *testing.T) {
+	table := NewVersions()
+	for version := range uint64(maxNamed) {
+		table.Hear([]Weights{NewWeights("menu", 10+version, 0)}, heardAt)
+	}
+	if table.Hear([]Weights{NewWeights("menu", 9, 0)}, heardAt) {
+		t.Fatal("a version older than all of a full table counts as newly heard")
+	}
+	mustNext(t, table, 1, 10, 0)
+	if newest := table.Newest("menu").Version(); newest != 10+maxNamed-1 {
+		t.Fatalf("the newest version is %d", newest)
+	}
+}
+
+// A follower of an earlier release says nothing of versions in its Hello.
+func TestShorterHelloIsRead(t *testing.T) {
+	raw, err := msgpack.Marshal([]any{RoleStager, vm.NewIdentity("s", 1, "north", "hall-a", "10.0.0.1:7700"), "menu", "10.0.0.1:80"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var hello Hello
+	if err := msgpack.Unmarshal(raw, &hello); err != nil {
+		t.Fatal(err)
+	}
+	if hello.Role() != RoleStager || hello.Self().Domain() != "hall-a" || hello.Engine() != "10.0.0.1:80" {
+		t.Fatalf("read as %+v", hello)
+	}
+}
--- a/pkg/staging/member.go
+++ b/pkg/staging/member.go
@@ -36,6 +36,7 @@
 	running  context.Context
 	index    serviceconfig.Current
 	versions *feed.Versions
+	within   time.Duration // the agreed time; 0 where it is not known
 	wake     chan struct{}
 	beside   beside
 
