A named version keeps its age over restarts, and an earlier one its own time

Cause: the time at which an agreed version falls due was kept only in the memory of those who lived through its naming. So whoever started anew took a version for younger than it was, or did not know that an earlier one fell due first, and went on sending to old engines.

Now the age is the largest that anybody alive knows. What is named and in which order the log alone says; an age told before the log brings its version waits for it. A change of 50 ms and more wakes the followers at once and stands in the log; a smaller one goes with the next Update.

Telling earlier versions would have made stagers that start anew gather backwards: the newest counted as not to be had, being named long ago with nothing of it here. It is now tried from when it was heard of, and a version whose successor is due is nobody's next. Caches are not told the agreed time and take a minute for it.

A minute would be too short: the settings allow an agreed time of an hour. A version takes 30 bytes with a name of ten letters.

Ruled out: the time of day in the log (clocks of machines step by seconds); ages for versions that only a follower or another node knows (the log decides).

The calls of NewHello in tests got the new argument, nothing else in them changed.

Left: where every process that knew an age is gone at once, it begins anew.

--- a/pkg/control/ages_test.go
+++ b/pkg/control/ages_test.go
@@ -188,6 +188,41 @@
 	}
 }
 
+// A follower or another node may tell before the log has brought the version here;
+// what they tell names none.
+func TestAgeToldBeforeTheLogBringsTheVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := stateOn(&now)
+	s.Learn([]feed.Weights{feed.NewWeights("menu", 2, 7*time.Second), feed.NewWeights("menu", 3, 4*time.Second)}, "gateway", "front-1")
+	mustTell(t, s, nil)
+	now = now.Add(time.Second)
+	nameAt(t, s, 2)
+	mustTell(t, s, map[uint64]time.Duration{2: 8 * time.Second})
+	nameAt(t, s, 1)
+	mustTell(t, s, map[uint64]time.Duration{2: 8 * time.Second})
+	nameAt(t, s, 3)
+	mustTell(t, s, map[uint64]time.Duration{2: 8 * time.Second, 3: 5 * time.Second})
+}
+
+// Nodes tell each other the ages with each Update. A change that the way of an Update
+// makes is taken and wakes nobody, or they would wake each other without end.
+func TestOnlyAChangeOfAgeThatCountsIsToldAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := stateOn(&now)
+	told := 0
+	s.changed = func() { told++ }
+	nameAt(t, s, 2)
+	for _, step := range []struct {
+		age  time.Duration
+		told int
+	}{{10 * time.Millisecond, 1}, {40 * time.Millisecond, 1}, {20 * time.Millisecond, 1}, {5 * time.Second, 2}, {5 * time.Second, 2}, {4 * time.Second, 2}} {
+		s.Learn([]feed.Weights{feed.NewWeights("menu", 2, step.age)}, "node", "control-2")
+		if told != step.told || agesOf(s)[2] < step.age {
+			t.Fatalf("after an age of %s: told %d times, age %s", step.age, told, agesOf(s)[2])
+		}
+	}
+}
+
 // Seen: as in the first test, with all nodes killed at one moment: none of them
 // knew the version's age then, but gateways and stagers did, and nobody asked
 // them. What they tell counts for versions that the log holds, and names none.
@@ -219,7 +254,7 @@
 		Own: identity, Clock: event.NewClock(time.Now), Logger: log.NewNopLogger(), Dial: (&testNode{name: "front-1"}).dial,
 	})
 	f := &feed.Follower{
-		Endpoint: e, Hello: feed.NewHello(feed.RoleGateway, identity, "", ""), Seeds: c.seeds,
+		Endpoint: e, Hello: feed.NewHello(feed.RoleGateway, identity, "", "", nil), Seeds: c.seeds,
 		Held: func() uint64 { return math.MaxUint64 }, Take: func(string, feed.Update) {},
 		Weights: func() []feed.Weights { return known }, Logger: log.NewNopLogger(),
 	}
--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -86,11 +86,15 @@
 		metrics: newMetrics(process.Registry),
 	}
 	n.service.state = NewState(n.changed)
+	n.service.state.noted = func(moves []feed.Move, source, from string) {
+		feed.LogMoves(process.Logger, moves, source, from)
+	}
 	n.service.publisher = feed.NewPublisher(feed.Source{
 		Self:          process.Identity,
 		Number:        n.service.state.Number,
 		Document:      n.service.state.Document,
 		Weights:       n.service.state.Weights,
+		Known:         n.learnFrom,
 		Registrations: n.service.registry.All,
 		Nodes:         func() []string { return n.member.nodes() },
 		Confirmed:     func() bool { return n.member.confirmed() },
--- a/pkg/control/others.go
+++ b/pkg/control/others.go
@@ -34,15 +34,21 @@
 func (n *Node) newOthers() *feed.Follower {
 	return &feed.Follower{
 		Endpoint: n.process.Endpoint,
-		Hello:    feed.NewHello(feed.RoleNode, n.process.Identity, "", ""),
+		Hello:    feed.NewHello(feed.RoleNode, n.process.Identity, "", "", nil),
 		Seeds:    func() []string { return append(n.seedLinks(), n.member.nodes()...) },
 		// Documents come by the control log.
-		Held:   func() uint64 { return math.MaxUint64 },
-		Take:   n.takeOther,
-		Logger: n.process.Logger,
+		Held:    func() uint64 { return math.MaxUint64 },
+		Take:    n.takeOther,
+		Weights: n.service.state.Weights,
+		Logger:  n.process.Logger,
 	}
 }
 
+// learnFrom takes the ages of versions that a new follower knows of.
+func (n *Node) learnFrom(f feed.Hello) {
+	n.service.state.Learn(f.Weights(), string(f.Role()), f.Self().Address())
+}
+
 // takeOther takes what another control node tells.
 func (n *Node) takeOther(address string, u feed.Update) {
 	for _, r := range u.Registrations() {
@@ -51,6 +57,7 @@
 			n.service.logRegistration(word)
 		}
 	}
+	n.service.state.Learn(u.Weights(), string(feed.RoleNode), address)
 	n.service.publisher.Relayed(address, u)
 }
 
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -1,7 +1,13 @@
 // ================================================================
 // The agreed state of the control nodes: the newest service configuration and
-// the newest named version of each model's weights. Both only ever rise, so a
-// command that is applied twice, or late, changes nothing.
+// the named versions of each model's weights, of which the newest holds. Both
+// only ever rise, so a command that is applied twice, or late, changes nothing.
+//
+// The log says what is named and in which order. When that was, it cannot say: a
+// node that reads it again, or takes a snapshot, sees the versions later than they
+// were named. So a version's age is the largest that anybody alive knows: since it
+// was applied here, as a snapshot recorded it, or as another node or a follower
+// tells. Only where all that knew it have gone does it begin anew.
 // ================================================================
 
 // Package control is the control node: it agrees on the service configuration
@@ -12,7 +18,7 @@
 //go:generate go run github.com/tidepost/tidepost/tools/wiregen
 
 import (
-	"sort"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,30 +65,40 @@
 type image struct {
 	// configuration is the newest; nil when there is none.
 	configuration *Configuration
-	// versions are the named versions.
-	versions []VersionName
-}
-
-// namedVersion is a version and when it was applied here.
-type namedVersion struct {
-	version uint64
-	at      time.Time
+	// versions are the named versions with their ages, by model and oldest first.
+	// Earlier releases wrote the newest of each model, without an age.
+	versions []feed.Weights
 }
 
 // State is the agreed state at one node. It is safe for concurrent use.
 type State struct {
 	changed func()
 	now     func() time.Time
+	// noted gets what was learnt of versions and their ages, and where from.
+	noted func(moves []feed.Move, source, from string)
+
+	named *feed.Versions // as the log says
+	told  *feed.Versions // as others told, for versions that the log may still bring
 
 	mu            sync.RWMutex
 	configuration *Configuration
-	versions      map[string]namedVersion
 }
 
+// Where a version or its age was learnt, for the log; followers and other nodes go
+// by their roles.
+const (
+	sourceLog      = "applied"
+	sourceSnapshot = "snapshot"
+	sourceTold     = "told before"
+)
+
 // NewState returns an empty state; changed is called after each change, from
-// the goroutine that applied it.
+// the goroutine that made it.
 func NewState(changed func()) *State {
-	return &State{changed: changed, now: time.Now, versions: map[string]namedVersion{}}
+	return &State{
+		changed: changed, now: time.Now, noted: func([]feed.Move, string, string) {},
+		named: feed.NewVersions(), told: feed.NewVersions(),
+	}
 }
 
 // StateMachine is the state as the control log applies commands to it.
@@ -97,37 +113,65 @@
 		// keeps an older one running.
 		return nil
 	}
-	if s.take(c.configuration, c.version) {
+	changed := s.takeConfiguration(c.configuration)
+	if v := c.version; v != nil && v.version > s.Version(v.model) {
+		changed = s.name([]feed.Weights{feed.NewWeights(v.model, v.version, 0)}, sourceLog) || changed
+	}
+	if changed {
 		s.changed()
 	}
 	return nil
 }
 
-// take takes what is newer, and tells whether anything was.
-func (s *State) take(c *Configuration, v *VersionName) bool {
+// takeConfiguration takes a configuration that is newer, and tells whether it was.
+func (s *State) takeConfiguration(c *Configuration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed := false
-	if c != nil && (s.configuration == nil || c.document.Number() > s.configuration.document.Number()) {
-		s.configuration = c
-		changed = true
+	if c == nil || s.configuration != nil && c.document.Number() <= s.configuration.document.Number() {
+		return false
 	}
-	if v != nil && v.version > s.versions[v.model].version {
-		s.versions[v.model] = namedVersion{v.version, s.now()}
-		changed = true
+	s.configuration = c
+	return true
+}
+
+// name takes versions that the log names, with what others told of their ages
+// before, and tells whether that changed anything.
+func (s *State) name(all []feed.Weights, source string) bool {
+	now := s.now()
+	named := s.named.Take(all, now)
+	s.noted(named, source, "")
+	raised := s.named.Raise(s.toldOf(all, now), now)
+	s.noted(raised, sourceTold, "")
+	return count(named) || count(raised)
+}
+
+// toldOf returns the ages that others told of some versions.
+func (s *State) toldOf(all []feed.Weights, now time.Time) (told []feed.Weights) {
+	for _, w := range all {
+		if n := s.told.Next(w.Model(), w.Version()-1); n.Version() == w.Version() {
+			told = append(told, feed.NewWeights(w.Model(), w.Version(), now.Sub(n.Since())))
+		}
 	}
-	return changed
+	return told
 }
 
-func (s *State) snapshot() ([]byte, error) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	i := image{configuration: s.configuration}
-	for model, named := range s.versions {
-		i.versions = append(i.versions, VersionName{model, named.version})
+// Learn takes the ages of versions that another node or a follower knows of. It
+// names none: one that the log has not brought here yet waits for it.
+func (s *State) Learn(all []feed.Weights, source, from string) {
+	now := s.now()
+	s.told.Take(all, now)
+	raised := s.named.Raise(all, now)
+	s.noted(raised, source, from)
+	if count(raised) {
+		s.changed()
 	}
-	sort.Slice(i.versions, func(a, b int) bool { return i.versions[a].model < i.versions[b].model })
-	return msgpack.Marshal(i)
+}
+
+// count tells whether one of some changes is worth being told at once.
+func count(moves []feed.Move) bool { return slices.ContainsFunc(moves, feed.Move.Counts) }
+
+func (s *State) snapshot() ([]byte, error) {
+	return msgpack.Marshal(image{configuration: s.Configuration(), versions: s.Weights()})
 }
 
 // restore takes a snapshot. What is held and newer stays: a node that opens its
@@ -137,11 +181,8 @@
 	if err := msgpack.Unmarshal(raw, &i); err != nil {
 		return err
 	}
-	changed := s.take(i.configuration, nil)
-	for _, v := range i.versions {
-		changed = s.take(nil, &v) || changed
-	}
-	if changed {
+	changed := s.takeConfiguration(i.configuration)
+	if s.name(i.versions, sourceSnapshot) || changed {
 		s.changed()
 	}
 	return nil
@@ -170,21 +211,8 @@
 	return nil
 }
 
-// Version returns the named version of a model; 0 when there is none.
-func (s *State) Version(model string) uint64 {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return s.versions[model].version
-}
+// Version returns the newest named version of a model; 0 when there is none.
+func (s *State) Version(model string) uint64 { return s.named.Newest(model).Version() }
 
-// Weights returns all named versions for the feed.
-func (s *State) Weights() []feed.Weights {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	var all []feed.Weights
-	for model, named := range s.versions {
-		all = append(all, feed.NewWeights(model, named.version, s.now().Sub(named.at)))
-	}
-	sort.Slice(all, func(a, b int) bool { return all[a].Model() < all[b].Model() })
-	return all
-}
+// Weights returns the named versions that somebody may still wait for.
+func (s *State) Weights() []feed.Weights { return s.named.Weights(s.now()) }
--- a/pkg/control/wire_generated.go
+++ b/pkg/control/wire_generated.go
@@ -6,6 +6,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/tidepost/tidepost/pkg/controllog"
+	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
@@ -121,7 +122,7 @@
 }
 
 // newImage returns a image with the given fields.
-func newImage(configuration *Configuration, versions []VersionName) image {
+func newImage(configuration *Configuration, versions []feed.Weights) image {
 	return image{configuration: configuration, versions: versions}
 }
 
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -58,7 +58,8 @@
 	// Take takes an Update of the node at an address. It is called from one
 	// goroutine a node, at the same time for several nodes.
 	Take func(address string, u Update)
-	// Weights returns the named versions that are known here.
+	// Weights returns the named versions that are known here, for nodes that have
+	// started anew; nil where none are kept.
 	Weights func() []Weights
 	// Logger gets a line for each node that is found or lost.
 	Logger log.Logger
@@ -262,7 +263,11 @@
 	}
 	defer stream.Close()
 	stream.SetDeadline(time.Now().Add(silence))
-	if err := stream.Send(f.Hello); err != nil {
+	hello := f.Hello
+	if f.Weights != nil {
+		hello.weights = f.Weights()
+	}
+	if err := stream.Send(hello); err != nil {
 		return err
 	}
 	_ = level.Info(f.Logger).Log("msg", "control node found", "node", address)
--- a/pkg/feed/messages.go
+++ b/pkg/feed/messages.go
@@ -70,6 +70,9 @@
 	service string
 	// engine is the engine's address, of a stager.
 	engine string
+	// weights are the named versions that the follower knows of. A node that has
+	// started anew takes their ages from it; what is named the log alone decides.
+	weights []Weights
 }
 
 // Word is what a follower tells a node after its Hello.
@@ -121,9 +124,9 @@
 type Weights struct {
 	// model is the model's name.
 	model string
-	// version is the newest named version.
+	// version is a named version.
 	version uint64
-	// age is how long ago it was applied at the node.
+	// age is how long ago it was named at least, as far as the teller knows.
 	age time.Duration
 }
 
@@ -162,7 +165,8 @@
 	number uint64
 	// document is the one asked for; nil otherwise.
 	document *serviceconfig.Document
-	// weights are all named versions.
+	// weights are the named versions that somebody may still wait for, by model
+	// and oldest first: some 30 bytes each.
 	weights []Weights
 	// registrations are words that the follower has not heard from this node.
 	registrations []registry.Registration
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -52,6 +52,9 @@
 	Document func() *serviceconfig.Document
 	// Weights returns the named versions.
 	Weights func() []Weights
+	// Known takes the named versions that a follower knows of, before it is told
+	// anything; nil where nobody asks.
+	Known func(f Hello)
 	// Registrations returns all words that the node holds.
 	Registrations func() []registry.Registration
 	// Nodes returns the link addresses of the control nodes.
@@ -177,6 +180,9 @@
 	if err := stream.Receive(&hello); err != nil {
 		return err
 	}
+	if p.source.Known != nil {
+		p.source.Known(hello)
+	}
 	s := newSubscriber(hello)
 	s.queueWords(p.source.Registrations())
 	if !p.add(s) {
--- a/pkg/feed/versions_test.go
+++ b/pkg/feed/versions_test.go
@@ -1,9 +1,12 @@
 package feed
 
 import (
+	"bytes"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/tidepost/tidepost/pkg/vm"
@@ -91,6 +94,36 @@
 	}
 }
 
+// What nobody can wait for is not told each second; the newest version always is,
+// and of those that are due the last one.
+func TestVersionsThatNobodyWaitsForAreNotTold(t *testing.T) {
+	table := NewVersions()
+	table.Hear([]Weights{
+		NewWeights("menu", 2, 5*spentAfter), NewWeights("menu", 3, 4*spentAfter), NewWeights("menu", 4, time.Second),
+		NewWeights("broth", 7, 9*spentAfter),
+	}, heardAt)
+	want := []Weights{NewWeights("broth", 7, 9*spentAfter), NewWeights("menu", 3, 4*spentAfter), NewWeights("menu", 4, time.Second)}
+	if got := table.Weights(heardAt); !slices.Equal(got, want) {
+		t.Fatalf("told %v", got)
+	}
+}
+
+// The log tells when a process learnt of a version or of its age, from whom, and by
+// how much that moved it; what the way of an Update makes is left out.
+func TestChangesOfAgesAreLogged(t *testing.T) {
+	table := NewVersions()
+	var lines bytes.Buffer
+	for _, age := range []time.Duration{time.Second, time.Second + leastMove/2, 9 * time.Second} {
+		LogMoves(log.NewLogfmtLogger(&lines), table.Take([]Weights{NewWeights("menu", 2, age)}, heardAt), "node", "10.0.0.9:7700")
+	}
+	want := `level=info msg="age of a named version" model=menu version=2 age_ms=1000 new=true moved_ms=0 source=node from=10.0.0.9:7700
+level=info msg="age of a named version" model=menu version=2 age_ms=9000 new=false moved_ms=7975 source=node from=10.0.0.9:7700
+`
+	if lines.String() != want {
+		t.Fatalf("logged\n%s", lines.String())
+	}
+}
+
 // A follower of an earlier release says nothing of versions in its Hello.
 func TestShorterHelloIsRead(t *testing.T) {
 	raw, err := msgpack.Marshal([]any{RoleStager, vm.NewIdentity("s", 1, "north", "hall-a", "10.0.0.1:7700"), "menu", "10.0.0.1:80"})
--- a/pkg/feed/wire_generated.go
+++ b/pkg/feed/wire_generated.go
@@ -52,8 +52,8 @@
 }
 
 // NewHello returns a Hello with the given fields.
-func NewHello(role Role, self vm.Identity, service string, engine string) Hello {
-	return Hello{role: role, self: self, service: service, engine: engine}
+func NewHello(role Role, self vm.Identity, service string, engine string, weights []Weights) Hello {
+	return Hello{role: role, self: self, service: service, engine: engine, weights: weights}
 }
 
 // Role is what the follower is.
@@ -68,12 +68,16 @@
 // Engine is the engine's address, of a stager.
 func (h Hello) Engine() string { return h.engine }
 
+// Weights are the named versions that the follower knows of. A node that has
+// started anew takes their ages from it; what is named the log alone decides.
+func (h Hello) Weights() []Weights { return h.weights }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (h Hello) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(4); err != nil {
+	if err := enc.EncodeArrayLen(5); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(h.role, h.self, h.service, h.engine)
+	return enc.EncodeMulti(h.role, h.self, h.service, h.engine, h.weights)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -82,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&h.role, &h.self, &h.service, &h.engine}
+	fields := []any{&h.role, &h.self, &h.service, &h.engine, &h.weights}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -255,7 +259,8 @@
 // Document is the one asked for; nil otherwise.
 func (u Update) Document() *serviceconfig.Document { return u.document }
 
-// Weights are all named versions.
+// Weights are the named versions that somebody may still wait for, by model
+// and oldest first: some 30 bytes each.
 func (u Update) Weights() []Weights { return u.weights }
 
 // Registrations are words that the follower has not heard from this node.
@@ -324,10 +329,10 @@
 // Model is the model's name.
 func (w Weights) Model() string { return w.model }
 
-// Version is the newest named version.
+// Version is a named version.
 func (w Weights) Version() uint64 { return w.version }
 
-// Age is how long ago it was applied at the node.
+// Age is how long ago it was named at least, as far as the teller knows.
 func (w Weights) Age() time.Duration { return w.age }
 
 // EncodeMsgpack writes the fields in order, as one array.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -87,10 +87,11 @@
 	g.seeds = daemon.NewSeeds(path, s, settings.LoadGateway, process.Logger)
 	g.follower = &feed.Follower{
 		Endpoint: process.Endpoint,
-		Hello:    feed.NewHello(feed.RoleGateway, process.Identity, "", ""),
+		Hello:    feed.NewHello(feed.RoleGateway, process.Identity, "", "", nil),
 		Seeds:    func() []string { return link.WithPortOf(g.seeds.Get(), process.Identity.Address()) },
 		Held:     g.index.Number,
 		Take:     g.take,
+		Weights:  func() []feed.Weights { return g.versions.Weights(time.Now()) },
 		Logger:   process.Logger,
 	}
 	g.heardDemands = g.follower.Demands
@@ -106,7 +107,7 @@
 	for _, l := range u.Loads() {
 		g.backends.hearLoad(l)
 	}
-	g.versions.Hear(u.Weights(), time.Now())
+	feed.LogMoves(g.process.Logger, g.versions.Take(u.Weights(), time.Now()), string(feed.RoleNode), address)
 	d := u.Document()
 	if d == nil || !g.index.Raise(*d) {
 		return
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -62,7 +62,7 @@
 		{Path: "retries.window", Default: "10s", Unit: unitDuration, Doc: "time over which repeats are counted",
 			set: duration(time.Second, 10*time.Minute, func(s *Gateway) *time.Duration { return &s.retryWindow })},
 		{Path: "weights.within", Default: "1m", Unit: unitDuration, Doc: "time after a version's acknowledgement from which older weights get no requests",
-			set: duration(time.Second, time.Hour, func(s *Gateway) *time.Duration { return &s.weightsWithin })},
+			set: duration(time.Second, LongestWithin, func(s *Gateway) *time.Duration { return &s.weightsWithin })},
 		{Path: "requests.max_connections", Default: "2048", Unit: unitCount, Doc: "most connections of callers",
 			set: count(1, 1<<20, func(s *Gateway) *int { return &s.maxConnections })},
 		memoryKey(func(s *Gateway) *int64 { return &s.memory }),
--- a/pkg/settings/staging.go
+++ b/pkg/settings/staging.go
@@ -40,7 +40,7 @@
 		{Path: "engine.service", Unit: unitText, Doc: "the service that the engine belongs to",
 			set: text(func(s *Staging) *string { return &s.service })},
 		{Path: "weights.within", Default: "1m", Unit: unitDuration, Doc: "time after a version's acknowledgement within which it is to be in force",
-			set: duration(time.Second, time.Hour, func(s *Staging) *time.Duration { return &s.within })},
+			set: duration(time.Second, LongestWithin, func(s *Staging) *time.Duration { return &s.within })},
 		memoryKey(func(s *Staging) *int64 { return &s.memory }),
 	}...)
 }
--- a/pkg/settings/values.go
+++ b/pkg/settings/values.go
@@ -78,6 +78,10 @@
 	}
 }
 
+// LongestWithin is the longest time that may be agreed on for new weights to be in
+// force. Control nodes tell a version for as long as somebody can wait for it.
+const LongestWithin = time.Hour
+
 func duration[T any](least, most time.Duration, field func(*T) *time.Duration) func(*T, value) error {
 	return func(t *T, v value) error {
 		d, err := time.ParseDuration(v.text)
--- a/pkg/staging/cache.go
+++ b/pkg/staging/cache.go
@@ -27,6 +27,10 @@
 	cacheUploads = 64
 	// cacheLook is the time between looks at what is named.
 	cacheLook = time.Second
+	// usualWithin stands for the agreed time, which a cache is not told: where the
+	// newest version is not to be had, it gathers none whose successor is due. A
+	// cache that has just started hears of hours of them.
+	usualWithin = time.Minute
 )
 
 // Cache keeps copies for the stagers.
@@ -39,11 +43,13 @@
 // addresses of control nodes; open opens the folder of the copies, and may be
 // nil for a cache in memory.
 func NewCache(process *daemon.Process, protocol Protocol, seeds func() []string, open func() (*disk.Folder, error)) *Cache {
-	hello := feed.NewHello(feed.RoleCache, process.Identity, "", "")
-	return &Cache{
+	hello := feed.NewHello(feed.RoleCache, process.Identity, "", "", nil)
+	k := &Cache{
 		Member: newMember(process, protocol, hello, seeds, cacheUploads),
 		store:  newCopyStore(open, process.Logger),
 	}
+	k.within = usualWithin
+	return k
 }
 
 // Run runs the cache until the context ends.
--- a/pkg/staging/due_test.go
+++ b/pkg/staging/due_test.go
@@ -1,10 +1,13 @@
 package staging
 
 import (
+	"io"
 	"testing"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/settings"
 )
 
 // anew returns a member that has just started and was told of versions 2 and 3 of a
@@ -25,6 +28,60 @@
 	}
 }
 
+// While the origin is away nothing of the newest version comes. A cache then gathers
+// the one before for engines that wait for it, and none that nobody can use any more.
+func TestCacheThatStartsAnewGathersNoSpentVersion(t *testing.T) {
+	process, err := daemon.New(settings.Common{}, 1, daemon.Seams{Log: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := NewCache(process, Protocol{}, func() []string { return nil }, nil)
+	long := time.Now().Add(-2 * stallAfter) // since then it tries in vain
+	k.versions.Hear([]feed.Weights{
+		feed.NewWeights("menu", 2, 40*time.Minute), feed.NewWeights("menu", 3, 20*time.Minute), feed.NewWeights("menu", 4, 20*time.Second),
+	}, long)
+	if got := k.target("menu", 0).Version(); got != 3 {
+		t.Fatalf("version %d is gathered", got)
+	}
+	if got := k.target("menu", 3).Version(); got != 4 {
+		t.Fatalf("version %d is gathered where 3 is held", got)
+	}
+}
+
+// A member is woken by a version that it did not know, also by an earlier one told
+// late, not by an age that changes; and it tells its ages to nodes that start anew.
+func TestMemberKeepsTheAgesOfAllNamedVersions(t *testing.T) {
+	process, err := daemon.New(settings.Common{}, 1, daemon.Seams{Log: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := NewCache(process, Protocol{}, func() []string { return nil }, nil).Member
+	for _, step := range []struct {
+		told []feed.Weights
+		wake bool
+	}{
+		{[]feed.Weights{feed.NewWeights("menu", 3, 0)}, true},
+		{[]feed.Weights{feed.NewWeights("menu", 2, time.Second), feed.NewWeights("menu", 3, 0)}, true},
+		{[]feed.Weights{feed.NewWeights("menu", 2, time.Hour), feed.NewWeights("menu", 3, time.Minute)}, false},
+	} {
+		m.takeUpdate("10.0.0.9:7700", feed.NewUpdate(0, nil, step.told, nil, true, nil, 0, false, nil, nil, nil, nil))
+		select {
+		case <-m.wake:
+			if !step.wake {
+				t.Fatalf("woken by %v", step.told)
+			}
+		default:
+			if step.wake {
+				t.Fatalf("not woken by %v", step.told)
+			}
+		}
+	}
+	told := m.follower.Weights()
+	if len(told) != 2 || told[0].Version() != 2 || told[0].Age() < time.Hour || told[1].Age() < time.Minute {
+		t.Fatalf("told %v", told)
+	}
+}
+
 // A version may be served until the time of the next one ends, so one whose
 // successor is due as well is no engine's next.
 func TestVersionWhoseSuccessorIsDueIsNotNext(t *testing.T) {
--- a/pkg/staging/member.go
+++ b/pkg/staging/member.go
@@ -77,7 +77,8 @@
 		uploads: make(chan struct{}, uploads), underWay: map[fetchKey]bool{}, versions: feed.NewVersions(), copies: map[string][]*weightsCopy{},
 	}
 	m.follower = &feed.Follower{
-		Endpoint: process.Endpoint, Hello: hello, Seeds: seeds, Held: m.index.Number, Take: m.takeUpdate, Logger: process.Logger,
+		Endpoint: process.Endpoint, Hello: hello, Seeds: seeds, Held: m.index.Number, Take: m.takeUpdate,
+		Weights: func() []feed.Weights { return m.versions.Weights(time.Now()) }, Logger: process.Logger,
 	}
 	process.Endpoint.Handle(link.KindChunkOf, m.serveQuestion)
 	process.Endpoint.Handle(link.KindChunkNotice, m.serveNotices)
@@ -85,11 +86,13 @@
 }
 
 // takeUpdate takes what a control node tells.
-func (m *Member) takeUpdate(_ string, u feed.Update) {
+func (m *Member) takeUpdate(address string, u feed.Update) {
 	for _, r := range u.Registrations() {
 		m.registry.Hear(r)
 	}
-	changed := m.versions.Hear(u.Weights(), time.Now())
+	moves := m.versions.Take(u.Weights(), time.Now())
+	feed.LogMoves(m.process.Logger, moves, string(feed.RoleNode), address)
+	changed := feed.HasNew(moves)
 	if d := u.Document(); d != nil && m.index.Raise(*d) {
 		changed = true
 	}
@@ -114,8 +117,14 @@
 func (m *Member) wanted(model string) feed.Named { return orFirst(m.versions.Newest(model)) }
 
 // nextDue returns the oldest named version above the one that is served: its
-// time ends first, whatever was named after it.
+// time ends first, whatever was named after it. Where the time of later ones is
+// over too it is the last of these: requests may use none before.
 func (m *Member) nextDue(model string, served uint64) feed.Named {
+	if m.within > 0 {
+		if due := m.versions.Due(model, m.within, time.Now()); due > served {
+			served = due - 1
+		}
+	}
 	return orFirst(m.versions.Next(model, served))
 }
 
--- a/pkg/staging/target.go
+++ b/pkg/staging/target.go
@@ -63,11 +63,13 @@
 // before the next version: it keeps that one away for a quarter of a second.
 func (c *weightsCopy) isNearlyComplete() bool { return nearlyPart*len(c.absent()) <= len(c.chunks) }
 
-// stalls tells whether the rest of a version is nowhere to be had just now.
+// stalls tells whether the rest of a version is nowhere to be had just now. One of
+// which nothing is here has been tried since it was heard of, and not since it was
+// named: a member that has just started would take any for one that stalls.
 func (m *Member) stalls(model string, n feed.Named, now time.Time) bool {
 	c := m.copyOf(model, n.Version())
 	if c == nil {
-		return now.Sub(n.Since()) > stallAfter
+		return now.Sub(n.Heard()) > stallAfter
 	}
 	return c.stalls(now)
 }
