A test that fails: a version whose time ends with the next one's is taken for due

Where all who knew the ages have lost power at once, nodes read their logs again and the versions are named at one moment. A stager or cache that finds nothing of the newest for 0.7 s then gathers the one before, which no request may use for a moment longer than the newest makes itself due. Failing: TestVersionWhoseTimeEndsWithTheNextOneIsNotNext, version 2 is the next.

--- a/pkg/staging/due_test.go
+++ b/pkg/staging/due_test.go
@@ -82,6 +82,19 @@
 	}
 }
 
+// Where all who knew the ages have lost power, the log names the versions all at one
+// moment. Their times end together then, and only the last of them is worth having.
+func TestVersionWhoseTimeEndsWithTheNextOneIsNotNext(t *testing.T) {
+	m := anew(time.Second+3*time.Millisecond, time.Second)
+	m.versions.Hear([]feed.Weights{feed.NewWeights("menu", 4, 500*time.Millisecond)}, time.Now())
+	if due := m.nextDue("menu", 0).Version(); due != 3 {
+		t.Fatalf("version %d is the next where 2 and 3 were named together", due)
+	}
+	if due := m.nextDue("menu", 3).Version(); due != 4 {
+		t.Fatalf("version %d is the next where 3 is served", due)
+	}
+}
+
 // A version may be served until the time of the next one ends, so one whose
 // successor is due as well is no engine's next.
 func TestVersionWhoseSuccessorIsDueIsNotNext(t *testing.T) {
