Engines skip a version whose time ends with the next one's

Cause: where nobody is left who knew the ages, a node reads all namings from its log at one moment, and the last of them is as due as those before. Now the last of versions named within 0.1 s is an engine's next. Before: version 2 is the next where 2 and 3 were named 3 ms apart; after: version 3. Ruled out: doing so for gateways, which must leave the engines on each version by its own time.

--- a/pkg/staging/member.go
+++ b/pkg/staging/member.go
@@ -118,16 +118,27 @@
 
 // nextDue returns the oldest named version above the one that is served: its
 // time ends first, whatever was named after it. Where the time of later ones is
-// over too it is the last of these: requests may use none before.
+// over too, or ends with its own, it is the last of these: requests may use none
+// before.
 func (m *Member) nextDue(model string, served uint64) feed.Named {
 	if m.within > 0 {
 		if due := m.versions.Due(model, m.within, time.Now()); due > served {
 			served = due - 1
 		}
 	}
-	return orFirst(m.versions.Next(model, served))
+	next := m.versions.Next(model, served)
+	first := next.Since()
+	for n := next; n.Version() > 0 && n.Since().Sub(first) < together; n = m.versions.Next(model, n.Version()) {
+		next = n
+	}
+	return orFirst(next)
 }
 
+// together is how far apart the namings of two versions are at the most for their
+// times to end together: as those that a control node reads from its log are when
+// nobody is left who knew when they were named. It is far less than a copy takes.
+const together = 100 * time.Millisecond
+
 // orFirst returns a named version, or the first one where none was named.
 func orFirst(n feed.Named) feed.Named {
 	if n.Version() == 0 {
