--- a/pkg/agent/agent.go
+++ b/pkg/agent/agent.go
@@ -63,7 +63,7 @@
 	swept uint64
 
 	changed chan struct{}
-	drained chan string
+	drain   *daemon.Drain
 }
 
 // Seams are where a test replaces what lies outside of the process. The zero
@@ -135,7 +135,7 @@
 		uploads:  make(chan struct{}, s.Uploads()),
 		metrics:  newMetrics(process.Registry),
 		changed:  make(chan struct{}, 1),
-		drained:  make(chan string, 1),
+		drain:    process.NewDrain(),
 	}
 	store.SkipVerify = seams.Faults.SkipVerify
 	a.gate = newGate(s.MaxInFlight())
--- a/pkg/agent/drain.go
+++ b/pkg/agent/drain.go
@@ -13,7 +13,6 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/tidepost/tidepost/pkg/contract"
-	"github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/link"
 )
 
@@ -39,27 +38,14 @@
 }
 
 func (a *Agent) beginDrain(reason string) {
-	if first, _ := a.gate.close(reason); !first {
-		return
+	if first, _ := a.gate.close(reason); first {
+		a.drain.Begin(reason)
 	}
-	a.process.Recorder.Record(event.ProcessDraining, string(a.process.Identity.ID()), reason)
-	_ = level.Info(a.process.Logger).Log("msg", "draining", "reason", reason)
-	a.drained <- reason
 }
 
 // waitDrain returns once the agent may go.
 func (a *Agent) waitDrain(ctx context.Context, signals <-chan os.Signal) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case s := <-signals:
-		if s == os.Kill {
-			return nil
-		}
-		a.beginDrain("signal " + s.String())
-	case <-a.drained:
-	}
-	if a.seams.Faults.DrainAtOnce {
+	if !a.drain.Await(ctx, signals, a.beginDrain) || a.seams.Faults.DrainAtOnce {
 		return nil
 	}
 	_, idle := a.gate.close("")
--- a/pkg/entry/drain.go
+++ b/pkg/entry/drain.go
@@ -10,10 +10,7 @@
 	"os"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"github.com/tidepost/tidepost/pkg/contract"
-	"github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/link"
 )
@@ -47,27 +44,14 @@
 }
 
 func (e *Entry) beginDrain(reason string) {
-	if e.draining.Swap(true) {
-		return
+	if !e.draining.Swap(true) {
+		e.drain.Begin(reason)
 	}
-	e.process.Recorder.Record(event.ProcessDraining, string(e.process.Identity.ID()), reason)
-	_ = level.Info(e.process.Logger).Log("msg", "draining", "reason", reason)
-	e.drained <- reason
 }
 
 // waitDrain returns once the entry may go.
 func (e *Entry) waitDrain(ctx context.Context, signals <-chan os.Signal) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case s := <-signals:
-		if s == os.Kill {
-			return nil
-		}
-		e.beginDrain("signal " + s.String())
-	case <-e.drained:
-	}
-	if e.seams.Faults.DrainAtOnce || !sleep(ctx, e.settings.DrainNotice()) {
+	if !e.drain.Await(ctx, signals, e.beginDrain) || e.seams.Faults.DrainAtOnce || !sleep(ctx, e.settings.DrainNotice()) {
 		return nil
 	}
 	limit := time.Now().Add(e.settings.DrainLimit())
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -55,7 +55,7 @@
 
 	draining    atomic.Bool
 	caughtUp    atomic.Bool
-	drained     chan string
+	drain       *daemon.Drain
 	heardQuorum atomic.Int64
 	requests    atomic.Uint64
 	inFlight    atomic.Int64
@@ -127,7 +127,7 @@
 		budget:    route.NewBudget(s.RetryBudget()),
 		admission: admission.NewController(s.MaxInFlight()),
 		metrics:   newMetrics(process.Registry),
-		drained:   make(chan string, 1),
+		drain:     process.NewDrain(),
 	}
 	e.state.SetFaults(seams.Faults.Config)
 	e.peers = link.NewMessenger[controllog.Message](process.Endpoint, link.KindControlLog)
