--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net/http"
 	"time"
@@ -43,7 +44,8 @@
 		return false
 	}
 	q.lapse = g.lapseOf(q, b, 0)
-	if q.allowed() < leastTime {
+	q.lapse.bounds = q.lapse.lapses() && q.lapse.left() > q.run
+	if q.allowed() < leastTime || q.lapse.isOver() {
 		conn.Close()
 		return false
 	}
@@ -129,7 +131,7 @@
 	switch {
 	case q.ctx.Err() != nil:
 	case x.watch.lapsed.Load() || q.hasLapsed():
-		x.gateway.note(q, attemptLapsed, "the version of the weights there lapsed before the request began")
+		x.gateway.note(q, attemptLapsed, fmt.Sprintf("the version of the weights there lapses; %s; taken back %s late", why, time.Duration(x.watch.lateBy.Load())))
 	case x.backend.isWithdrawn(time.Now()):
 		x.gateway.note(q, attemptCut, why)
 	default:
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -195,6 +195,13 @@
 	return b.told.isFresh(now) && b.told.load.Busy()
 }
 
+// isExchanging tells whether the stager beside it says that chunks are on its link.
+func (b *backend) isExchanging(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.told.isFresh(now) && b.told.load.Exchanging()
+}
+
 // failed notes an attempt that the backend server did not answer as it should.
 func (b *backend) failed(now time.Time) {
 	b.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -55,6 +55,8 @@
 	follower  *feed.Follower
 	backends  *backends
 	versions  *feed.Versions
+	waiting   *waitingSet
+	fleet     fleet
 	budget    *budget
 	demand    demand
 	returning returning
@@ -80,7 +82,7 @@
 	}
 	g := &Gateway{
 		settings: s, process: process, protocol: protocol, running: context.Background(),
-		backends: newBackends(), versions: feed.NewVersions(),
+		backends: newBackends(), versions: feed.NewVersions(), waiting: newWaitingSet(),
 		budget:  newBudget(s.RetryRatio(), s.RetryReserve(), s.RetryWindow()),
 		metrics: newMetrics(process.Registry),
 	}
@@ -107,7 +109,10 @@
 	for _, l := range u.Loads() {
 		g.backends.hearLoad(l)
 	}
-	feed.LogMoves(g.process.Logger, g.versions.Take(u.Weights(), time.Now()), string(feed.RoleNode), address)
+	if moves := g.versions.Take(u.Weights(), time.Now()); len(moves) > 0 {
+		feed.LogMoves(g.process.Logger, moves, string(feed.RoleNode), address)
+		g.waiting.lookNow()
+	}
 	d := u.Document()
 	if d == nil || !g.index.Raise(*d) {
 		return
@@ -118,7 +123,7 @@
 
 // gateways returns how many gateways share what is shared.
 func (g *Gateway) gateways() int {
-	if n := g.follower.Gateways(); n > 0 {
+	if n := g.fleet.count(g.follower.Gateways(), time.Now(), g.settings.RetryWindow()); n > 0 {
 		return n
 	}
 	return fewestGateways
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -94,12 +94,22 @@
 	q.tried = map[*backend]bool{}
 	q.estimate()
 	if service.Engine().Slots() > 0 {
+		q.model = modelOf(q.call, service.Engine())
 		g.demand.add(now)
 		q.cameBack = g.returning.cameBack(route.Timeout(), q.call.Deadline, now)
 	}
 	return q, nil
 }
 
+// modelOf returns the model that a request asks for: the only one that the engines serve
+// where it names none, and empty where that is not known.
+func modelOf(c Call, e serviceconfig.Engine) string {
+	if c.Model == "" && len(e.Models()) == 1 {
+		return e.Models()[0]
+	}
+	return c.Model
+}
+
 // pathOf returns the raw path of a request.
 func pathOf(r *http.Request) string {
 	path, _, _ := strings.Cut(target(r), "?")
@@ -216,14 +226,18 @@
 // would begin in time is refused at once: it is worth more when it comes back.
 func (g *Gateway) pick(q *request) (*backend, *failure.Failure) {
 	w := wanted{service: q.service.Name(), work: q.work, tried: q.tried, engine: q.service.Engine()}
-	if w.engine.Slots() > 0 && q.call.Model != "" {
-		w.model, w.layers = q.call.Model, max(w.engine.Layers(), 1)
-		w.least = func(begins time.Duration) uint64 { return g.leastVersion(q, begins) }
+	if q.model != "" {
+		w.model, w.layers = q.model, max(w.engine.Layers(), 1)
+		w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, q.run) }
 		if q.sent == 0 {
 			w.wait = time.Duration(longestWait * float64(q.route.Objective()))
 		}
 	}
 	b, loaded := g.choosePlace(q, w)
+	if b == nil && g.mayRunOn(q) {
+		w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, 0) }
+		b, loaded = g.choosePlace(q, w)
+	}
 	if b != nil {
 		return b, nil
 	}
--- a/pkg/gateway/lapse.go
+++ b/pkg/gateway/lapse.go
@@ -4,21 +4,25 @@
 //
 // Three things see to that, each where the others are blind:
 //
-//   - the choice leaves out where the request would not be over by then (versions.go);
-//   - the request carries the time that is left as its deadline. The backend server drops
-//     it for itself, whatever becomes of this gateway and of the link between: a break
-//     lies behind the chunks on that link, up to 0.6 s where it is narrow;
+//   - the choice leaves out where the request would not be over by then, as long as
+//     another backend server has a place (versions.go);
+//   - a request that should be over by then carries the time that is left as its deadline.
+//     The backend server drops it for itself, whatever becomes of this gateway and of the
+//     link between: a break lies behind the chunks on that link, up to 0.6 s where it is
+//     narrow;
 //   - the attempt is taken back while it waits, by what is known now and not by what was
 //     known when it was sent: versions, and earlier namings of them, are heard of late by
 //     a gateway that has just started.
 //
-// Rejected: the deadline for those only that would be over in time, and the others sent
-// without one. Those are the ones that begin late when the engine is slower than thought.
+// Rejected: the deadline for all. Requests that began in time, and run on past the end as
+// they may, were cut and read again elsewhere: 0.633 to 0.610 of the worth of a day on
+// which no engine has a version in time.
 // ================================================================
 
 package gateway
 
 import (
+	"sync"
 	"time"
 )
 
@@ -27,17 +31,26 @@
 	// is taken back: the break takes that long to a backend server at the worst.
 	lapseMargin = 600 * time.Millisecond
 	// deadlineMargin is how long before a version lapses the request's own deadline ends:
-	// the way to the backend server, and the word of the version to this gateway.
+	// the way to the backend server, from where it counts, and the word of the version to
+	// this gateway. While chunks are on that way it is lapseMargin.
 	deadlineMargin = 100 * time.Millisecond
 )
 
 // lapse is what is known of a version's end. The zero value is a version that does not
 // lapse, or none.
 type lapse struct {
-	served uint64    // the version that the backend server serves
-	at     time.Time // when its time ends; zero when no later version is named
+	served uint64        // the version that the backend server serves
+	at     time.Time     // when its time ends; zero when no later version is named
+	margin time.Duration // how long before that a request's own deadline ends
+	bounds bool          // the request's own deadline ends there
 }
 
+// isOver tells whether a request that waits is taken back by now.
+func (l lapse) isOver() bool { return l.lapses() && time.Until(l.at) <= lapseMargin }
+
+// left is for how long a request's own deadline may still be.
+func (l lapse) left() time.Duration { return time.Until(l.at) - l.margin }
+
 // lapses tells whether the version's time ends.
 func (l lapse) lapses() bool { return !l.at.IsZero() }
 
@@ -46,25 +59,31 @@
 // it is the one known before, or the oldest that may still serve.
 func (g *Gateway) lapseOf(q *request, b *backend, before uint64) lapse {
 	engine := q.service.Engine()
-	if engine.Slots() == 0 || q.call.Model == "" {
+	if engine.Slots() == 0 || q.model == "" {
 		return lapse{}
 	}
-	l := lapse{served: b.servedVersion(q.call.Model, max(engine.Layers(), 1))}
+	l := lapse{served: b.servedVersion(q.model, max(engine.Layers(), 1)), margin: deadlineMargin}
+	if b.isExchanging(time.Now()) {
+		l.margin = lapseMargin
+	}
+	if l.served == 0 {
+		l.served = before
+	}
 	if l.served == 0 {
-		l.served = max(before, g.versions.Due(q.call.Model, g.settings.WeightsWithin(), time.Now()))
+		l.served = g.versions.Due(q.model, g.settings.WeightsWithin(), time.Now())
 	}
-	if next := g.versions.Next(q.call.Model, l.served); next.Version() > 0 {
+	if next := g.versions.Next(q.model, l.served); next.Version() > 0 {
 		l.at = next.Since().Add(g.settings.WeightsWithin())
 	}
 	return l
 }
 
 // allowed is how long a backend server may work on a request: what is left to its caller,
-// and no longer than the version there may serve.
+// and no longer than the version there may serve, where it should be over by then.
 func (q *request) allowed() time.Duration {
 	left := q.remaining()
-	if q.lapse.lapses() {
-		left = min(left, time.Until(q.lapse.at)-deadlineMargin)
+	if q.lapse.bounds {
+		left = min(left, q.lapse.left())
 	}
 	return left
 }
@@ -72,7 +91,7 @@
 // hasLapsed tells whether what the backend server was allowed ended with its version, and
 // is over. It counts whole milliseconds and may end a little earlier.
 func (q *request) hasLapsed() bool {
-	return q.lapse.lapses() && q.remaining() > leastTime && q.allowed() < leastTime
+	return q.lapse.bounds && q.remaining() > leastTime && q.allowed() < leastTime
 }
 
 // untilTakenBack is for how long yet an attempt may wait for its first event, by what is
@@ -91,6 +110,39 @@
 		return false
 	}
 	w.lapsed.Store(true)
+	w.lateBy.Store(int64(-left))
 	w.exchange.conn.Abort()
 	return true
 }
+
+// ----------------------------------------------------------------
+// What is heard of versions while requests wait
+
+// waitingSet holds the watchdogs of the attempts under way.
+type waitingSet struct {
+	mu  sync.Mutex
+	all map[*watchdog]bool
+}
+
+func newWaitingSet() *waitingSet { return &waitingSet{all: map[*watchdog]bool{}} }
+
+func (s *waitingSet) add(w *watchdog) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all[w] = true
+}
+
+func (s *waitingSet) remove(w *watchdog) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.all, w)
+}
+
+// lookNow has all watchdogs look: a version, or an earlier naming of one, was heard of.
+func (s *waitingSet) lookNow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w := range s.all {
+		w.timer.Reset(0)
+	}
+}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -19,6 +19,7 @@
 	writer       http.ResponseWriter
 	incoming     *http.Request
 	call         Call
+	model        string // the one asked for, or the only one there is; empty for plain services
 	route        *serviceconfig.Route
 	service      *serviceconfig.Service
 	organisation string
@@ -33,7 +34,7 @@
 	deadline time.Time     // of the answer: the caller's or the route's
 	work     time.Duration // what it takes of an engine's time
 	prefill  time.Duration
-	run      time.Duration // from its first turn at an engine to its last event
+	run      time.Duration // from its first turn at an engine to its last event, at the most
 
 	tried      map[*backend]bool
 	sent       int // attempts that reached a backend server
@@ -58,6 +59,10 @@
 // repeatable tells whether the request may be sent once more.
 func (q *request) repeatable() bool { return !q.mayHaveRun || q.route.Idempotent() }
 
+// busyPace is what a request takes at a full engine, which reads the prompts of others
+// between its words, over what it takes by itself.
+const busyPace = 1.5
+
 // estimate fills in how much work the request is for an engine.
 func (q *request) estimate() {
 	e := q.service.Engine()
@@ -72,13 +77,12 @@
 	if answer == 0 {
 		answer = e.UsualAnswer()
 	}
+	q.prefill = e.Reading(prompt)
+	q.run = time.Duration(busyPace * float64(q.prefill+time.Duration(answer)*e.Step()))
 	if q.call.LikelyTokens > 0 {
 		answer = min(answer, q.call.LikelyTokens)
 	}
-	q.prefill = e.Reading(prompt)
-	writing := time.Duration(answer) * e.Step()
-	q.work = q.prefill + writing/time.Duration(e.Slots())
-	q.run = q.prefill + writing
+	q.work = q.prefill + time.Duration(answer)*e.Step()/time.Duration(e.Slots())
 }
 
 // sawEvents notes that events come, and how long none had come before.
--- a/pkg/gateway/versions.go
+++ b/pkg/gateway/versions.go
@@ -3,7 +3,8 @@
 // was named both the old and the new one serve; from some time before the end
 // of the agreed time on only the new one does. How long before depends on how
 // long requests took to begin at the backend server of late, and on how long the request
-// runs: it has to be over by then, since its deadline there ends with the agreed time.
+// runs: one that is over by then can't begin late. Only where no other has a place does it
+// begin where it will run on past that time, as it may.
 //
 // Rejected: the same margin for all. 1.2 s took old engines out too early when
 // all of them were quick, and was too short behind a narrow link.
@@ -14,17 +15,23 @@
 import "time"
 
 const (
-	// leastMargin and mostMargin bound how long before the end of the agreed
-	// time an old version gets no more requests.
+	// leastMargin and mostMargin bound how long before the end of the agreed time a
+	// request must have begun on an old version.
 	leastMargin = 300 * time.Millisecond
 	mostMargin  = 3 * time.Second
 )
 
-// leastVersion returns the least version that a request may use at a backend
-// server where requests took begins to begin.
-func (g *Gateway) leastVersion(q *request, begins time.Duration) uint64 {
-	margin := min(leastMargin+begins+q.run, mostMargin)
-	return g.versions.Due(q.call.Model, g.settings.WeightsWithin()-margin, time.Now())
+// leastVersion returns the least version that a request may use at a backend server
+// where requests took begins to begin, and that it runs on for no longer than run.
+func (g *Gateway) leastVersion(model string, begins, run time.Duration) uint64 {
+	margin := max(min(leastMargin+begins, mostMargin)+run, lapseMargin)
+	return g.versions.Due(model, g.settings.WeightsWithin()-margin, time.Now())
+}
+
+// mayRunOn tells whether a request that would still run when a version lapses may begin
+// on it now.
+func (g *Gateway) mayRunOn(q *request) bool {
+	return q.model != "" && g.leastVersion(q.model, 0, 0) < g.leastVersion(q.model, 0, q.run)
 }
 
 // expectedVersion returns the version that a backend server is told to insist
@@ -32,11 +39,11 @@
 // server may go on to a later version while the request waits there.
 func (g *Gateway) expectedVersion(q *request, b *backend) uint64 {
 	layers := q.service.Engine().Layers()
-	if q.service.Engine().Slots() == 0 || q.call.Model == "" {
+	if q.service.Engine().Slots() == 0 || q.model == "" {
 		return 0
 	}
-	newest := g.versions.Due(q.call.Model, 0, time.Now())
-	if newest > 0 && b.servedVersion(q.call.Model, max(layers, 1)) == newest {
+	newest := g.versions.Due(q.model, 0, time.Now())
+	if newest > 0 && b.servedVersion(q.model, max(layers, 1)) == newest {
 		return newest
 	}
 	return 0
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -13,6 +13,7 @@
 package gateway
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -30,28 +31,40 @@
 
 type watchdog struct {
 	exchange *exchange
-	timer    *time.Timer
+	timer    *time.Timer  // nil where the request may not run again
 	last     atomic.Int64 // of this attempt, since its start
 	flowing  atomic.Bool  // events come
 	barked   atomic.Bool
-	served   uint64      // the version there when the request was sent
-	lapsed   atomic.Bool // it was taken back for its version
+	served   uint64       // the version there when the request was sent
+	lapsed   atomic.Bool  // it was taken back for its version
+	lateBy   atomic.Int64 // and how late, in nanoseconds: for the log
+
+	mu   sync.Mutex // held by a look, so that none is under way once it is over
+	over bool       // the connection is not the attempt's any more
 }
 
 func newWatchdog(x *exchange) *watchdog {
 	w := &watchdog{exchange: x, served: x.request.lapse.served}
-	if x.request.route.Idempotent() {
-		// It must be there before the first look, which sets it again.
-		w.timer = time.AfterFunc(time.Hour, w.look)
-		w.timer.Reset(w.untilLook())
+	if !x.request.route.Idempotent() {
+		return w
 	}
+	// It must be there before the first look, which sets it again.
+	w.timer = time.AfterFunc(time.Hour, w.look)
+	w.timer.Reset(w.untilLook())
+	x.gateway.waiting.add(w)
 	return w
 }
 
+// stop ends it. Another request may have the connection afterwards.
 func (w *watchdog) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
+	if w.timer == nil {
+		return
 	}
+	w.exchange.gateway.waiting.remove(w)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.over = true
+	w.timer.Stop()
 }
 
 // untilLook is the time to the next look: none misses the moment at which the attempt is
@@ -77,7 +90,9 @@
 }
 
 func (w *watchdog) look() {
-	if w.exchange.request.ctx.Err() != nil || w.takeBackLapsed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.over || w.exchange.request.ctx.Err() != nil || w.takeBackLapsed() {
 		return
 	}
 	if b := w.exchange.backend; time.Since(time.Unix(0, b.heardAt.Load())) > silentBeforeDial {
