--- /dev/null
+++ b/pkg/gateway/silence_test.go
@@ -0,0 +1,333 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+
+	"github.com/tidepost/tidepost/pkg/fake"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
+)
+
+// Seen: all open connections between gateways and backend servers fell silent, without
+// an end, while new ones worked, and for seconds a third of the usual was answered.
+// How: a request under way waited for a second or two; every further request took the
+// next resting connection, which was silent too. A dial after 450 ms was answered, and
+// nothing followed from that.
+// Cause: silence was put down to the backend server alone, never to its connections.
+// Proof: the stand-ins below work all the time, only the open connections to them are
+// silenced; before the repair these tests failed, with attempts that ended as broken
+// one after the other.
+
+const (
+	// silencedServers are enough for silence at several addresses at once.
+	silencedServers = 4
+	// streamEvents and eventPause make streams of a second.
+	streamEvents = 100
+	eventPause   = 10 * time.Millisecond
+)
+
+// silencedFixture is a gateway before stand-ins whose connections can be silenced.
+type silencedFixture struct {
+	*fixture
+	servers   []*standIn
+	silencers []*fake.Silencer
+}
+
+// redirected is a listener that is reached at another address.
+type redirected struct {
+	net.Listener
+	addr net.Addr
+}
+
+// Addr returns where it is reached.
+func (r redirected) Addr() net.Addr { return r.addr }
+
+func newSilencedFixture(t *testing.T, kind serviceconfig.Kind, scripts ...exchangeScript) *silencedFixture {
+	t.Helper()
+	f := &silencedFixture{}
+	var reached []*standIn
+	for i, script := range scripts {
+		server := newStandIn(t, fmt.Sprintf("i-%d", i+1), script)
+		s, err := fake.NewSilencer(server.listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		f.servers, f.silencers = append(f.servers, server), append(f.silencers, s)
+		reached = append(reached, &standIn{incarnation: server.incarnation, listener: redirected{server.listener, s.Addr()}})
+	}
+	f.fixture = newFixture(t, kind, true, reached...)
+	// The stand-ins are to share the requests.
+	for i, server := range reached {
+		f.backend(server.incarnation).end(time.Duration(i) * time.Second)
+	}
+	return f
+}
+
+func (f *silencedFixture) backend(incarnation string) *backend {
+	for _, b := range f.gateway.backends.of("menu") {
+		if b.word().Incarnation() == incarnation {
+			return b
+		}
+	}
+	return nil
+}
+
+func (f *silencedFixture) silence() {
+	for _, s := range f.silencers {
+		s.Silence()
+	}
+}
+
+// ends returns how many attempts ended in a way.
+func (f *silencedFixture) ends(t *testing.T, end attemptEnd) int {
+	t.Helper()
+	var m dto.Metric
+	if err := f.gateway.metrics.attempts.WithLabelValues(string(end)).Write(&m); err != nil {
+		t.Fatal(err)
+	}
+	return int(m.GetCounter().GetValue())
+}
+
+// attemptSilentEnd is how attempts end whose connection was silent.
+const attemptSilentEnd attemptEnd = "silent"
+
+// timesOf returns a script for each of several servers.
+func timesOf(n int, script exchangeScript) []exchangeScript {
+	scripts := make([]exchangeScript, n)
+	for i := range scripts {
+		scripts[i] = script
+	}
+	return scripts
+}
+
+// flowingStream writes events in two halves each, from behind the last one that the
+// caller has.
+func flowingStream(w *bufio.Writer, r *http.Request) bool {
+	last, _ := strconv.Atoi(r.Header.Get(headerLastEvent))
+	writeEvents(w, r, last+1, last)
+	for i := last + 1; i <= streamEvents; i++ {
+		text := event(i)
+		half := len(text) / 2
+		writeChunk(w, text[:half])
+		<-time.After(eventPause / 2)
+		writeChunk(w, text[half:])
+		<-time.After(eventPause / 2)
+	}
+	_, err := w.WriteString("0\r\n\r\n")
+	return err == nil
+}
+
+// streamed is what a caller got of a stream.
+type streamed struct {
+	body string
+	err  error
+}
+
+// streams has callers read streams at the same time; begun is called once each of them
+// has some events.
+func (f *silencedFixture) streams(t *testing.T, callers int, begun func()) []streamed {
+	t.Helper()
+	const some = 10
+	var began, ended sync.WaitGroup
+	began.Add(callers)
+	ended.Add(callers)
+	got := make([]streamed, callers)
+	for i := range callers {
+		r := f.request(t, http.MethodPost, fmt.Sprintf("s-%d", i), "draft")
+		go func() {
+			defer ended.Done()
+			events := 0
+			started := sync.OnceFunc(began.Done)
+			defer started()
+			answer, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				got[i].err = err
+				return
+			}
+			defer answer.Body.Close()
+			reader := bufio.NewReader(answer.Body)
+			for {
+				line, err := reader.ReadString('\n')
+				got[i].body += line
+				if line == "\n" {
+					events++
+				}
+				if events >= some {
+					started()
+				}
+				if err != nil {
+					if err != io.EOF {
+						got[i].err = err
+					}
+					return
+				}
+			}
+		}()
+	}
+	began.Wait()
+	begun()
+	ended.Wait()
+	return got
+}
+
+// Streams whose connections fall silent in the middle of an event go on over new
+// connections at the same backend servers, whole and in order.
+func TestStreamsLeaveSilentConnections(t *testing.T) {
+	const callers = 12
+	f := newSilencedFixture(t, serviceconfig.Stream, timesOf(silencedServers, flowingStream)...)
+	f.streams(t, callers, func() {})
+	for i, got := range f.streams(t, callers, f.silence) {
+		if got.err != nil || got.body != events(1, streamEvents) {
+			t.Errorf("stream %d: %d lines, %v", i, strings.Count(got.body, "\n"), got.err)
+		}
+	}
+	if silent, broken := f.ends(t, attemptSilentEnd), f.ends(t, attemptBroken); silent != callers || broken != 0 {
+		t.Errorf("%d attempts ended as silent and %d as broken, for %d streams", silent, broken, callers)
+	}
+}
+
+// fill has so many requests under way at once that each server keeps connections, and
+// then lets them rest.
+func (f *silencedFixture) fill(t *testing.T, requests int) {
+	t.Helper()
+	var all sync.WaitGroup
+	for i := range requests {
+		r := f.request(t, http.MethodPost, fmt.Sprintf("f-%d", i), "")
+		all.Go(func() {
+			answer, err := http.DefaultTransport.RoundTrip(r)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, answer.Body)
+				_ = answer.Body.Close()
+			}
+		})
+	}
+	all.Wait()
+}
+
+// together is a script that answers once a number of requests are there.
+func together(requests int) exchangeScript {
+	var all sync.WaitGroup
+	all.Add(requests)
+	var mu sync.Mutex
+	waiting := requests
+	return func(w *bufio.Writer, r *http.Request) bool {
+		mu.Lock()
+		counted := waiting > 0
+		if counted {
+			waiting--
+		}
+		mu.Unlock()
+		if counted {
+			all.Done()
+			all.Wait()
+		}
+		writeAnswer(w, r, "200 OK", "", "answer to "+r.Header.Get(headerID))
+		return true
+	}
+}
+
+// Requests that take resting connections which have fallen silent are sent again over
+// new ones, and the resting ones that are left are never used.
+func TestRestingSilentConnectionsAreNotUsed(t *testing.T) {
+	const requests = 16
+	f := newSilencedFixture(t, serviceconfig.Repeatable, timesOf(silencedServers, together(requests))...)
+	f.fill(t, requests)
+	f.silence()
+	var all sync.WaitGroup
+	for i := range 2 * silencedServers {
+		r := f.request(t, http.MethodPost, fmt.Sprintf("a-%d", i), "")
+		all.Go(func() {
+			answer, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				t.Errorf("request %d: %v", i, err)
+				return
+			}
+			defer answer.Body.Close()
+			body, _ := io.ReadAll(answer.Body)
+			if want := fmt.Sprintf("answer to a-%d", i); answer.StatusCode != 200 || string(body) != want {
+				t.Errorf("request %d: %d %q", i, answer.StatusCode, body)
+			}
+		})
+	}
+	all.Wait()
+	before := f.ends(t, attemptSilentEnd)
+	for i := range 2 * silencedServers {
+		id := fmt.Sprintf("b-%d", i)
+		if status, _, body, err := f.do(t, f.request(t, http.MethodPost, id, "")); status != 200 || body != "answer to "+id || err != nil {
+			t.Errorf("%s: %d %q %v", id, status, body, err)
+		}
+	}
+	if silent, broken := f.ends(t, attemptSilentEnd), f.ends(t, attemptBroken); before == 0 || silent != before || broken != 0 {
+		t.Errorf("%d attempts ended as silent, then %d, and %d as broken", before, silent, broken)
+	}
+}
+
+// A request that may run once waits on its silent connection, and is not sent again;
+// the next ones take new connections.
+func TestOnceRequestsLeaveRestingSilentConnections(t *testing.T) {
+	const requests = 4
+	f := newSilencedFixture(t, serviceconfig.Once, together(requests))
+	f.fill(t, requests)
+	f.silence()
+	first := f.request(t, http.MethodPost, "first", "")
+	first.Header.Set(headerDeadline, "1000")
+	if status, _, _, _ := f.do(t, first); status == http.StatusOK {
+		t.Fatalf("the first one was answered: %d", status)
+	}
+	for _, id := range []string{"second", "third"} {
+		if status, _, body, err := f.do(t, f.request(t, http.MethodPost, id, "")); status != 200 || body != "answer to "+id || err != nil {
+			t.Errorf("%s: %d %q %v", id, status, body, err)
+		}
+	}
+	for _, id := range f.servers[0].requests() {
+		if id == "first" {
+			t.Error("the first one came although its connection was silent: it was sent again")
+		}
+	}
+}
+
+// A backend server that stands still, while others work, is not taken for one with
+// silent connections: what it works on is left there as long as ever.
+func TestServerThatStandsStillKeepsItsRequests(t *testing.T) {
+	const callers = 12
+	stop, goOn := make(chan struct{}), make(chan struct{})
+	defer close(goOn)
+	stands := func(w *bufio.Writer, r *http.Request) bool {
+		if r.Header.Get(headerLastEvent) != "" {
+			return flowingStream(w, r)
+		}
+		writeEvents(w, r, 1, 10)
+		for i := 11; i <= streamEvents; i++ {
+			select {
+			case <-stop:
+				<-goOn
+				return false
+			case <-time.After(eventPause):
+				writeChunk(w, event(i))
+			}
+		}
+		_, err := w.WriteString("0\r\n\r\n")
+		return err == nil
+	}
+	f := newSilencedFixture(t, serviceconfig.Stream, append(timesOf(silencedServers-1, flowingStream), stands)...)
+	f.streams(t, callers, func() {})
+	for i, got := range f.streams(t, callers, func() { close(stop) }) {
+		if got.err != nil || got.body != events(1, streamEvents) {
+			t.Errorf("stream %d: %d lines, %v", i, strings.Count(got.body, "\n"), got.err)
+		}
+	}
+	if silent, broken := f.ends(t, attemptSilentEnd), f.ends(t, attemptBroken); silent != 0 || broken == 0 {
+		t.Errorf("%d attempts ended as silent and %d as broken", silent, broken)
+	}
+}
