Silent connections are told from silent backend servers, and replaced

Cause: silence was put down to the backend server alone. Where all open connections fell silent without an end, each attempt waited for 1 to 2 s, each further request took the next resting connection, which was silent too, and an answered dial was evidence of nothing.

Now a gateway learns what is usual: waits against their forecasts, pauses, and the longest time in which nothing comes from any backend server while streams flow. Where nothing comes over connections of a time from anywhere for longer than that, and dials to three quarters of the addresses are answered at once, those connections are silent: idempotent attempts go on over new ones, resting ones are closed. At one address, an overdue attempt closes the resting connections, and a newer connection that is answered on shows that the older ones are silent. A server that stands still, or several that are lost together, keep their requests as before.

Open: a gateway with few requests at a time finds it only by attempts at three addresses one after the other; laying chunks down beside an engine still waits for 2 s on a silent connection, once.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -60,6 +60,8 @@
 	defer b.end(work)
 	defer b.begun(began, false)
 	x := &exchange{gateway: g, request: q, backend: b, conn: conn, began: began}
+	x.listening = g.listen(x, takeBack)
+	defer g.silences.end(x.listening)
 	stop := context.AfterFunc(q.ctx, conn.Abort)
 	defer stop()
 	return x.run()
@@ -74,6 +76,8 @@
 	watch   *watchdog
 	started time.Time
 	began   *waiting
+	// listening is how it shows when its connection falls silent.
+	listening *listening
 }
 
 // run sends the request and handles its answer.
@@ -87,6 +91,7 @@
 		return x.broken("no answer: " + err.Error())
 	}
 	x.watch.progress()
+	x.listening.hear(time.Now())
 	told := x.gateway.protocol.ReadAnswer(answer.StatusCode, answer.Header)
 	if told.ID != "" && told.ID != q.call.ID {
 		return x.broken("an answer to request " + told.ID)
@@ -101,6 +106,7 @@
 	if isStream(q, answer) {
 		return x.stream(answer)
 	}
+	x.listening.answered(time.Now())
 	return x.plain(answer)
 }
 
@@ -127,6 +133,10 @@
 	q.runs++
 	switch {
 	case q.ctx.Err() != nil:
+	case x.listening.found.Load() != nil:
+		// The backend server works: the request may go on there, and it is no failure.
+		delete(q.tried, x.backend)
+		x.gateway.note(q, attemptSilent, x.listening.found.Load().String())
 	case x.watch.lapsed.Load():
 		x.gateway.note(q, attemptLapsed, "the version of the weights there lapsed before the request began")
 	case x.backend.isWithdrawn(time.Now()):
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -41,6 +41,7 @@
 	address string
 	heardAt atomic.Int64 // unix nanoseconds of the last bytes from it
 	dialing atomic.Bool  // somebody finds out whether it can be reached
+	reached reached      // by dials
 
 	mu           sync.Mutex
 	registration registry.Registration
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -58,6 +58,7 @@
 	budget    *budget
 	demand    demand
 	returning returning
+	silences  silences
 	// heardDemands returns the requests for engines that come to all gateways a
 	// second, by failure domain.
 	heardDemands func() map[string]float64
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -15,6 +15,7 @@
 	requests     *prometheus.CounterVec
 	attempts     *prometheus.CounterVec
 	reservations *prometheus.CounterVec
+	distrusted   *prometheus.CounterVec
 	firstEvent   prometheus.Histogram
 	inFlight     prometheus.Gauge
 	number       prometheus.Gauge
@@ -25,10 +26,11 @@
 		requests:     metric.NewCounters(metric.GatewayRequests, "outcome"),
 		attempts:     metric.NewCounters(metric.GatewayAttempts, "end"),
 		reservations: metric.NewCounters(metric.GatewayReservations, "answer"),
+		distrusted:   metric.NewCounters(metric.GatewayDistrusted, "evidence"),
 		firstEvent:   metric.NewHistogram(metric.GatewayFirstEvent),
 		inFlight:     metric.NewGauge(metric.GatewayInFlight),
 		number:       metric.NewGauge(metric.GatewayNumber),
 	}
-	r.MustRegister(m.requests, m.attempts, m.reservations, m.firstEvent, m.inFlight, m.number)
+	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number)
 	return m
 }
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -33,6 +33,7 @@
 const (
 	attemptUnreachable attemptEnd = "unreachable"
 	attemptBroken      attemptEnd = "broken"
+	attemptSilent      attemptEnd = "silent" // its connection was, not its backend server
 	attemptLapsed      attemptEnd = "lapsed"
 	attemptCut         attemptEnd = "cut" // by an order that the engine was given
 	attemptRefused     attemptEnd = "refused"
--- a/pkg/gateway/reach.go
+++ b/pkg/gateway/reach.go
@@ -46,8 +46,10 @@
 	defer b.stopDialing()
 	began := time.Now()
 	for g.running.Err() == nil && !b.isOver() {
+		dialed := time.Now()
 		if b.pool.Reaches(g.running, dialTimeout) {
 			b.setLost(false)
+			b.sawReached(dialed, time.Since(dialed))
 			return
 		}
 		if b.setLost(true) {
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -99,9 +99,6 @@
 	return int(m.GetCounter().GetValue())
 }
 
-// attemptSilentEnd is how attempts end whose connection was silent.
-const attemptSilentEnd attemptEnd = "silent"
-
 // timesOf returns a script for each of several servers.
 func timesOf(n int, script exchangeScript) []exchangeScript {
 	scripts := make([]exchangeScript, n)
@@ -182,18 +179,20 @@
 }
 
 // Streams whose connections fall silent in the middle of an event go on over new
-// connections at the same backend servers, whole and in order.
+// connections, whole and in order; and so again when those fall silent.
 func TestStreamsLeaveSilentConnections(t *testing.T) {
 	const callers = 12
 	f := newSilencedFixture(t, serviceconfig.Stream, timesOf(silencedServers, flowingStream)...)
 	f.streams(t, callers, func() {})
-	for i, got := range f.streams(t, callers, f.silence) {
-		if got.err != nil || got.body != events(1, streamEvents) {
-			t.Errorf("stream %d: %d lines, %v", i, strings.Count(got.body, "\n"), got.err)
+	for times := 1; times <= 2; times++ {
+		for i, got := range f.streams(t, callers, f.silence) {
+			if got.err != nil || got.body != events(1, streamEvents) {
+				t.Errorf("stream %d: %d lines, %v", i, strings.Count(got.body, "\n"), got.err)
+			}
+		}
+		if silent, broken := f.ends(t, attemptSilent), f.ends(t, attemptBroken); silent != times*callers || broken != 0 {
+			t.Errorf("%d attempts ended as silent and %d as broken, after %d times %d streams", silent, broken, times, callers)
 		}
-	}
-	if silent, broken := f.ends(t, attemptSilentEnd), f.ends(t, attemptBroken); silent != callers || broken != 0 {
-		t.Errorf("%d attempts ended as silent and %d as broken, for %d streams", silent, broken, callers)
 	}
 }
 
@@ -261,14 +260,14 @@
 		})
 	}
 	all.Wait()
-	before := f.ends(t, attemptSilentEnd)
+	before := f.ends(t, attemptSilent)
 	for i := range 2 * silencedServers {
 		id := fmt.Sprintf("b-%d", i)
 		if status, _, body, err := f.do(t, f.request(t, http.MethodPost, id, "")); status != 200 || body != "answer to "+id || err != nil {
 			t.Errorf("%s: %d %q %v", id, status, body, err)
 		}
 	}
-	if silent, broken := f.ends(t, attemptSilentEnd), f.ends(t, attemptBroken); before == 0 || silent != before || broken != 0 {
+	if silent, broken := f.ends(t, attemptSilent), f.ends(t, attemptBroken); before == 0 || silent != before || broken != 0 {
 		t.Errorf("%d attempts ended as silent, then %d, and %d as broken", before, silent, broken)
 	}
 }
@@ -327,7 +326,7 @@
 			t.Errorf("stream %d: %d lines, %v", i, strings.Count(got.body, "\n"), got.err)
 		}
 	}
-	if silent, broken := f.ends(t, attemptSilentEnd), f.ends(t, attemptBroken); silent != 0 || broken == 0 {
+	if silent, broken := f.ends(t, attemptSilent), f.ends(t, attemptBroken); silent != 0 || broken == 0 {
 		t.Errorf("%d attempts ended as silent and %d as broken", silent, broken)
 	}
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -34,6 +34,7 @@
 			x.watch.progress()
 		}
 		pace.saw()
+		x.listening.event(time.Now())
 		q.sawEvents(time.Now())
 		if err := q.passOn(answer, events); err != nil {
 			x.conn.Abort()
--- a/pkg/metric/table.go
+++ b/pkg/metric/table.go
@@ -30,6 +30,7 @@
 	GatewayRequests     = "tidepost_gateway_requests_total"
 	GatewayAttempts     = "tidepost_gateway_attempts_total"
 	GatewayReservations = "tidepost_gateway_reservations_total"
+	GatewayDistrusted   = "tidepost_gateway_distrusted_connections_total"
 	GatewayFirstEvent   = "tidepost_gateway_first_event_seconds"
 	GatewayInFlight     = "tidepost_gateway_requests_in_flight"
 	GatewayNumber       = "tidepost_gateway_configuration_number"
@@ -65,6 +66,7 @@
 	{GatewayRequests, "gateway", "Callers' requests by outcome.", "look up one request's id in the logs; see OPERATIONS.md"},
 	{GatewayAttempts, "gateway", "Attempts at backend servers by how they ended.", "unreachable or silent: look at the backend server named in the log lines"},
 	{GatewayReservations, "gateway", "Questions for places at engines by their answer: granted, refused or unanswered.", "many unanswered: stagers are down or their links full; many refused: the engines are at their capacity"},
+	{GatewayDistrusted, "gateway", "Connections to backend servers that were given up as silent, by evidence: suspected (resting ones), newer or many.", "many: a device on the way forgets connections; the log lines name the addresses"},
 	{GatewayFirstEvent, "gateway", "Time to the answer or to the first event of a stream, in seconds.", "over the objective: too few backend servers, or slow ones"},
 	{GatewayInFlight, "gateway", "Requests in flight.", "grows without end: backend servers hang"},
 	{GatewayNumber, "gateway", "Number of the service configuration in force here.", "differs between gateways for more than 2 s: one is cut off from the control nodes"},
--- a/pkg/upstream/connection.go
+++ b/pkg/upstream/connection.go
@@ -51,11 +51,16 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	pool    *Pool
+	made    time.Time // when it was dialed
+	heard   time.Time // when it came to rest after a whole answer
 	expires time.Time // when the other side may close it while it rests
 	unsent  atomic.Bool
 	closed  sync.Once
 }
 
+// Made returns when the connection was dialed.
+func (c *Connection) Made() time.Time { return c.made }
+
 // Close closes the connection.
 func (c *Connection) Close() {
 	c.closed.Do(func() {
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	p.open.Add(1)
-	return &Connection{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), pool: p}, nil
+	return &Connection{conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), pool: p, made: time.Now()}, nil
 }
 
 // Reaches tells whether anything answers a dial within dialTimeout; a refusal
@@ -119,7 +119,8 @@
 		return
 	}
 	_ = c.conn.SetDeadline(time.Time{})
-	c.expires = time.Now().Add(rest)
+	c.heard = time.Now()
+	c.expires = c.heard.Add(rest)
 	p.mu.Lock()
 	kept := !p.closed
 	if kept {
@@ -134,20 +135,34 @@
 // CloseOld closes connections that rested too long.
 func (p *Pool) CloseOld() {
 	now := time.Now()
+	p.closeResting(func(c *Connection) bool { return !now.Before(c.expires) })
+}
+
+// Distrust closes the resting connections that nothing has come on since before, and
+// returns how many. A connection may go silent for good without an end, which shows on
+// none that rests: where one is found so, the others of its time are as good as found.
+// One that was answered on later works, and is kept.
+func (p *Pool) Distrust(before time.Time) (closed int) {
+	return p.closeResting(func(c *Connection) bool { return c.heard.Before(before) })
+}
+
+// closeResting closes the resting connections that some condition holds for.
+func (p *Pool) closeResting(holds func(*Connection) bool) int {
 	p.mu.Lock()
-	var old, young []*Connection
+	var closed, kept []*Connection
 	for _, c := range p.resting {
-		if now.Before(c.expires) {
-			young = append(young, c)
+		if holds(c) {
+			closed = append(closed, c)
 		} else {
-			old = append(old, c)
+			kept = append(kept, c)
 		}
 	}
-	p.resting = young
+	p.resting = kept
 	p.mu.Unlock()
-	for _, c := range old {
+	for _, c := range closed {
 		c.Close()
 	}
+	return len(closed)
 }
 
 // Close closes the resting connections; those in use close when they are done.
