--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -34,7 +34,7 @@
 	q.tried[b] = true
 	word := b.word()
 	q.backend = word.Incarnation()
-	conn, err := b.pool.Get(q.ctx, min(dialTimeout, q.remaining()))
+	taken, err := b.pool.Get(q.ctx, min(dialTimeout, q.remaining()))
 	if err != nil {
 		if q.ctx.Err() == nil {
 			b.failed(time.Now())
@@ -43,6 +43,7 @@
 		}
 		return false
 	}
+	conn := &hold{Connection: taken}
 	q.lapse = g.lapseOf(q, b, 0)
 	q.lapse.bounds = q.lapse.lapses() && q.lapse.left() > q.run
 	if q.allowed() < leastTime || q.lapse.isOver() {
@@ -63,6 +64,8 @@
 	defer b.end(work)
 	defer b.begun(began, false)
 	x := &exchange{gateway: g, request: q, backend: b, conn: conn, began: began}
+	x.listening = g.listen(x, takeBack)
+	defer g.silences.end(x.listening)
 	stop := context.AfterFunc(q.ctx, conn.Abort)
 	defer stop()
 	return x.run()
@@ -73,10 +76,12 @@
 	gateway *Gateway
 	request *request
 	backend *backend
-	conn    *upstream.Connection
+	conn    *hold
 	watch   *watchdog
 	started time.Time
 	began   *waiting
+	// listening is how it shows when its connection falls silent.
+	listening *listening
 }
 
 // run sends the request and handles its answer.
@@ -90,6 +95,7 @@
 		return x.broken("no answer: " + err.Error())
 	}
 	x.watch.progress()
+	x.listening.hear(time.Now())
 	told := x.gateway.protocol.ReadAnswer(answer.StatusCode, answer.Header)
 	if told.ID != "" && told.ID != q.call.ID {
 		return x.broken("an answer to request " + told.ID)
@@ -104,6 +110,7 @@
 	if isStream(q, answer) {
 		return x.stream(answer)
 	}
+	x.listening.answered(time.Now())
 	return x.plain(answer)
 }
 
@@ -132,6 +139,10 @@
 	case q.ctx.Err() != nil:
 	case x.watch.lapsed.Load() || q.hasLapsed():
 		x.gateway.note(q, attemptLapsed, fmt.Sprintf("the version of the weights there lapses; %s; taken back %s late", why, time.Duration(x.watch.lateBy.Load())))
+	case x.listening.found.Load() != nil:
+		// The backend server works: the request may go on there, and it is no failure.
+		delete(q.tried, x.backend)
+		x.gateway.note(q, attemptSilent, x.listening.found.Load().String())
 	case x.backend.isWithdrawn(time.Now()):
 		x.gateway.note(q, attemptCut, why)
 	default:
--- a/pkg/gateway/lapse_test.go
+++ b/pkg/gateway/lapse_test.go
@@ -238,7 +238,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &watchdog{exchange: &exchange{gateway: f.gateway, request: q, backend: old, conn: conn}, served: 1}
+	w := &watchdog{exchange: &exchange{gateway: f.gateway, request: q, backend: old, conn: &hold{Connection: conn}}, served: 1}
 	if pause := w.untilLook(); pause != lookAfter {
 		t.Fatalf("next look after %s where nothing lapses", pause)
 	}
