Gateways keep moments on the steady clock

When bytes last came from a backend server, and when a dial of it was answered, were kept as nanoseconds of the time of day: a step of it by seconds made all backend servers seem silent, or hid that they were.

--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -39,9 +39,9 @@
 type backend struct {
 	pool    *upstream.Pool
 	address string
-	heardAt atomic.Int64 // unix nanoseconds of the last bytes from it
-	dialing atomic.Bool  // somebody finds out whether it can be reached
-	reached reached      // by dials
+	heardAt moment      // of the last bytes from it
+	dialing atomic.Bool // somebody finds out whether it can be reached
+	reached reached     // by dials
 
 	mu           sync.Mutex
 	registration registry.Registration
@@ -136,7 +136,7 @@
 	b.mu.Lock()
 	told := b.told.at
 	b.mu.Unlock()
-	if bytes := time.Unix(0, b.heardAt.Load()); bytes.After(told) {
+	if bytes := b.heardAt.time(); bytes.After(told) {
 		return bytes
 	}
 	return told
--- a/pkg/gateway/listening.go
+++ b/pkg/gateway/listening.go
@@ -381,22 +381,22 @@
 
 // reached is when dials of a backend server were answered. The zero value is never.
 type reached struct {
-	at    atomic.Int64 // unix nanoseconds of the last one's beginning
-	quick atomic.Int64 // the same of one that was answered at once
+	at    moment // of the last one's beginning
+	quick moment // the same of one that was answered at once
 }
 
 func (b *backend) sawReached(dialed time.Time, took time.Duration) {
-	b.reached.at.Store(dialed.UnixNano())
+	b.reached.at.set(dialed)
 	if took <= quickDial {
-		b.reached.quick.Store(dialed.UnixNano())
+		b.reached.quick.set(dialed)
 	}
 }
 
 // quickly returns when a dial began that was answered at once.
-func (r *reached) quickly() time.Time { return time.Unix(0, r.quick.Load()) }
+func (r *reached) quickly() time.Time { return r.quick.time() }
 
 // mayDial tells whether no dial was answered since some moment, or none lately.
 func (r *reached) mayDial(now, since time.Time) bool {
-	at := time.Unix(0, r.at.Load())
+	at := r.at.time()
 	return at.Before(since) || now.Sub(at) > dialAgain
 }
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -80,7 +80,7 @@
 // progress notes that the backend server said something.
 func (w *watchdog) progress() {
 	w.last.Store(int64(time.Since(w.exchange.started)))
-	w.exchange.backend.heardAt.Store(time.Now().UnixNano())
+	w.exchange.backend.heardAt.set(time.Now())
 }
 
 // flows notes that events come from now on.
@@ -95,7 +95,7 @@
 	if w.over || w.exchange.request.ctx.Err() != nil || w.takeBackLapsed() {
 		return
 	}
-	if b := w.exchange.backend; time.Since(time.Unix(0, b.heardAt.Load())) > silentBeforeDial {
+	if b := w.exchange.backend; time.Since(b.heardAt.time()) > silentBeforeDial {
 		w.exchange.gateway.doubt(b)
 	}
 	silent := time.Since(w.exchange.started) - time.Duration(w.last.Load())
