--- /dev/null
+++ b/pkg/feed/silence_test.go
@@ -0,0 +1,141 @@
+package feed
+
+import (
+	"context"
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/tidepost/tidepost/pkg/event"
+	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/vm"
+)
+
+// lossyConn loses what it carries once it is silenced, both ways and without an error.
+type lossyConn struct {
+	net.Conn
+	silenced *atomic.Bool
+}
+
+func (c lossyConn) Write(b []byte) (int, error) {
+	if c.silenced.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c lossyConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.silenced.Load() {
+			return n, err
+		}
+	}
+}
+
+// silentLinks dials links that can go silent, those that are open.
+type silentLinks struct {
+	mu   sync.Mutex
+	open []*atomic.Bool
+	to   string // where dials go in place of the address; empty is the address
+}
+
+func (s *silentLinks) dial(ctx context.Context, address string) (net.Conn, error) {
+	silenced := &atomic.Bool{}
+	s.mu.Lock()
+	s.open = append(s.open, silenced)
+	if s.to != "" {
+		address = s.to
+	}
+	s.mu.Unlock()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return lossyConn{conn, silenced}, nil
+}
+
+// silence silences the open links; new ones go to an address.
+func (s *silentLinks) silence(to string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.to = to
+	for _, silenced := range s.open {
+		silenced.Store(true)
+	}
+}
+
+// followSilently starts a gateway's follower over links that can go silent and returns
+// it once the first node is its primary.
+func (h *herd) followSilently(s *silentLinks, take func(string, Update)) *Follower {
+	identity := vm.NewIdentity("gateway", 1, "", "hall-0", "gateway:7700")
+	e := link.NewEndpoint(link.Config{
+		Own: identity, Clock: event.NewClock(time.Now), Logger: log.NewNopLogger(),
+		KeepAlive: time.Hour, Unanswered: time.Hour, Dial: s.dial,
+	})
+	h.t.Cleanup(e.Close)
+	f := &Follower{
+		Endpoint: e, Hello: NewHello(RoleGateway, identity, "", "", nil), Seeds: func() []string { return h.nodes()[:1] },
+		Held: func() uint64 { return math.MaxUint64 }, Take: take, Logger: log.NewNopLogger(),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	h.t.Cleanup(cancel)
+	go func() { _ = f.Run(ctx) }()
+	h.eventually("the node is the primary", func() bool { return f.Gateways() == 1 })
+	return f
+}
+
+// countedLost tells whether a node was counted lost.
+func (f *Follower) countedLost(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, lost := f.lostAt[address]
+	return lost
+}
+
+// What was seen: when all open connections went silent while new ones worked, gateways
+// heard no loads for seconds, and all of them then chose other control nodes.
+// How it came about: a follower waited for two beats and a half and took its node for
+// lost. What caused it: nothing told a silent link from a node that is gone, so the wait
+// had to cover the slowest node. What proved it: a follower that looks at its link after
+// one beat hears its node again, its primary as before, and counts it lost at no time;
+// and the node counts that follower once.
+func TestFollowerHearsItsNodeAgainOverAnotherLink(t *testing.T) {
+	h := &herd{t: t, loads: map[string]int{}}
+	node, s := h.startNode("hall-0"), &silentLinks{}
+	var updates atomic.Int64
+	f := h.followSilently(s, func(string, Update) { updates.Add(1) })
+	s.silence("")
+	before := updates.Load()
+	h.eventually("the node is heard again", func() bool { return updates.Load() > before })
+	h.eventually("it is the primary again", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.primary != nil
+	})
+	h.eventually("it counts the follower once", func() bool {
+		node.mu.Lock()
+		defer node.mu.Unlock()
+		return node.census.gateways() == 1
+	})
+	if address := h.nodes()[0]; f.countedLost(address) {
+		t.Errorf("%s was counted lost", address)
+	}
+}
+
+// Where another process answers at the address the node was started anew. It counts few
+// followers at first, and is lost as one that was cut off is.
+func TestNodeThatWasStartedAnewIsCountedLost(t *testing.T) {
+	h := &herd{t: t, loads: map[string]int{}}
+	h.startNode("hall-0")
+	s := &silentLinks{}
+	f := h.followSilently(s, func(string, Update) {})
+	h.startNode("hall-1")
+	s.silence(h.nodes()[1])
+	h.eventually("the node is counted lost", func() bool { return f.countedLost(h.nodes()[0]) })
+}
