The start of the fault soak: real programs behind a proxy that silences connections

Now there are

- pkg/faultproxy: a proxy on loopback before one address.
Silence makes the open connections of a kind of dialer silent for good, also in the middle of a message.
Packets to a silent socket are dropped by a filter on that socket, so they are not acknowledged and only the writer's own limits tell; Manner.Acknowledged has the kernel acknowledge them, as a middle box does.
Ruled out: to read and throw away, which lets a writer send for ever, and a proxy for each pair of processes, since a process tells all others one address.
Who dials is read from the first bytes.
- platform/standin: engines in batches, plain backend servers, heartbeats, an operator and callers that try again as the platform's do.
Engines serve one version whole and take no orders yet.
- soak: 3 control nodes, gateways and stagers as processes.

No product logic and no setting changed.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
-# Targets: build, demo, test, check, prove, soak, generate, clean, and bench-...
+# Targets: build, demo, test, check, prove, soak, silence, generate, clean, and bench-...
 
-.PHONY: build demo test check prove soak generate clean \
+.PHONY: build demo test check prove soak silence generate clean \
 	bench-burst bench-route bench-control bench-capacity bench-path
 
 # A failing test must fail the target, also where its output is filtered.
@@ -26,13 +26,19 @@
 soak:
 	scripts/soak.sh $(or $(MINUTES),10)
 
+# What silent connections cost callers: make silence SEED=1. MANNER is lost,
+# acknowledged or "lost midway"; all of them when missing.
+silence:
+	TIDEPOST_SEED=$(or $(SEED),1) TIDEPOST_SILENCE="$(MANNER)" \
+	go test -count=1 -v -timeout 30m -tags bench ./soak -run TestSilenceCostsLittle | grep -E '^silence|aim_test|FAIL|^ok'
+
 # What CI runs besides the tests.
 check:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet ./...
-	go vet -tags bench ./bench
+	go vet -tags bench ./bench ./soak
 	go tool staticcheck ./...
-	go tool staticcheck -tags bench ./bench
+	go tool staticcheck -tags bench ./bench ./soak
 
 generate:
 	go generate ./...
--- /dev/null
+++ b/pkg/faultproxy/proxy_test.go
@@ -0,0 +1,264 @@
+package faultproxy
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// echo is a server that sends back every line that comes.
+func echo(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// firstWord labels a connection by its first word.
+func firstWord(first []byte) string {
+	word, _, _ := strings.Cut(string(first), " ")
+	return word
+}
+
+func listen(t *testing.T, target string) *Proxy {
+	p, err := Listen(Config{Listen: "127.0.0.1:0", Target: target, Label: firstWord})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	return p
+}
+
+// line is a connection that speaks in lines.
+type line struct {
+	*net.TCPConn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, p *Proxy) line {
+	conn, err := net.Dial("tcp", p.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return line{conn.(*net.TCPConn), bufio.NewReader(conn)}
+}
+
+// mustEcho sends a line and waits for it to come back.
+func (l line) mustEcho(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(l, text+"\n"); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := l.reader.ReadString('\n'); err != nil || got != text+"\n" {
+		t.Fatalf("%q came back, %v", got, err)
+	}
+}
+
+// mustBeSilent checks that nothing comes within a moment: neither bytes nor an end.
+func (l line) mustBeSilent(t *testing.T) {
+	t.Helper()
+	const moment = 50 * time.Millisecond
+	_ = l.SetReadDeadline(time.Now().Add(moment))
+	rest, err := l.reader.ReadString('\n')
+	var timeout net.Error
+	if rest != "" || !errors.As(err, &timeout) || !timeout.Timeout() {
+		t.Fatalf("%q came, %v", rest, err)
+	}
+	_ = l.SetReadDeadline(time.Time{})
+}
+
+func TestOpenConnectionsGoSilentAndNewOnesPass(t *testing.T) {
+	for name, m := range map[string]Manner{"lost": {}, "acknowledged": {Acknowledged: true}} {
+		t.Run(name, func(t *testing.T) {
+			p := listen(t, echo(t))
+			old := dial(t, p)
+			old.mustEcho(t, "old one")
+			if n := p.Silence(Every, m); n["old"] != 1 {
+				t.Fatalf("silenced %v", n)
+			}
+			if _, err := io.WriteString(old, "old two\n"); err != nil {
+				t.Fatalf("the writer got an error: %v", err)
+			}
+			old.mustBeSilent(t)
+			fresh := dial(t, p)
+			fresh.mustEcho(t, "fresh one")
+			old.mustBeSilent(t)
+			if n := p.Silence(Every, m); n["old"] != 0 || n["fresh"] != 1 {
+				t.Fatalf("the second time silenced %v", n)
+			}
+			fresh.mustBeSilent(t)
+			dial(t, p).mustEcho(t, "third one")
+		})
+	}
+}
+
+func TestOnlyTheChosenGoSilent(t *testing.T) {
+	p := listen(t, echo(t))
+	a, b := dial(t, p), dial(t, p)
+	a.mustEcho(t, "a one")
+	b.mustEcho(t, "b one")
+	p.Silence(func(label string) bool { return label == "a" }, Manner{})
+	b.mustEcho(t, "b two")
+	if _, err := io.WriteString(a, "a two\n"); err != nil {
+		t.Fatal(err)
+	}
+	a.mustBeSilent(t)
+	b.mustEcho(t, "b three")
+}
+
+// A connection may go silent before its dialer has said anything.
+func TestSilenceBeforeTheFirstByte(t *testing.T) {
+	p := listen(t, echo(t))
+	early := dial(t, p)
+	dial(t, p).mustEcho(t, "later one") // the proxy accepts in order
+	for p.Silence(func(label string) bool { return label == "" }, Manner{})[""] == 0 {
+		// The target is being dialed for it.
+	}
+	if _, err := io.WriteString(early, "early one\n"); err != nil {
+		t.Fatal(err)
+	}
+	early.mustBeSilent(t)
+}
+
+func TestSilenceMidway(t *testing.T) {
+	p := listen(t, echo(t))
+	l := dial(t, p)
+	l.mustEcho(t, "l one")
+	p.Silence(Every, Manner{Midway: true})
+	if _, err := io.WriteString(l, "l 23456789\n"); err != nil {
+		t.Fatal(err)
+	}
+	// Half goes to the server, and the half that it echoes is lost.
+	l.mustBeSilent(t)
+}
+
+// Lost packets are not acknowledged: the writer's own limit on that tells it, and
+// nothing else does. Where they are acknowledged it hears of nothing.
+func TestLostPacketsAreNotAcknowledged(t *testing.T) {
+	for name, m := range map[string]Manner{"lost": {}, "acknowledged": {Acknowledged: true}} {
+		t.Run(name, func(t *testing.T) {
+			p := listen(t, echo(t))
+			l := dial(t, p)
+			l.mustEcho(t, "l one")
+			raw, err := l.SyscallConn()
+			if err != nil {
+				t.Fatal(err)
+			}
+			const limitMs = 200
+			_ = raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, limitMs) })
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Silence(Every, m)
+			if _, err := io.WriteString(l, "l two\n"); err != nil {
+				t.Fatal(err)
+			}
+			if m.Acknowledged {
+				for unsent(t, l) > 0 {
+					time.Sleep(time.Millisecond)
+				}
+				l.mustBeSilent(t)
+				return
+			}
+			if _, err := l.reader.ReadString('\n'); !errors.Is(err, syscall.ETIMEDOUT) {
+				t.Fatalf("not acknowledged for %d ms: %v", limitMs, err)
+			}
+		})
+	}
+}
+
+// unsent returns the bytes that the other side has not acknowledged.
+func unsent(t *testing.T, l line) (n int) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// A writer to a silent connection waits in the end: nobody takes what it sends.
+func TestTheWriterIsHeldUp(t *testing.T) {
+	for name, m := range map[string]Manner{"lost": {}, "acknowledged": {Acknowledged: true}} {
+		t.Run(name, func(t *testing.T) {
+			p := listen(t, echo(t))
+			l := dial(t, p)
+			l.mustEcho(t, "l one")
+			p.Silence(Every, m)
+			_ = l.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+			var timeout net.Error
+			if _, err := l.Write(make([]byte, 64<<20)); !errors.As(err, &timeout) || !timeout.Timeout() {
+				t.Fatalf("64 MiB written: %v", err)
+			}
+		})
+	}
+}
+
+func TestEndsAreHandedOn(t *testing.T) {
+	p := listen(t, echo(t))
+	l := dial(t, p)
+	l.mustEcho(t, "l one")
+	if _, err := io.WriteString(l, "last"); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if rest, err := io.ReadAll(l.reader); string(rest) != "last" || err != nil {
+		t.Fatalf("%q, %v", rest, err)
+	}
+}
+
+func TestATargetThatIsDownResets(t *testing.T) {
+	nobody, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	target := nobody.Addr().String()
+	_ = nobody.Close()
+	// The reset may come while the connection is being made or after it.
+	conn, err := net.Dial("tcp", listen(t, target).Address())
+	if err == nil {
+		defer conn.Close()
+		_, err = conn.Read(make([]byte, 1))
+	}
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("%v", err)
+	}
+}
+
+func TestOpeningsTellWhoCame(t *testing.T) {
+	p := listen(t, echo(t))
+	dial(t, p).mustEcho(t, "a one")
+	p.Silence(Every, Manner{})
+	dial(t, p).mustEcho(t, "b one")
+	all := p.Openings()
+	if len(all) != 2 || all[0].Label != "a" || all[1].Label != "b" || all[1].At.Before(all[0].At) {
+		t.Fatalf("%v", all)
+	}
+}
--- /dev/null
+++ b/soak/main_test.go
@@ -0,0 +1,33 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"testing"
+)
+
+// binaries is the folder that TestMain builds the programs into.
+var binaries string
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "tidepost-soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	build := exec.Command("go", "build", "-o", folder+"/", "../cmd/tidepost-control", "../cmd/tidepost-gateway", "../cmd/tidepost-stager")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+		return 1
+	}
+	binaries = folder
+	return m.Run()
+}
--- /dev/null
+++ b/soak/silence_test.go
@@ -0,0 +1,86 @@
+// ================================================================
+// What holds when connections go silent, with a fixed seed and without a clock.
+// ================================================================
+
+package soak
+
+import (
+	"math"
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/tidepost/tidepost/pkg/faultproxy"
+	"github.com/tidepost/tidepost/platform/standin"
+)
+
+// standardSeed is that of every run that names none.
+const standardSeed = 20261202
+
+func seed(t *testing.T) uint64 {
+	text := os.Getenv("TIDEPOST_SEED")
+	if text == "" {
+		return standardSeed
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// All connections go silent, twice, in the middle of messages the second time.
+// Every caller is served in the end, and no promise is broken.
+func TestServiceGoesOnAfterSilence(t *testing.T) {
+	w := startWorld(t, size{control: 3, gateways: 2, engines: 3, plain: 2}, logFolder(t))
+	l := newLoad(w, seed(t), 0)
+	ctx := t.Context()
+	const requests = 50
+	l.send(ctx, requests)
+	silent := w.silence(roles, faultproxy.Manner{})
+	l.send(ctx, requests)
+	silent = append(silent, w.silence(roles, faultproxy.Manner{Midway: true})...)
+	l.send(ctx, requests)
+	l.under.Wait()
+	if len(silent) == 0 {
+		t.Fatal("no connection went silent")
+	}
+	checkPromises(t, w, l.all())
+	// Callers that come afterwards are served too.
+	after := newLoad(w, seed(t)+1, 0)
+	after.asked = math.MaxInt32
+	after.send(ctx, requests)
+	after.under.Wait()
+	checkPromises(t, w, after.all())
+}
+
+// checkPromises checks what every caller was promised. Each is served, but for the
+// requests that may have run and must not run again.
+func checkPromises(t *testing.T, w *world, answers []standin.Answer) {
+	t.Helper()
+	if len(answers) == 0 {
+		t.Fatal("nothing was asked")
+	}
+	for _, a := range answers {
+		if a.Wrong != "" {
+			t.Errorf("%s: %s", a.Ask.ID, a.Wrong)
+		}
+		if !a.Whole && !a.Unknown {
+			t.Errorf("%s (%s) was not served: %+v", a.Ask.ID, a.Ask.Kind, a.Tries)
+		}
+		runs := 0
+		for _, try := range a.Tries {
+			n := w.ledger.Runs(try.ID)
+			runs += n
+			if try.Refused != 0 && n > 0 {
+				t.Errorf("%s was refused with %d and ran %d times", try.ID, try.Refused, n)
+			}
+		}
+		if a.Ask.Kind == standin.Unsafe && runs > 1 {
+			t.Errorf("%s may run once and ran %d times: %+v", a.Ask.ID, runs, a.Tries)
+		}
+		if a.Whole && runs == 0 {
+			t.Errorf("%s was answered and never ran", a.Ask.ID)
+		}
+	}
+}
--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,263 @@
+// ================================================================
+// A small world on loopback: each VM has an address of its own, and a proxy
+// stands wherever one program dials another.
+//
+//	127.n.1.i  control node i       links 7700 (proxy) to 7701
+//	127.n.2.i  gateway i            callers 8005, readiness 8002
+//	127.n.3.i  engine and stager i  links 7700 (proxy) to 7701, engine 9000 (proxy) to 9001
+//	127.n.4.i  plain server i       9000 (proxy) to 9001
+//
+// Links go to one port on every VM, so a stager is found at its engine's host: the
+// proxies have that port, and the programs listen beside it and tell the proxy's
+// address as their own.
+// ================================================================
+
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/faultproxy"
+	"github.com/tidepost/tidepost/platform/standin"
+)
+
+const (
+	linkPort    = 7700
+	ownLinkPort = 7701
+	callsPort   = 8000
+	readyPort   = 8002
+	callersPort = 8005
+	serverPort  = 9000
+	ownServer   = 9001
+)
+
+// The third number of addresses.
+const (
+	controlVMs = iota + 1
+	gatewayVMs
+	engineVMs
+	plainVMs
+)
+
+// size says how many of each there are.
+type size struct{ control, gateways, engines, plain int }
+
+// figures are those of the engines.
+var figures = standin.Figures{
+	Slots: 12, Waiting: 6, Step: 9270 * time.Microsecond, PerSequence: 23 * time.Microsecond, Stride: 5,
+	ReadPerSecond: 20700, Prompt: 800, Answer: 80,
+}
+
+const (
+	plainTakes = 20 * time.Millisecond
+	beatEvery  = 1200 * time.Millisecond
+)
+
+// world is the whole.
+type world struct {
+	t      *testing.T
+	size   size
+	net    int // the second number of addresses
+	ledger *standin.Ledger
+	// links and servers are the proxies, by the third number of the address.
+	links, servers map[int][]*faultproxy.Proxy
+}
+
+// startWorld starts everything and puts the configuration. Logs go to a folder.
+func startWorld(t *testing.T, s size, folder string) *world {
+	w := &world{
+		t: t, size: s, net: freeNet(t), ledger: standin.NewLedger(),
+		links: map[int][]*faultproxy.Proxy{}, servers: map[int][]*faultproxy.Proxy{},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	// The programs end before the proxies do: cleanups run last first.
+	w.startProxies()
+	w.startServers(ctx)
+	w.startPrograms(newPrograms(t, folder))
+	operator := standin.Operator{Nodes: w.controlCalls()}
+	w.must(operator.Configure(ctx, figures))
+	w.must(operator.Name(ctx))
+	for i := range s.gateways {
+		w.must(standin.AwaitReady(ctx, w.at(gatewayVMs, i, readyPort)))
+	}
+	return w
+}
+
+func (w *world) must(err error) {
+	w.t.Helper()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// at returns the address of a port on the VM with an index.
+func (w *world) at(kind, index, port int) string {
+	return fmt.Sprintf("%s:%d", w.host(kind, index), port)
+}
+
+func (w *world) host(kind, index int) string {
+	return fmt.Sprintf("127.%d.%d.%d", w.net, kind, index+1)
+}
+
+// freeNet returns a second number of addresses that no other run uses: the
+// listener that shows it stays open until the end of the test.
+func freeNet(t *testing.T) int {
+	const first, last = 20, 250
+	for n := first; n <= last; n++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n, linkPort))
+		if err == nil {
+			t.Cleanup(func() { _ = l.Close() })
+			return n
+		}
+	}
+	t.Fatal("no range of loopback addresses is free")
+	return 0
+}
+
+// ----------------------------------------------------------------
+// Proxies
+
+func (w *world) startProxies() {
+	for i := range w.size.control {
+		w.proxy(w.links, controlVMs, i, linkPort, ownLinkPort, labelLink)
+	}
+	for i := range w.size.engines {
+		w.proxy(w.links, engineVMs, i, linkPort, ownLinkPort, labelLink)
+		w.proxy(w.servers, engineVMs, i, serverPort, ownServer, labelRequest)
+	}
+	for i := range w.size.plain {
+		w.proxy(w.servers, plainVMs, i, serverPort, ownServer, labelRequest)
+	}
+}
+
+func (w *world) proxy(all map[int][]*faultproxy.Proxy, kind, index, port, target int, label func([]byte) string) {
+	p, err := faultproxy.Listen(faultproxy.Config{Listen: w.at(kind, index, port), Target: w.at(kind, index, target), Label: label})
+	w.must(err)
+	w.t.Cleanup(p.Close)
+	all[kind] = append(all[kind], p)
+}
+
+var programName = regexp.MustCompile(`(control|gateway|stager)-[0-9]+`)
+
+// labelLink returns the name of the program that dials a link: its handshake
+// begins with it.
+func labelLink(first []byte) string { return string(programName.Find(first)) }
+
+// labelRequest tells the two who call an engine apart: gateways send requests, and
+// its stager makes the engine's own calls.
+func labelRequest(first []byte) string {
+	if bytes.Contains(first, []byte(" /api/")) {
+		return "stager"
+	}
+	return "gateway"
+}
+
+// ----------------------------------------------------------------
+// Stand-ins
+
+func (w *world) controlCalls() []string {
+	var all []string
+	for i := range w.size.control {
+		all = append(all, w.at(controlVMs, i, callsPort))
+	}
+	return all
+}
+
+func (w *world) startServers(ctx context.Context) {
+	serve := func(run func(context.Context, string) error, address string) {
+		go func() {
+			if err := run(ctx, address); err != nil {
+				w.t.Error(err)
+			}
+		}()
+	}
+	for i := range w.size.engines {
+		e := &standin.Engine{Instance: fmt.Sprintf("e-%d", i+1), Figures: figures, Ledger: w.ledger}
+		serve(e.Run, w.at(engineVMs, i, ownServer))
+		w.beat(ctx, e.Instance, standin.EngineService, engineVMs, i, true)
+	}
+	for i := range w.size.plain {
+		s := &standin.Server{Instance: fmt.Sprintf("p-%d", i+1), Takes: plainTakes, Ledger: w.ledger}
+		serve(s.Run, w.at(plainVMs, i, ownServer))
+		w.beat(ctx, s.Instance, standin.PlainService, plainVMs, i, false)
+	}
+}
+
+func (w *world) beat(ctx context.Context, instance, service string, kind, index int, engine bool) {
+	b := &standin.Beats{
+		Instance: instance, Service: service, Address: w.at(kind, index, serverPort), Zone: zone(index),
+		Slots: figures.Slots, Engine: engine, Every: beatEvery, Nodes: w.controlCalls(),
+	}
+	go b.Run(ctx)
+}
+
+// zones is how many failure domains there are.
+const zones = 3
+
+func zone(index int) string { return fmt.Sprintf("hall-%c", 'a'+index%zones) }
+
+// ----------------------------------------------------------------
+// Programs
+
+func (w *world) startPrograms(p *programs) {
+	seeds := fmt.Sprintf("seeds: [%q]", strings.Join(w.controlCalls(), `", "`))
+	seeds = strings.ReplaceAll(seeds, `\"`, `"`)
+	for i := range w.size.control {
+		name := fmt.Sprintf("control-%d", i+1)
+		p.start("tidepost-control", name, w.common(name, controlVMs, i, true)+fmt.Sprintf(`
+data: {folder: %q}
+control: {listen: %q, %s, bootstrap: true}
+backends: {heartbeat: %s}
+weights: {cache: false}
+`, filepath.Join(p.folder, name), w.at(controlVMs, i, callsPort), seeds, beatEvery))
+	}
+	for i := range w.size.engines {
+		name := fmt.Sprintf("stager-%d", i+1)
+		p.start("tidepost-stager", name, w.common(name, engineVMs, i, true)+fmt.Sprintf(`
+control: {%s}
+engine: {address: %q, service: %s}
+`, seeds, w.at(engineVMs, i, serverPort), standin.EngineService))
+	}
+	for i := range w.size.gateways {
+		name := fmt.Sprintf("gateway-%d", i+1)
+		p.start("tidepost-gateway", name, w.common(name, gatewayVMs, i, false)+fmt.Sprintf(`
+callers: {listen: %q}
+ready: {listen: %q}
+control: {%s}
+drain: {notice: 100ms}
+`, w.at(gatewayVMs, i, callersPort), w.at(gatewayVMs, i, readyPort), seeds))
+	}
+}
+
+// common are the settings that all programs have. One that others dial listens
+// behind its proxy.
+func (w *world) common(name string, kind, index int, dialed bool) string {
+	peers := fmt.Sprintf("listen: %q", w.at(kind, index, linkPort))
+	if dialed {
+		peers = fmt.Sprintf("listen: %q, advertise: %q", w.at(kind, index, ownLinkPort), w.at(kind, index, linkPort))
+	}
+	return fmt.Sprintf("protocol: platform\nvm: {name: %s, region: north, failure_domain: %s}\npeers: {%s}\n", name, zone(index), peers)
+}
+
+// logFolder is where the programs' logs go: one that is named stays.
+func logFolder(t *testing.T) string {
+	const variable = "TIDEPOST_SOAK_LOGS"
+	folder := os.Getenv(variable)
+	if folder == "" {
+		return t.TempDir()
+	}
+	if err := os.MkdirAll(folder, 0o750); err != nil {
+		t.Fatal(err)
+	}
+	return folder
+}
