The fault proxy resets, holds up and silences one way

The fault soak needs them next. One way silent drops the packets of that way at the socket where they come in, so acknowledgements of what goes the other way are lost with them, as on a network; what goes the other way still arrives. A delay holds each piece up and the one behind it too; ruled out: a queue with a time for each piece, which no test needs yet.

--- /dev/null
+++ b/pkg/faultproxy/faults.go
@@ -0,0 +1,51 @@
+// ================================================================
+// The other faults: connections are reset, and pieces held up.
+// ================================================================
+
+package faultproxy
+
+import "time"
+
+// Reset breaks the open connections with a label that which names, at both ends,
+// and returns how many there were by label.
+func (p *Proxy) Reset(which func(label string) bool) map[string]int {
+	chosen, count := p.choose(which)
+	for _, c := range chosen {
+		c.reset()
+	}
+	return count
+}
+
+// Delay has every piece of the connections with a label held up for as long as
+// delay says, from now on and on new connections too; nil holds up nothing. A piece
+// waits for the one before, as on a link that is narrow rather than long.
+func (p *Proxy) Delay(delay func(label string) time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = delay
+}
+
+// choose returns the open connections with a label that which names, but for those
+// that are silent already, and counts them by label.
+func (p *Proxy) choose(which func(label string) bool) (chosen []*pair, count map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	count = map[string]int{}
+	for c := range p.pairs {
+		if !c.isSilent() && which(c.label) {
+			chosen = append(chosen, c)
+			count[c.label]++
+		}
+	}
+	return chosen, count
+}
+
+// delayOf returns how long a piece of a connection is held up now.
+func (p *Proxy) delayOf(c *pair) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.delay == nil {
+		return 0
+	}
+	return p.delay(c.label)
+}
--- a/pkg/faultproxy/pair.go
+++ b/pkg/faultproxy/pair.go
@@ -1,5 +1,5 @@
 // ================================================================
-// One connection through the proxy: two sockets, and two loops that carry bytes
+// One connection through the proxy: two sockets, and two ways that carry bytes
 // from one to the other.
 // ================================================================
 
@@ -19,55 +19,93 @@
 
 // pair is a dialer's connection and the one to the target.
 type pair struct {
-	dialer, target *net.TCPConn
-	label          string // under the proxy's lock
-	silent         atomic.Bool
-	midway         atomic.Pointer[Manner] // how it goes silent within the next piece
-	over           chan struct{}          // closed when both loops have ended
+	dialer, target     *net.TCPConn
+	toTarget, toDialer *way
+	label              string                 // under the proxy's lock
+	midway             atomic.Pointer[Manner] // how it goes silent within the next piece
+}
+
+// way is one direction of a pair.
+type way struct {
+	from, to *net.TCPConn
+	silent   atomic.Bool
+	over     chan struct{} // closed when it carries nothing any more
 }
 
 func newPair(dialer, target *net.TCPConn) *pair {
-	return &pair{dialer: dialer, target: target, over: make(chan struct{})}
+	return &pair{
+		dialer: dialer, target: target,
+		toTarget: &way{from: dialer, to: target, over: make(chan struct{})},
+		toDialer: &way{from: target, to: dialer, over: make(chan struct{})},
+	}
 }
 
-func (c *pair) isSilent() bool { return c.silent.Load() }
+// isSilent tells whether either way is.
+func (c *pair) isSilent() bool { return c.toTarget.silent.Load() || c.toDialer.silent.Load() }
+
+// ways returns those that a manner silences.
+func (c *pair) ways(m Manner) []*way {
+	switch m.Only {
+	case ToTarget:
+		return []*way{c.toTarget}
+	case ToDialer:
+		return []*way{c.toDialer}
+	}
+	return []*way{c.toTarget, c.toDialer}
+}
 
 func (c *pair) close() {
 	_ = c.dialer.Close()
 	_ = c.target.Close()
 }
 
-// forward carries bytes both ways until both sides have ended or the pair is
-// silent. begins is called with the first bytes of the dialer.
-func (c *pair) forward(begins func(first []byte)) {
-	defer close(c.over)
+// reset breaks both sides.
+func (c *pair) reset() {
+	reset(c.dialer)
+	reset(c.target)
+}
+
+func reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// forward carries bytes both ways until both have ended. begins is called with the
+// first bytes of the dialer, and delay says how long a piece is held up.
+func (c *pair) forward(begins func(first []byte), delay func() time.Duration) {
 	var both sync.WaitGroup
-	both.Go(func() { c.carry(c.target, c.dialer, begins) })
-	both.Go(func() { c.carry(c.dialer, c.target, func([]byte) {}) })
+	both.Go(func() { c.carry(c.toTarget, begins, delay) })
+	both.Go(func() { c.carry(c.toDialer, func([]byte) {}, delay) })
 	both.Wait()
 }
 
 // carry carries bytes one way. It hands on how that way ends: an end of the
 // stream as one, and a reset as a reset.
-func (c *pair) carry(to, from *net.TCPConn, begins func(first []byte)) {
+func (c *pair) carry(w *way, begins func(first []byte), delay func() time.Duration) {
+	defer close(w.over)
 	buffer := make([]byte, pieceSize)
 	first := true
 	for {
-		n, err := from.Read(buffer)
-		if n > 0 && first {
-			begins(buffer[:n])
-			first = false
-		}
-		if n > 0 && !c.pass(to, buffer[:n]) {
-			return
+		n, err := w.from.Read(buffer)
+		if n > 0 {
+			if first {
+				begins(buffer[:n])
+				first = false
+			}
+			if d := delay(); d > 0 {
+				time.Sleep(d)
+			}
+			if !c.pass(w, buffer[:n]) {
+				return
+			}
 		}
 		if err == nil {
 			continue
 		}
 		switch {
-		case c.isSilent():
+		case w.silent.Load():
 		case errors.Is(err, io.EOF):
-			_ = to.CloseWrite()
+			_ = w.to.CloseWrite()
 		default:
 			c.reset()
 		}
@@ -76,17 +114,17 @@
 }
 
 // pass passes a piece on and tells whether more may follow.
-func (c *pair) pass(to *net.TCPConn, piece []byte) bool {
-	if c.isSilent() {
+func (c *pair) pass(w *way, piece []byte) bool {
+	if w.silent.Load() {
 		return false
 	}
-	if m := c.midway.Load(); m != nil {
-		_, _ = to.Write(piece[:len(piece)/2])
+	if m := c.midway.Load(); m != nil && m.covers(w == c.toTarget) {
+		_, _ = w.to.Write(piece[:len(piece)/2])
 		c.hush(*m)
 		return false
 	}
-	if _, err := to.Write(piece); err != nil {
-		if !c.isSilent() {
+	if _, err := w.to.Write(piece); err != nil {
+		if !w.silent.Load() {
 			c.reset()
 		}
 		return false
@@ -96,24 +134,14 @@
 
 // hush makes the pair silent. What is being read or written stops there.
 func (c *pair) hush(m Manner) {
-	c.silent.Store(true)
-	if !m.Acknowledged {
-		dropPackets(c.dialer)
-		dropPackets(c.target)
-	}
 	// A time that has passed ends the reads and writes under way.
 	past := time.Unix(1, 0)
-	_ = c.dialer.SetDeadline(past)
-	_ = c.target.SetDeadline(past)
-}
-
-// reset breaks both sides.
-func (c *pair) reset() {
-	reset(c.dialer)
-	reset(c.target)
-}
-
-func reset(conn *net.TCPConn) {
-	_ = conn.SetLinger(0)
-	_ = conn.Close()
+	for _, w := range c.ways(m) {
+		w.silent.Store(true)
+		if !m.Acknowledged {
+			dropPackets(w.from)
+		}
+		_ = w.from.SetReadDeadline(past)
+		_ = w.to.SetWriteDeadline(past)
+	}
 }
--- a/pkg/faultproxy/proxy.go
+++ b/pkg/faultproxy/proxy.go
@@ -1,7 +1,7 @@
 // ================================================================
 // A proxy on loopback that stands before one address and does to the connections
 // through it what networks do: it silences those that are open while new ones
-// pass. It is for tests of whole programs.
+// pass, resets them or holds them up. It is for tests of whole programs.
 //
 //	gateway --> 127.0.0.9:7700 (proxy) --> 127.0.0.9:7701 (stager)
 //
@@ -13,7 +13,7 @@
 // address each, so all who dial a process go to the same place.
 // ================================================================
 
-// Package faultproxy is a proxy for tests that silences connections.
+// Package faultproxy is a proxy for tests that brings faults on connections.
 package faultproxy
 
 import (
@@ -47,6 +47,7 @@
 	mu       sync.Mutex
 	pairs    map[*pair]bool
 	openings []Opening
+	delay    func(label string) time.Duration
 	closed   bool
 }
 
@@ -80,24 +81,14 @@
 func (p *Proxy) Close() {
 	p.mu.Lock()
 	p.closed = true
-	all := p.all()
-	p.mu.Unlock()
-	_ = p.listener.Close()
-	for _, c := range all {
+	for c := range p.pairs {
 		c.close()
 	}
+	p.mu.Unlock()
+	_ = p.listener.Close()
 	p.running.Wait()
 }
 
-// all returns the connections; the caller holds the lock.
-func (p *Proxy) all() []*pair {
-	var all []*pair
-	for c := range p.pairs {
-		all = append(all, c)
-	}
-	return all
-}
-
 func (p *Proxy) accept() {
 	defer p.running.Done()
 	for {
@@ -124,7 +115,7 @@
 		c.close()
 		return
 	}
-	c.forward(func(first []byte) { p.label(c, first, at) })
+	c.forward(func(first []byte) { p.label(c, first, at) }, func() time.Duration { return p.delayOf(c) })
 	if c.isSilent() {
 		// It stays open until Close: its ends must not hear that it is over.
 		return
--- a/pkg/faultproxy/proxy_test.go
+++ b/pkg/faultproxy/proxy_test.go
@@ -262,3 +262,122 @@
 		t.Fatalf("%v", all)
 	}
 }
+
+// One way goes silent and the other one does not.
+func TestOneWaySilence(t *testing.T) {
+	t.Run("to the target", func(t *testing.T) {
+		p := listen(t, echo(t))
+		l := dial(t, p)
+		l.mustEcho(t, "l one")
+		p.Silence(Every, Manner{Only: ToTarget})
+		if _, err := io.WriteString(l, "l two\n"); err != nil {
+			t.Fatal(err)
+		}
+		l.mustBeSilent(t)
+	})
+	t.Run("to the dialer", func(t *testing.T) {
+		server, client := net.Pipe()
+		p := listen(t, sink(t, server))
+		l := dial(t, p)
+		if _, err := io.WriteString(l, "l one\n"); err != nil {
+			t.Fatal(err)
+		}
+		lines := bufio.NewReader(client)
+		mustRead(t, lines, "l one\n")
+		p.Silence(Every, Manner{Only: ToDialer})
+		if _, err := io.WriteString(l, "l two\n"); err != nil {
+			t.Fatal(err)
+		}
+		mustRead(t, lines, "l two\n")
+		l.mustBeSilent(t)
+	})
+	t.Run("from the target", func(t *testing.T) {
+		greeting := make(chan string)
+		p := listen(t, greeter(t, greeting))
+		l := dial(t, p)
+		if _, err := io.WriteString(l, "l one\n"); err != nil {
+			t.Fatal(err)
+		}
+		greeting <- "first\n"
+		mustRead(t, l.reader, "first\n")
+		p.Silence(Every, Manner{Only: ToTarget})
+		greeting <- "second\n"
+		mustRead(t, l.reader, "second\n")
+	})
+}
+
+func mustRead(t *testing.T, from *bufio.Reader, want string) {
+	t.Helper()
+	if got, err := from.ReadString('\n'); err != nil || got != want {
+		t.Fatalf("%q came, %v", got, err)
+	}
+}
+
+// sink is a server that hands on what comes and answers nothing.
+func sink(t *testing.T, to io.Writer) string {
+	return serveOne(t, func(conn net.Conn) { _, _ = io.Copy(to, conn) })
+}
+
+// greeter is a server that sends what it is given.
+func greeter(t *testing.T, greeting <-chan string) string {
+	return serveOne(t, func(conn net.Conn) {
+		for {
+			select {
+			case <-t.Context().Done():
+				return
+			case text := <-greeting:
+				_, _ = io.WriteString(conn, text)
+			}
+		}
+	})
+}
+
+// serveOne serves the first connection that comes.
+func serveOne(t *testing.T, serve func(net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		serve(conn)
+	}()
+	return l.Addr().String()
+}
+
+func TestResetBreaksTheOpenOnes(t *testing.T) {
+	p := listen(t, echo(t))
+	old := dial(t, p)
+	old.mustEcho(t, "old one")
+	if n := p.Reset(Every); n["old"] != 1 {
+		t.Fatalf("reset %v", n)
+	}
+	if _, err := old.reader.ReadString('\n'); !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("%v", err)
+	}
+	dial(t, p).mustEcho(t, "fresh one")
+}
+
+// A piece comes no sooner than it is held up, there and back.
+func TestDelayHoldsUp(t *testing.T) {
+	const held = 20 * time.Millisecond
+	p := listen(t, echo(t))
+	p.Delay(func(label string) time.Duration {
+		if label == "slow" {
+			return held
+		}
+		return 0
+	})
+	slow, quick := dial(t, p), dial(t, p)
+	quick.mustEcho(t, "quick one")
+	started := time.Now()
+	slow.mustEcho(t, "slow one")
+	if took := time.Since(started); took < 2*held {
+		t.Fatalf("there and back in %s", took)
+	}
+}
--- a/pkg/faultproxy/silence.go
+++ b/pkg/faultproxy/silence.go
@@ -34,22 +34,29 @@
 	// Midway passes half of the next piece that comes either way, and is silent
 	// only then: the silence falls into the middle of a message.
 	Midway bool
+	// Only is the way that goes silent; both when it is not set. What comes the
+	// other way still arrives, but for the acknowledgements of the silent one.
+	Only Way
+}
+
+// Way is a direction of a connection.
+type Way int
+
+// The ways.
+const (
+	ToTarget Way = iota + 1
+	ToDialer
+)
+
+func (m Manner) covers(toTarget bool) bool {
+	return m.Only == 0 || (m.Only == ToTarget) == toTarget
 }
 
 // Silence makes the open connections with a label that which names silent for
 // good, and returns how many there were by label. New ones pass. But for
 // Manner.Midway, nothing is passed on any more once it returns.
 func (p *Proxy) Silence(which func(label string) bool, m Manner) map[string]int {
-	p.mu.Lock()
-	var chosen []*pair
-	count := map[string]int{}
-	for _, c := range p.all() {
-		if !c.isSilent() && which(c.label) {
-			chosen = append(chosen, c)
-			count[c.label]++
-		}
-	}
-	p.mu.Unlock()
+	chosen, count := p.choose(which)
 	for _, c := range chosen {
 		if m.Midway {
 			c.midway.Store(&m)
@@ -57,9 +64,12 @@
 			c.hush(m)
 		}
 	}
-	if !m.Midway {
-		for _, c := range chosen {
-			<-c.over
+	if m.Midway {
+		return count
+	}
+	for _, c := range chosen {
+		for _, w := range c.ways(m) {
+			<-w.over
 		}
 	}
 	return count
--- a/soak/aim_test.go
+++ b/soak/aim_test.go
@@ -176,6 +176,34 @@
 	streamsBefore, streamsAfter share
 	plainBefore, plainAfter     share
 	late                        lateness // of those after
+	course                      []share  // by when they were sent, in steps
+}
+
+// The course is told in steps from a time before the silence on.
+const (
+	courseStep   = 500 * time.Millisecond
+	courseBefore = 2 * courseStep
+	courseSteps  = 20
+)
+
+// follow counts a request in the course.
+func (r *row) follow(a standin.Answer) {
+	if r.course == nil {
+		r.course = make([]share, courseSteps)
+	}
+	at := a.Sent.Sub(r.from.Add(-courseBefore))
+	if step := int(at / courseStep); at >= 0 && step < courseSteps {
+		r.course[step].add(a)
+	}
+}
+
+// courseLine is the course as one line.
+func (r *row) courseLine() string {
+	var steps []string
+	for _, s := range r.course {
+		steps = append(steps, fmt.Sprintf("%.2f", s.of()))
+	}
+	return fmt.Sprintf(kindLine, fmt.Sprintf("every %.1f s, from -%.1f s", courseStep.Seconds(), courseBefore.Seconds()), strings.Join(steps, " "))
 }
 
 // longestAnswer is longer than the longest answer takes at a busy engine.
@@ -201,6 +229,7 @@
 			kindOf(a, &r.streamsAfter, &r.plainAfter).add(a)
 			r.late.add(a)
 		}
+		r.follow(a)
 	}
 }
 
@@ -276,6 +305,7 @@
 	lines := []string{fmt.Sprintf(rowFormat, r.name, r.before, r.after, fmt.Sprintf("%.2f", r.ratio()),
 		fmt.Sprintf("%.2f: %.2f", r.justBefore.of(), r.after.over(r.justBefore)),
 		twoShares(r.streamsBefore, r.streamsAfter), twoShares(r.plainBefore, r.plainAfter), r.underWay, r.late, r.replacements(r.silent))}
+	lines = append(lines, r.courseLine())
 	kinds := r.kinds()
 	if len(kinds) < 2 {
 		return lines
