Soak: weights spread while connections go silent

Links between stagers are only open while chunks go over them, so no run had one to silence. The measurement also fails where a request begins on a version after the time for the next one is over.

--- a/soak/aim_test.go
+++ b/soak/aim_test.go
@@ -43,26 +43,41 @@
 	settle = 7 * time.Second
 	// patience is how long callers wait.
 	patience = 6 * time.Second
+	// rollWithin is the time within which new weights are to be in force.
+	rollWithin = 10 * time.Second
 	// worldIsUp is how long the programs get to find each other.
 	worldIsUp = 5 * time.Second
 )
 
+// spreadBefore is how long before the silence new weights are named, in the
+// scenarios in which they spread: some chunks are on their way then.
+const spreadBefore = 700 * time.Millisecond
+
 // scenario is which connections go silent, and when.
 type scenario struct {
-	name  string
-	roles []role
-	at    []time.Duration
+	name    string
+	roles   []role
+	at      []time.Duration
+	spreads bool // new weights do, meanwhile
 }
 
 func scenarios() []scenario {
 	once := []time.Duration{0}
 	var all []scenario
 	for _, r := range roles {
-		all = append(all, scenario{r.name, []role{r}, once})
+		all = append(all, scenario{name: r.name, roles: []role{r}, at: once})
 	}
 	return append(all,
-		scenario{"all kinds", roles, once},
-		scenario{"all kinds, twice", roles, []time.Duration{0, secondAfter}})
+		scenario{name: "none, weights spread", at: once, spreads: true},
+		scenario{name: "stager to stager, weights spread", roles: rolesOf("stager to stager"), at: once, spreads: true},
+		scenario{name: "all kinds", roles: roles, at: once},
+		scenario{name: "all kinds, twice", roles: roles, at: []time.Duration{0, secondAfter}},
+		scenario{name: "all kinds, weights spread", roles: roles, at: once, spreads: true})
+}
+
+// rolesOf returns the kinds with a name.
+func rolesOf(name string) []role {
+	return slices.DeleteFunc(slices.Clone(roles), func(r role) bool { return r.name != name })
 }
 
 // manners are how connections may go silent.
@@ -88,7 +103,7 @@
 
 func measureSilence(t *testing.T, m faultproxy.Manner) {
 	busy := machineLoad()
-	w := startWorld(t, size{control: 3, gateways: 3, engines: 6, plain: 3}, logFolder(t))
+	w := startWorld(t, size{control: 3, gateways: 3, engines: 6, plain: 3, within: rollWithin}, logFolder(t))
 	l := newLoad(w, seed(t), patience)
 	time.Sleep(worldIsUp)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -99,11 +114,15 @@
 	}()
 	var rows []row
 	only := os.Getenv("TIDEPOST_SILENT")
+	version := uint64(standin.FirstVersion)
 	for _, s := range scenarios() {
 		if !strings.HasPrefix(s.name, only) {
 			continue
 		}
-		rows = append(rows, s.play(w, l, m))
+		if s.spreads {
+			version++
+		}
+		rows = append(rows, s.play(w, l, m, version))
 	}
 	cancel()
 	<-sending
@@ -130,12 +149,36 @@
 		}
 		print("%s: %s, %.2f against %.2f", r.name, verdict, r.ratio(), aim)
 	}
+	for _, b := range w.begunTooLate() {
+		t.Errorf("%s began on version %d %s after a later one was acknowledged", b.ID, b.Version, b.after)
+	}
+}
+
+// late is a request that began on a version after the time for the next was over.
+type late struct {
+	standin.Begun
+	after time.Duration
+}
+
+func (w *world) begunTooLate() []late {
+	var all []late
+	for _, b := range w.ledger.Begun() {
+		next, named := w.named[b.Version+1]
+		if after := b.At.Sub(next); named && after > w.size.within {
+			all = append(all, late{b, after})
+		}
+	}
+	return all
 }
 
 // play has the connections go silent after a calm time and waits until the
 // requests of the window after are over.
-func (s scenario) play(w *world, l *load, m faultproxy.Manner) row {
+func (s scenario) play(w *world, l *load, m faultproxy.Manner, version uint64) row {
 	time.Sleep(calm)
+	if s.spreads {
+		w.name(w.t.Context(), version)
+		time.Sleep(spreadBefore)
+	}
 	r := row{name: s.name, from: time.Now()}
 	for _, after := range s.at {
 		time.Sleep(time.Until(r.from.Add(after)))
@@ -143,6 +186,9 @@
 	}
 	r.to = time.Now().Add(window)
 	time.Sleep(time.Until(r.to.Add(settle)))
+	if s.spreads {
+		time.Sleep(time.Until(w.named[version].Add(w.size.within)))
+	}
 	return r
 }
 
--- a/soak/silence_test.go
+++ b/soak/silence_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/tidepost/tidepost/pkg/faultproxy"
 	"github.com/tidepost/tidepost/platform/standin"
@@ -30,18 +31,23 @@
 }
 
 // All connections go silent, twice, in the middle of messages the second time.
-// Every caller is served in the end, and no promise is broken.
+// Meanwhile new weights spread. Every caller is served in the end, every engine
+// serves the new version, and no promise is broken.
 func TestServiceGoesOnAfterSilence(t *testing.T) {
-	w := startWorld(t, size{control: 3, gateways: 2, engines: 3, plain: 2}, logFolder(t))
+	w := startWorld(t, size{control: 3, gateways: 2, engines: 3, plain: 2, within: 3 * time.Second}, logFolder(t))
 	l := newLoad(w, seed(t), 0)
 	ctx := t.Context()
 	const requests = 50
 	l.send(ctx, requests)
+	const next = standin.FirstVersion + 1
+	w.name(ctx, next)
+	l.send(ctx, requests/2)
 	silent := w.silence(roles, faultproxy.Manner{})
 	l.send(ctx, requests)
 	silent = append(silent, w.silence(roles, faultproxy.Manner{Midway: true})...)
 	l.send(ctx, requests)
 	l.under.Wait()
+	w.awaitServed(next)
 	if len(silent) == 0 {
 		t.Fatal("no connection went silent")
 	}
@@ -54,6 +60,16 @@
 	checkPromises(t, w, after.all())
 }
 
+// awaitServed waits until every engine serves a version; the test's own limit bounds
+// it.
+func (w *world) awaitServed(version uint64) {
+	for _, e := range w.engines {
+		for e.Served() != version {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
 // checkPromises checks what every caller was promised. Each is served, but for the
 // requests that may have run and must not run again.
 func checkPromises(t *testing.T, w *world, answers []standin.Answer) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -5,7 +5,7 @@
 //	127.n.1.i  control node i       links 7700 (proxy) to 7701
 //	127.n.2.i  gateway i            callers 8005, readiness 8002
 //	127.n.3.i  engine and stager i  links 7700 (proxy) to 7701, engine 9000 (proxy) to 9001
-//	127.n.4.i  plain server i       9000 (proxy) to 9001
+//	127.n.4.i  plain server i       9000 (proxy) to 9001; the origin 9100 on the first
 //
 // Links go to one port on every VM, so a stager is found at its engine's host: the
 // proxies have that port, and the programs listen beside it and tell the proxy's
@@ -38,6 +38,7 @@
 	callersPort = 8005
 	serverPort  = 9000
 	ownServer   = 9001
+	originPort  = 9100
 )
 
 // The third number of addresses.
@@ -48,8 +49,12 @@
 	plainVMs
 )
 
-// size says how many of each there are.
-type size struct{ control, gateways, engines, plain int }
+// size says how many of each there are, and within what time a named version is to
+// be in force.
+type size struct {
+	control, gateways, engines, plain int
+	within                            time.Duration
+}
 
 // figures are those of the engines.
 var figures = standin.Figures{
@@ -60,6 +65,8 @@
 const (
 	plainTakes = 20 * time.Millisecond
 	beatEvery  = 1200 * time.Millisecond
+	// chunkTakes has the origin send a copy within a second.
+	chunkTakes = 25 * time.Millisecond
 )
 
 // world is the whole.
@@ -68,6 +75,12 @@
 	size   size
 	net    int // the second number of addresses
 	ledger *standin.Ledger
+	origin *standin.Origin
+	// engines are in the order of their addresses.
+	engines  []*standin.Engine
+	operator standin.Operator
+	// named are the versions named so far, with when that was acknowledged.
+	named map[uint64]time.Time
 	// links and servers are the proxies, by the third number of the address.
 	links, servers map[int][]*faultproxy.Proxy
 }
@@ -76,6 +89,7 @@
 func startWorld(t *testing.T, s size, folder string) *world {
 	w := &world{
 		t: t, size: s, net: freeNet(t), ledger: standin.NewLedger(),
+		origin: &standin.Origin{Takes: chunkTakes}, named: map[uint64]time.Time{},
 		links: map[int][]*faultproxy.Proxy{}, servers: map[int][]*faultproxy.Proxy{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -84,15 +98,23 @@
 	w.startProxies()
 	w.startServers(ctx)
 	w.startPrograms(newPrograms(t, folder))
-	operator := standin.Operator{Nodes: w.controlCalls()}
-	w.must(operator.Configure(ctx, figures))
-	w.must(operator.Name(ctx))
+	w.operator = standin.Operator{Nodes: w.controlCalls(), Origin: w.at(plainVMs, 0, originPort)}
+	w.must(w.operator.Configure(ctx, figures))
+	w.name(ctx, standin.FirstVersion)
 	for i := range s.gateways {
 		w.must(standin.AwaitReady(ctx, w.at(gatewayVMs, i, readyPort)))
 	}
 	return w
 }
 
+// name publishes a version of the weights and names it.
+func (w *world) name(ctx context.Context, version uint64) {
+	w.t.Helper()
+	w.origin.Publish(version)
+	w.must(w.operator.Name(ctx, version))
+	w.named[version] = time.Now()
+}
+
 func (w *world) must(err error) {
 	w.t.Helper()
 	if err != nil {
@@ -181,19 +203,21 @@
 			}
 		}()
 	}
+	serve(w.origin.Run, w.at(plainVMs, 0, originPort))
 	for i := range w.size.engines {
-		e := &standin.Engine{Instance: fmt.Sprintf("e-%d", i+1), Figures: figures, Ledger: w.ledger}
+		e := standin.NewEngine(fmt.Sprintf("e-%d", i+1), figures, w.ledger)
+		w.engines = append(w.engines, e)
 		serve(e.Run, w.at(engineVMs, i, ownServer))
-		w.beat(ctx, e.Instance, standin.EngineService, engineVMs, i, true)
+		w.beat(ctx, e.Instance, standin.EngineService, engineVMs, i, e)
 	}
 	for i := range w.size.plain {
 		s := &standin.Server{Instance: fmt.Sprintf("p-%d", i+1), Takes: plainTakes, Ledger: w.ledger}
 		serve(s.Run, w.at(plainVMs, i, ownServer))
-		w.beat(ctx, s.Instance, standin.PlainService, plainVMs, i, false)
+		w.beat(ctx, s.Instance, standin.PlainService, plainVMs, i, nil)
 	}
 }
 
-func (w *world) beat(ctx context.Context, instance, service string, kind, index int, engine bool) {
+func (w *world) beat(ctx context.Context, instance, service string, kind, index int, engine *standin.Engine) {
 	b := &standin.Beats{
 		Instance: instance, Service: service, Address: w.at(kind, index, serverPort), Zone: zone(index),
 		Slots: figures.Slots, Engine: engine, Every: beatEvery, Nodes: w.controlCalls(),
@@ -226,7 +250,8 @@
 		p.start("tidepost-stager", name, w.common(name, engineVMs, i, true)+fmt.Sprintf(`
 control: {%s}
 engine: {address: %q, service: %s}
-`, seeds, w.at(engineVMs, i, serverPort), standin.EngineService))
+weights: {within: %s}
+`, seeds, w.at(engineVMs, i, serverPort), standin.EngineService, w.size.within))
 	}
 	for i := range w.size.gateways {
 		name := fmt.Sprintf("gateway-%d", i+1)
@@ -235,7 +260,8 @@
 ready: {listen: %q}
 control: {%s}
 drain: {notice: 100ms}
-`, w.at(gatewayVMs, i, callersPort), w.at(gatewayVMs, i, readyPort), seeds))
+weights: {within: %s}
+`, w.at(gatewayVMs, i, callersPort), w.at(gatewayVMs, i, readyPort), seeds, w.size.within))
 	}
 }
 
