faultproxy: a silence in the middle of a message passes one half, not one each way

The server's echo of the half could come back and be halved once more before the connection was silent.

--- a/pkg/faultproxy/pair.go
+++ b/pkg/faultproxy/pair.go
@@ -23,6 +23,7 @@
 	toTarget, toDialer *way
 	label              string                 // under the proxy's lock
 	midway             atomic.Pointer[Manner] // how it goes silent within the next piece
+	halved             atomic.Bool            // that piece has come
 }
 
 // way is one direction of a pair.
@@ -119,6 +120,10 @@
 		return false
 	}
 	if m := c.midway.Load(); m != nil && m.covers(w == c.toTarget) {
+		if !c.halved.CompareAndSwap(false, true) {
+			// The other way has a half under way: its answer is already lost.
+			return false
+		}
 		_, _ = w.to.Write(piece[:len(piece)/2])
 		c.hush(*m)
 		return false
