--- a/pkg/control/cluster_test.go
+++ b/pkg/control/cluster_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/tidepost/tidepost/internal/silenced"
 	"github.com/tidepost/tidepost/pkg/controllog"
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/disk"
@@ -37,7 +38,7 @@
 	node               *Node
 	signals            chan os.Signal
 	ended              chan error
-	silencer           linkSilencer
+	silencer           silenced.Conns // the links that it dialed
 }
 
 // freeAddress returns an address that nobody listens on.
@@ -113,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return n.silencer.wrap(conn), nil
+	return n.silencer.Wrap(conn), nil
 }
 
 func (c *cluster) seeds() []string {
--- a/pkg/control/silence_test.go
+++ b/pkg/control/silence_test.go
@@ -1,58 +1,11 @@
 package control
 
 import (
-	"net"
-	"sync"
-	"sync/atomic"
 	"testing"
 
 	"github.com/tidepost/tidepost/pkg/controllog"
 )
 
-// linkSilencer silences the links that a node has dialed.
-type linkSilencer struct {
-	mu   sync.Mutex
-	open []*atomic.Bool
-}
-
-func (s *linkSilencer) wrap(conn net.Conn) net.Conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	silenced := &atomic.Bool{}
-	s.open = append(s.open, silenced)
-	return lossyConn{conn, silenced}
-}
-
-func (s *linkSilencer) silence() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, silenced := range s.open {
-		silenced.Store(true)
-	}
-}
-
-// lossyConn loses what it carries once it is silenced, both ways and without an error.
-type lossyConn struct {
-	net.Conn
-	silenced *atomic.Bool
-}
-
-func (c lossyConn) Write(b []byte) (int, error) {
-	if c.silenced.Load() {
-		return len(b), nil
-	}
-	return c.Conn.Write(b)
-}
-
-func (c lossyConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if err != nil || !c.silenced.Load() {
-			return n, err
-		}
-	}
-}
-
 // leadership returns the term and who leads, once a leader commits.
 func (c *cluster) leadership() (term uint64, leader string) {
 	c.t.Helper()
@@ -83,7 +36,7 @@
 		term, leader := c.leadership()
 		c.put(c.nodes[round%3], 2*round+1)
 		for _, n := range c.nodes {
-			n.silencer.silence()
+			n.silencer.Silence()
 		}
 		// Any node takes the next change, and every one has the change before.
 		c.put(c.nodes[(round+1)%3], 2*round+2)
--- a/pkg/feed/silence_test.go
+++ b/pkg/feed/silence_test.go
@@ -4,70 +4,29 @@
 	"context"
 	"math"
 	"net"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 
+	"github.com/tidepost/tidepost/internal/silenced"
 	"github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/link"
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
-// lossyConn loses what it carries once it is silenced, both ways and without an error.
-type lossyConn struct {
-	net.Conn
-	silenced *atomic.Bool
-}
-
-func (c lossyConn) Write(b []byte) (int, error) {
-	if c.silenced.Load() {
-		return len(b), nil
-	}
-	return c.Conn.Write(b)
-}
-
-func (c lossyConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if err != nil || !c.silenced.Load() {
-			return n, err
-		}
-	}
-}
-
-// silentLinks dials links that can go silent, those that are open.
+// silentLinks dials links that can go silent.
 type silentLinks struct {
-	mu   sync.Mutex
-	open []*atomic.Bool
-	to   string // where dials go in place of the address; empty is the address
+	silenced.Conns
+	to atomic.Pointer[string] // where dials go in place of the address; nil is the address
 }
 
 func (s *silentLinks) dial(ctx context.Context, address string) (net.Conn, error) {
-	silenced := &atomic.Bool{}
-	s.mu.Lock()
-	s.open = append(s.open, silenced)
-	if s.to != "" {
-		address = s.to
-	}
-	s.mu.Unlock()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return lossyConn{conn, silenced}, nil
-}
-
-// silence silences the open links; new ones go to an address.
-func (s *silentLinks) silence(to string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.to = to
-	for _, silenced := range s.open {
-		silenced.Store(true)
+	if to := s.to.Load(); to != nil {
+		address = *to
 	}
+	return s.Dial(ctx, address)
 }
 
 // followSilently starts a gateway's follower over links that can go silent and returns
@@ -110,7 +69,7 @@
 	node, s := h.startNode("hall-0"), &silentLinks{}
 	var updates atomic.Int64
 	f := h.followSilently(s, func(string, Update) { updates.Add(1) })
-	s.silence("")
+	s.Silence()
 	before := updates.Load()
 	h.eventually("the node is heard again", func() bool { return updates.Load() > before })
 	h.eventually("it is the primary again", func() bool {
@@ -136,6 +95,8 @@
 	s := &silentLinks{}
 	f := h.followSilently(s, func(string, Update) {})
 	h.startNode("hall-1")
-	s.silence(h.nodes()[1])
+	other := h.nodes()[1]
+	s.to.Store(&other)
+	s.Silence()
 	h.eventually("the node is counted lost", func() bool { return f.countedLost(h.nodes()[0]) })
 }
--- a/pkg/gateway/silent_links_test.go
+++ b/pkg/gateway/silent_links_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/tidepost/tidepost/internal/silenced"
 	clocks "github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/link"
@@ -32,43 +33,19 @@
 // silentLinks are links to stagers that can go silent: those that are open lose what
 // they carry, both ways. New ones work, unless the stagers are dead.
 type silentLinks struct {
+	silenced.Conns
 	mu    sync.Mutex
-	open  []*atomic.Bool
 	dials int
 	dead  bool
 	asked atomic.Int64 // questions that came to a stager
 }
 
-// silentLink is one of them.
-type silentLink struct {
-	net.Conn
-	silent *atomic.Bool
-}
-
-func (l silentLink) Write(b []byte) (int, error) {
-	if l.silent.Load() {
-		return len(b), nil
-	}
-	return l.Conn.Write(b)
-}
-
-func (l silentLink) Read(b []byte) (int, error) {
-	for {
-		n, err := l.Conn.Read(b)
-		if err != nil || !l.silent.Load() {
-			return n, err
-		}
-	}
-}
-
 // silence silences every link that is open; dead stagers take no new ones.
 func (s *silentLinks) silence(dead bool) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.dead = dead
-	for _, silent := range s.open {
-		silent.Store(true)
-	}
+	s.mu.Unlock()
+	s.Silence()
 }
 
 // newLinked returns a gateway whose stagers are asked over links.
@@ -100,16 +77,14 @@
 		KeepAlive: time.Hour, Unanswered: time.Hour,
 		Dial: func(ctx context.Context, _ string) (net.Conn, error) {
 			s.mu.Lock()
-			dead, silent := s.dead, &atomic.Bool{}
+			dead := s.dead
 			s.dials++
-			s.open = append(s.open, silent)
 			s.mu.Unlock()
 			if dead {
 				<-ctx.Done()
 				return nil, ctx.Err()
 			}
-			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", l.Addr().String())
-			return silentLink{conn, silent}, err
+			return s.Dial(ctx, l.Addr().String())
 		},
 	})
 	t.Cleanup(func() {
--- a/pkg/link/doubt_test.go
+++ b/pkg/link/doubt_test.go
@@ -14,9 +14,10 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/tidepost/tidepost/internal/silenced"
 )
 
 const (
@@ -30,8 +31,8 @@
 // silencer dials connections and can silence those that are open, both ways. It may
 // be told to lose new ones too.
 type silencer struct {
+	silenced.Conns
 	mu     sync.Mutex
-	open   []*atomic.Bool
 	dials  map[string]int
 	silent bool // what is dialed from now on does not come up
 }
@@ -42,8 +43,6 @@
 	s.mu.Lock()
 	s.dials[address]++
 	lost := s.silent
-	silenced := &atomic.Bool{}
-	s.open = append(s.open, silenced)
 	s.mu.Unlock()
 	if lost {
 		<-ctx.Done()
@@ -53,25 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return deafConn{silencedConn{conn, silenced}}, nil
-}
-
-// silence silences every connection that is open.
-func (s *silencer) silence() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, silenced := range s.open {
-		silenced.Store(true)
-	}
-}
-
-// speak ends the silence. What was lost stays lost.
-func (s *silencer) speak() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, silenced := range s.open {
-		silenced.Store(false)
-	}
+	return s.Wrap(conn), nil
 }
 
 // loseDials has what is dialed from now on not come up.
@@ -87,18 +68,6 @@
 	return s.dials[address]
 }
 
-// deafConn loses what comes to it too, once it is silenced.
-type deafConn struct{ silencedConn }
-
-func (c deafConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if err != nil || !c.silenced.Load() {
-			return n, err
-		}
-	}
-}
-
 // unpinged returns a client of a silencer whose pings come too late to help.
 func unpinged(t *testing.T, s *silencer) *Endpoint {
 	t.Helper()
@@ -178,7 +147,7 @@
 		if err := callIn(t, client, address, "hello"); err != nil {
 			t.Fatal(err)
 		}
-		s.silence()
+		s.Silence()
 		eventually(t, "a call is answered", func() bool { return callIn(t, client, address, "hello") == nil })
 	}
 }
@@ -194,7 +163,7 @@
 		ended <- client.Call(t.Context(), address, KindQuery, "wait", &answer)
 	}()
 	<-came
-	s.silence()
+	s.Silence()
 	if within(t, "the call ends", ended) == nil {
 		t.Error("a call was answered over a silent connection")
 	}
@@ -213,7 +182,7 @@
 	defer m.Close()
 	m.Send("server", address, "before")
 	<-came
-	s.silence()
+	s.Silence()
 	eventually(t, "a message arrives", func() bool {
 		_ = callIn(t, client, address, "hello")
 		m.Send("server", address, "after")
@@ -240,7 +209,7 @@
 		t.Fatal(err)
 	}
 	<-came
-	s.silence()
+	s.Silence()
 	ended := make(chan error, 1)
 	go func() {
 		var text string
@@ -263,7 +232,7 @@
 			t.Fatal(err)
 		}
 	}
-	s.silence()
+	s.Silence()
 	eventually(t, "a call is answered", func() bool { return callIn(t, client, used, "hello") == nil })
 	eventually(t, "the idle connection is replaced", func() bool { return s.dialsTo(idle) == 2 })
 }
@@ -300,7 +269,7 @@
 		t.Fatal(err)
 	}
 	old := client.sessions[address].session
-	s.silence()
+	s.Silence()
 	eventually(t, "a call is answered", func() bool { return callIn(t, client, address, "hello") == nil })
 	eventually(t, "one connection is left", func() bool {
 		server.mu.Lock()
@@ -318,7 +287,7 @@
 	if err := callIn(t, client, address, "hello"); err != nil {
 		t.Fatal(err)
 	}
-	s.silence()
+	s.Silence()
 	s.loseDials()
 	for range 100 {
 		if found := client.Doubt(address, time.Now()).Await(t.Context()); found != Unreached {
@@ -349,11 +318,11 @@
 		t.Fatal(err)
 	}
 	<-came
-	s.silence()
+	s.Silence()
 	old, dial := client.sessions[address].session, client.config.Dial
 	client.config.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		// The silence was a short one.
-		s.speak()
+		s.Speak()
 		if _, err := old.Ping(); err != nil {
 			t.Error(err)
 		}
--- a/pkg/staging/silence_test.go
+++ b/pkg/staging/silence_test.go
@@ -1,16 +1,13 @@
 package staging
 
 import (
-	"context"
-	"net"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/tidepost/tidepost/internal/silenced"
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/feed"
@@ -19,28 +16,6 @@
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
-// lossyConn loses what it carries once it is silenced, both ways and without an error.
-type lossyConn struct {
-	net.Conn
-	silenced *atomic.Bool
-}
-
-func (c lossyConn) Write(b []byte) (int, error) {
-	if c.silenced.Load() {
-		return len(b), nil
-	}
-	return c.Conn.Write(b)
-}
-
-func (c lossyConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if err != nil || !c.silenced.Load() {
-			return n, err
-		}
-	}
-}
-
 // What was seen: copies came late after all connections had gone silent while new ones
 // worked. How it came about: a question for a chunk was awaited for all of its time over
 // the silent link, and then the member was left alone for longer still. What caused it:
@@ -50,19 +25,11 @@
 func TestChunkIsAskedForAgainOverAnotherLink(t *testing.T) {
 	data := []byte("a chunk")
 	_, holder := endpointOf(t, func(question) reply { return reply{data: data} })
-	var mu sync.Mutex
-	var open []*atomic.Bool
+	var links silenced.Conns
 	own := link.NewEndpoint(link.Config{
 		Own: vm.NewIdentity("s", 1, "", "a", "s:1"), Clock: event.NewClock(time.Now), Logger: log.NewNopLogger(),
 		KeepAlive: time.Hour, Unanswered: time.Hour,
-		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			silenced := &atomic.Bool{}
-			mu.Lock()
-			open = append(open, silenced)
-			mu.Unlock()
-			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-			return lossyConn{conn, silenced}, err
-		},
+		Dial: links.Dial,
 	})
 	t.Cleanup(own.Close)
 	m := &Member{
@@ -76,11 +43,7 @@
 	if answered := m.fetch(t.Context(), c, holder, 0); !answered || c.get(0) == nil {
 		t.Fatal("the member did not answer")
 	}
-	mu.Lock()
-	for _, silenced := range open {
-		silenced.Store(true)
-	}
-	mu.Unlock()
+	links.Silence()
 	if answered := m.fetch(t.Context(), c, holder, 1); !answered || c.get(1) == nil {
 		t.Error("the chunk did not come over another link")
 	}
