--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -14,7 +14,7 @@
 
 	dto "github.com/prometheus/client_model/go"
 
-	"github.com/tidepost/tidepost/pkg/fake"
+	"github.com/tidepost/tidepost/pkg/faultproxy"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
@@ -39,8 +39,8 @@
 // silencedFixture is a gateway before stand-ins whose connections can be silenced.
 type silencedFixture struct {
 	*fixture
-	servers   []*standIn
-	silencers []*fake.Silencer
+	servers []*standIn
+	proxies []*faultproxy.Proxy
 }
 
 // redirected is a listener that is reached at another address.
@@ -49,6 +49,15 @@
 	addr net.Addr
 }
 
+// address is an address of TCP as text.
+type address string
+
+// Network is that of the address.
+func (address) Network() string { return "tcp" }
+
+// String returns the address.
+func (a address) String() string { return string(a) }
+
 // Addr returns where it is reached.
 func (r redirected) Addr() net.Addr { return r.addr }
 
@@ -58,13 +67,13 @@
 	var reached []*standIn
 	for i, script := range scripts {
 		server := newStandIn(t, fmt.Sprintf("i-%d", i+1), script)
-		s, err := fake.NewSilencer(server.listener.Addr().String())
+		p, err := faultproxy.Listen(faultproxy.Config{Listen: "127.0.0.1:0", Target: server.listener.Addr().String()})
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(s.Close)
-		f.servers, f.silencers = append(f.servers, server), append(f.silencers, s)
-		reached = append(reached, &standIn{incarnation: server.incarnation, listener: redirected{server.listener, s.Addr()}})
+		t.Cleanup(p.Close)
+		f.servers, f.proxies = append(f.servers, server), append(f.proxies, p)
+		reached = append(reached, &standIn{incarnation: server.incarnation, listener: redirected{server.listener, address(p.Address())}})
 	}
 	f.fixture = newFixture(t, kind, true, reached...)
 	// The stand-ins are to share the requests.
@@ -84,8 +93,8 @@
 }
 
 func (f *silencedFixture) silence() {
-	for _, s := range f.silencers {
-		s.Silence()
+	for _, p := range f.proxies {
+		p.Silence(faultproxy.Every, faultproxy.Manner{Acknowledged: true})
 	}
 }
 
