--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -142,7 +142,9 @@
 	case x.listening.found.Load() != nil:
 		// The backend server works: the request may go on there, and it is no failure.
 		delete(q.tried, x.backend)
-		q.silentAt = time.Now()
+		if x.listening.ranWhenLost() {
+			q.lostAt = time.Now()
+		}
 		x.gateway.note(q, attemptSilent, x.listening.found.Load().String())
 	case x.backend.isWithdrawn(time.Now()):
 		x.gateway.note(q, attemptCut, why)
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -234,10 +234,6 @@
 		}
 	}
 	b, loaded := g.awaitPlace(q, w)
-	if b == nil && g.mayRunOn(q) {
-		w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, 0) }
-		b, loaded = g.choosePlace(q, w)
-	}
 	if b != nil {
 		return b, nil
 	}
--- a/pkg/gateway/listening.go
+++ b/pkg/gateway/listening.go
@@ -127,6 +127,14 @@
 	l.due = due
 }
 
+// ranWhenLost tells whether the backend server was at work on the attempt, and goes on with
+// it where it does not hear of the silence.
+func (l *listening) ranWhenLost() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.flows
+}
+
 // waited learns how long the attempt waited.
 func (l *listening) waited(now time.Time) {
 	q := l.exchange.request
@@ -247,9 +255,8 @@
 }
 
 // hearings returns what was heard of all attempts under way, then of those that ended
-// lately; and whether to look again. What was silent while this process stood still
-// counts as silent from then on.
-func (s *silences) hearings(now time.Time) (under []*listening, all []hearing, again bool) {
+// lately. What was silent while this process stood still counts as silent from then on.
+func (s *silences) hearings(now time.Time) (under []*listening, all []hearing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if now.Sub(s.looked) > stoodStill {
@@ -266,12 +273,21 @@
 		}
 		under, all = append(under, l), append(all, h)
 	}
-	s.looking = len(under) > 0
 	for _, h := range s.ended {
 		h.reached = h.backend.reached.quickly()
 		all = append(all, h)
 	}
-	return under, all, s.looking
+	return under, all
+}
+
+// lookAgain has look called once more while anything is under way. It comes after a look
+// and not beside it, so that none overtakes the one before.
+func (s *silences) lookAgain(look func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.looking = len(s.under) > 0; s.looking {
+		time.AfterFunc(lookEvery, look)
+	}
 }
 
 // silentEverywhere tells since when connections everywhere are silent, and whether that
@@ -314,10 +330,8 @@
 
 // lookForSilence looks for silent connections and gives them up.
 func (g *Gateway) lookForSilence(now time.Time) {
-	under, all, again := g.silences.hearings(now)
-	if again {
-		time.AfterFunc(lookEvery, func() { g.lookForSilence(time.Now()) })
-	}
+	defer g.silences.lookAgain(func() { g.lookForSilence(time.Now()) })
+	under, all := g.silences.hearings(now)
 	everywhere, isNew, suspected := g.silences.silentEverywhere(now, all)
 	if !suspected.IsZero() {
 		g.dialSilent(now, suspected, all)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -50,7 +50,7 @@
 	eventAt    time.Time     // of the last event passed on
 	pause      time.Duration // the longest between two events passed on
 	forecast   time.Duration // of the first event, by the stager that granted a place
-	silentAt   time.Time     // when its connection was found silent; zero where none was
+	lostAt     time.Time     // when a run of it was lost behind a silent connection; zero where none was
 	lapse      lapse         // of the version at the last backend server, as known when it was sent there
 }
 
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -222,11 +222,12 @@
 	return false
 }
 
-// newerSpeaks tells whether a connection to the same address, made since an attempt
-// fell silent, is answered on although that attempt is overdue. Plain requests that
-// wait are no evidence: each takes its own time.
+// newerSpeaks tells whether a connection to the same address, made since a stream fell
+// silent, is answered on although that stream is overdue: an engine gives all streams their
+// events in turn. Requests that wait are no evidence: more urgent ones overtake them, and
+// plain ones take each their own time.
 func newerSpeaks(silent hearing, all []hearing) bool {
-	if !silent.flows && !silent.engine {
+	if !silent.flows {
 		return false
 	}
 	for _, h := range all {
--- a/pkg/gateway/silence_judge_test.go
+++ b/pkg/gateway/silence_judge_test.go
@@ -109,16 +109,18 @@
 	l := &listening{silences: &s, exchange: &exchange{request: q, backend: b}, made: start, sent: start, heard: start, due: leastSilence}
 	s.begin(l, func() {})
 	s.looked = start
-	if _, all, _ := s.hearings(start.Add(lookEvery)); !all[0].since.Equal(start) {
+	if _, all := s.hearings(start.Add(lookEvery)); !all[0].since.Equal(start) {
 		t.Fatalf("silent since %s", all[0].since.Sub(start))
 	}
 	late := start.Add(time.Second)
-	_, all, again := s.hearings(late)
-	if !again || !all[0].since.Equal(late) {
+	if _, all := s.hearings(late); !all[0].since.Equal(late) {
 		t.Fatalf("after a standstill silent since %s", all[0].since.Sub(start))
 	}
+	if s.lookAgain(func() {}); !s.looking {
+		t.Fatal("it does not look on although an attempt is under way")
+	}
 	s.end(l)
-	if _, _, again := s.hearings(late.Add(lookEvery)); again {
+	if s.lookAgain(func() {}); s.looking {
 		t.Fatal("it looks on although nothing is under way")
 	}
 }
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -22,19 +22,23 @@
 	// yieldAsks is how many engines are asked at each: all that are lost at one moment
 	// ask, and each question is work for a stager.
 	yieldAsks = 2
+	// mostYield bounds the wait: a caller gives up a stream after a pause of 2 s and more.
+	mostYield = 1500 * time.Millisecond
 )
 
-// yields tells whether the request takes only a place that nobody else waits for.
+// yields tells whether the request takes only a place that nobody else waits for: its lost
+// run may still hold one, and there is time enough to run it afterwards.
 func (q *request) yields(now time.Time) bool {
-	return !q.silentAt.IsZero() && now.Sub(q.silentAt) < q.run
+	return !q.lostAt.IsZero() && now.Sub(q.lostAt) < min(q.run, mostYield) && q.deadline.Sub(now) > q.run
 }
 
 // awaitPlace chooses a place; while the request yields only one that nobody waits for.
+// Where nobody serves there is nothing to wait for.
 func (g *Gateway) awaitPlace(q *request, w wanted) (b *backend, loaded bool) {
 	idle := w
 	idle.wait = time.Duration(longestWait * float64(q.route.Objective()))
 	for q.yields(time.Now()) && q.ctx.Err() == nil {
-		if b, loaded = g.choosePlace(q, idle); b != nil {
+		if b, loaded = g.choosePlaceInTime(q, idle); b != nil || !loaded {
 			return b, loaded
 		}
 		select {
@@ -42,5 +46,15 @@
 		case <-time.After(yieldLook + time.Duration(g.random()*float64(yieldLook)/2)):
 		}
 	}
+	return g.choosePlaceInTime(q, w)
+}
+
+// choosePlaceInTime chooses a place where the request is over before the version there
+// lapses, else one where it may run on.
+func (g *Gateway) choosePlaceInTime(q *request, w wanted) (b *backend, loaded bool) {
+	if b, loaded = g.choosePlace(q, w); b != nil || !g.mayRunOn(q) {
+		return b, loaded
+	}
+	w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, 0) }
 	return g.choosePlace(q, w)
 }
--- a/pkg/gateway/yield_test.go
+++ b/pkg/gateway/yield_test.go
@@ -11,8 +11,8 @@
 func TestLostRequestYieldsToFirstTries(t *testing.T) {
 	s := &stagerStandIn{idle: idleBegin, waits: map[string]time.Duration{"127.0.0.11:1": 300 * time.Millisecond, "127.0.0.12:1": 300 * time.Millisecond, "127.0.0.13:1": 300 * time.Millisecond}}
 	g, q := newReserving(t, s)
-	q.sent, q.mayHaveRun, q.begun, q.run = 1, true, true, time.Minute
-	q.silentAt = time.Now()
+	q.sent, q.mayHaveRun, q.begun, q.run = 1, true, true, 30*time.Second
+	q.lostAt = time.Now()
 	if b, _ := g.choosePlace(q, wanted{service: "menu", engine: testEngine(), tried: q.tried}); b != nil || len(s.asked) > yieldAsks {
 		t.Fatalf("a stream that was lost took a place that others wait for at %v, asked %v", b, s.asked)
 	}
@@ -29,3 +29,29 @@
 		t.Fatal("a stream whose lost run is over was given up")
 	}
 }
+
+// Found in a review: a request that yielded did so past its deadline, and where nobody
+// served at all.
+func TestLostRequestDoesNotYieldInVain(t *testing.T) {
+	s := &stagerStandIn{idle: idleBegin, waits: map[string]time.Duration{"127.0.0.11:1": 300 * time.Millisecond, "127.0.0.12:1": 300 * time.Millisecond, "127.0.0.13:1": 300 * time.Millisecond}}
+	g, q := newReserving(t, s)
+	now := time.Now()
+	q.sent, q.mayHaveRun, q.begun, q.run, q.lostAt = 1, true, true, time.Second, now
+	if !q.yields(now) || q.yields(now.Add(time.Second)) {
+		t.Fatal("it is to yield for as long as it runs")
+	}
+	q.deadline = now.Add(900 * time.Millisecond)
+	if q.yields(now) {
+		t.Fatal("it yields although it would not be over in time then")
+	}
+	q.deadline, q.run = now.Add(time.Hour), time.Minute
+	if q.yields(now.Add(mostYield)) {
+		t.Fatal("it yields for longer than its caller waits")
+	}
+	for _, b := range g.backends.of("menu") {
+		b.setLost(true)
+	}
+	if b, refused := g.pick(q); b != nil || refused == nil || !q.yields(time.Now()) {
+		t.Fatalf("picked %v, refused with %v; where nobody serves it is told at once", b, refused)
+	}
+}
--- a/pkg/link/accept.go
+++ b/pkg/link/accept.go
@@ -19,9 +19,9 @@
 )
 
 // supersededPatience is how long a connection may stay silent after a newer one came
-// from the same process. The dialing side waits for retiredPatience, and a packet that
-// was lost twice takes longer.
-const supersededPatience = time.Second
+// from the same process. Its answer to a ping waits behind what is under way on a stream,
+// which takes 2.3 s on a link of 0.9 Mbit/s.
+const supersededPatience = 3 * time.Second
 
 // Serve accepts connections until the listener is closed.
 func (e *Endpoint) Serve(ctx context.Context, l net.Listener) error {
--- a/pkg/link/doubt.go
+++ b/pkg/link/doubt.go
@@ -42,8 +42,9 @@
 	firstRest   = 200 * time.Millisecond
 	longestRest = 4 * time.Second
 	// retiredPatience is how long a connection that was replaced may stay silent before
-	// it is closed with its streams: a packet that was lost is sent again twice in it.
-	retiredPatience = 500 * time.Millisecond
+	// it is closed with its streams. It may have been slow only, behind a message that
+	// fills its link; those who wait on it know that it was replaced.
+	retiredPatience = supersededPatience
 )
 
 // Finding is what came of a doubt.
