--- /dev/null
+++ b/soak/kept_test.go
@@ -0,0 +1,212 @@
+// ================================================================
+// Callers that keep their connections, and the verdict on how their requests
+// ended: a request that was read is answered, whatever is done to the programs in
+// order. What a planned stop may cut is said by stopAllows.
+// ================================================================
+
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/tidepost/tidepost/platform/standin"
+)
+
+const (
+	// streamWithin and plainWithin are how long callers wait for an answer.
+	streamWithin = 6 * time.Second
+	plainWithin  = 1200 * time.Millisecond
+	// nearDeadline is how early before a deadline an end counts as due to it.
+	nearDeadline = 100 * time.Millisecond
+	// lossSlack is for how long a request may lie read and not passed on when its
+	// connection closes.
+	lossSlack = 200 * time.Millisecond
+	// soonStopped requests were sent so soon after the signal that one which a server
+	// works on until the last sixth of the time for the stop may be cut.
+	soonStopped = 3 * time.Second
+	lastSixth   = stopLimit * 5 / 6
+	// mostUnanswered is how many requests over kept connections may end without an
+	// answer outside of planned stops.
+	mostUnanswered = 3
+)
+
+// keptLoad are the callers that keep their connections.
+type keptLoad struct {
+	world *world
+	// streams and plain are how many callers each gateway has.
+	streams, plain int
+	// pause is the longest pause between two requests of a caller.
+	pause time.Duration
+
+	under sync.WaitGroup
+	mu    sync.Mutex
+	ended []standin.KeptRequest
+}
+
+// run has callers send requests until the context ends, and waits for the last ones.
+func (l *keptLoad) run(ctx context.Context, seed uint64) {
+	for gateway := range l.world.size.gateways {
+		for n := range l.streams + l.plain {
+			draw, kind := drawStream, "s"
+			if n >= l.streams {
+				draw, kind = drawPlain, "p"
+			}
+			c := &standin.KeptCaller{
+				Name:    fmt.Sprintf("%s%d.%d", kind, gateway+1, n),
+				Gateway: l.world.at(gatewayVMs, gateway, callersPort),
+				Draw:    draw, Pause: l.pause, Ended: l.note,
+				Random: rand.New(rand.NewPCG(seed, uint64(gateway*1000+n))),
+			}
+			l.under.Go(func() { c.Run(ctx) })
+		}
+	}
+	l.under.Wait()
+}
+
+func (l *keptLoad) note(k standin.KeptRequest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ended = append(l.ended, k)
+}
+
+func drawStream(r *rand.Rand) standin.Ask {
+	return standin.Ask{
+		Kind: standin.Stream, Stride: figures.Stride, Within: streamWithin,
+		Prompt: leastPrompt + r.IntN(mostPrompt-leastPrompt+1), Tokens: leastTokens + r.IntN(mostTokens-leastTokens+1),
+	}
+}
+
+func drawPlain(r *rand.Rand) standin.Ask {
+	a := standin.Ask{Kind: standin.Safe, Within: plainWithin}
+	if r.IntN(2) == 0 {
+		a.Kind = standin.Unsafe
+	}
+	return a
+}
+
+// ----------------------------------------------------------------
+// The verdict
+
+// span is a time in which something was done to a gateway.
+type span struct {
+	gateway  string // its address for callers
+	from, to time.Time
+}
+
+// covers tells whether a request was under way within the span or soon after it.
+func (s span) covers(k standin.KeptRequest) bool {
+	return s.gateway == k.Gateway && k.Ended.After(s.from) && k.Sent.Before(s.to.Add(time.Second))
+}
+
+// cut is a request over a kept connection that ended without a whole answer.
+type cut struct {
+	standin.KeptRequest
+	ran     int   // how often it ran at a server
+	stop    *span // the planned stop that it met; nil for none
+	planned bool  // it counts as cut by planned work
+	kept    bool  // it counts as left without an answer, whatever was done
+	told    []string
+}
+
+// verdict is what became of all requests.
+type verdict struct {
+	ends map[standin.End]int
+	cuts []cut
+	// wrong are answers that seemed whole and were not those of their requests.
+	wrong []standin.KeptRequest
+}
+
+// judge looks at all requests that are over.
+func (w *world) judge(ended []standin.KeptRequest, stops []span) verdict {
+	v := verdict{ends: map[standin.End]int{}}
+	told := w.requestLines()
+	for _, k := range ended {
+		v.ends[k.End]++
+		if k.End == standin.Answered && k.Why != "" {
+			v.wrong = append(v.wrong, k)
+		}
+		if k.End != standin.Unanswered && k.End != standin.Midway && k.End != standin.Silent {
+			continue
+		}
+		c := cut{KeptRequest: k, ran: w.ledger.Runs(k.ID), told: told[k.ID]}
+		if i := slices.IndexFunc(stops, func(s span) bool { return s.covers(k) }); i >= 0 {
+			c.stop = &stops[i]
+		}
+		c.planned = c.stop != nil && !c.stopAllows()
+		c.kept = k.Before > 0 && c.ran > 0 && k.End != standin.Midway && !c.isLate()
+		v.cuts = append(v.cuts, c)
+	}
+	return v
+}
+
+// isLate tells whether the request ended at its deadline or later.
+func (c cut) isLate() bool { return !c.Ended.Before(c.Sent.Add(c.Within - nearDeadline)) }
+
+// stopAllows tells whether a planned stop may cut the request: nobody has read it, its
+// time was over, or it was sent early enough and a server was at work on it until late.
+func (c cut) stopAllows() bool {
+	if c.ran == 0 && c.Ended.Sub(c.Sent) <= lossSlack {
+		return true
+	}
+	soon := c.Sent.Before(c.stop.from.Add(soonStopped))
+	return c.isLate() || soon && c.ran > 0 && c.Ended.After(c.stop.from.Add(lastSixth))
+}
+
+// requestLines returns what the gateways' logs say of each request.
+func (w *world) requestLines() map[string][]string {
+	all := map[string][]string{}
+	for i := range w.size.gateways {
+		raw, err := os.ReadFile(filepath.Join(w.programs.folder, nameOf("gateway", i)+".log"))
+		if err != nil {
+			w.t.Error(err)
+			continue
+		}
+		lines := bufio.NewScanner(bytes.NewReader(raw))
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			var told struct{ Msg, Request, Outcome, End, Why string }
+			if json.Unmarshal(lines.Bytes(), &told) == nil && told.Request != "" {
+				all[told.Request] = append(all[told.Request], told.Msg+" "+told.Outcome+told.End+": "+told.Why)
+			}
+		}
+	}
+	return all
+}
+
+// line is one cut request for a report.
+func (c cut) line() string {
+	at := ""
+	if c.stop != nil {
+		at = fmt.Sprintf(", sent %+.2f s from the signal, gone at %.2f", c.Sent.Sub(c.stop.from).Seconds(), c.stop.to.Sub(c.stop.from).Seconds())
+	}
+	return fmt.Sprintf("%s %s (%s, %d before): %s after %.2f s, ran %d, reset %t, planned %t, kept %t%s; %s; log %q",
+		c.Ended.Format("05.000"), c.ID, c.Kind, c.Before, c.End, c.Ended.Sub(c.Sent).Seconds(), c.ran, c.Reset, c.planned, c.kept, at, c.Why, c.told)
+}
+
+// count returns how many of the cut requests satisfy a condition.
+func (v verdict) count(holds func(cut) bool) (n int) {
+	for _, c := range v.cuts {
+		if holds(c) {
+			n++
+		}
+	}
+	return n
+}
+
+// leftAlone are those left without an answer while nothing was done to their gateway.
+func (v verdict) leftAlone() int {
+	return v.count(func(c cut) bool { return c.kept && c.stop == nil })
+}
+
+// cutByPlan are those that planned work cut and may not.
+func (v verdict) cutByPlan() int { return v.count(func(c cut) bool { return c.planned }) }
--- a/soak/main_test.go
+++ b/soak/main_test.go
@@ -8,8 +8,9 @@
 	"testing"
 )
 
-// binaries is the folder that TestMain builds the programs into.
-var binaries string
+// binaries is the folder that TestMain builds the programs into. One that is named holds
+// programs of another state of the code, which the same runs are to meet.
+var binaries = os.Getenv("TIDEPOST_SOAK_BINARIES")
 
 func TestMain(m *testing.M) {
 	flag.Parse()
@@ -17,6 +18,9 @@
 }
 
 func buildAndRun(m *testing.M) int {
+	if binaries != "" {
+		return m.Run()
+	}
 	folder, err := os.MkdirTemp("", "tidepost-soak")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -26,17 +27,21 @@
 	folder string
 	starts chan func()
 	ending atomic.Bool
-	all    []*program
+
+	mu  sync.Mutex
+	all map[string]*program // by name
 }
 
+// program is one process. It may be ended and started again under its name.
 type program struct {
-	name string
-	cmd  *exec.Cmd
-	over chan struct{}
+	kind, name string
+	cmd        *exec.Cmd
+	over       chan struct{}
+	expected   atomic.Bool // its end is
 }
 
 func newPrograms(t *testing.T, folder string) *programs {
-	p := &programs{t: t, folder: folder, starts: make(chan func())}
+	p := &programs{t: t, folder: folder, starts: make(chan func()), all: map[string]*program{}}
 	go func() {
 		runtime.LockOSThread()
 		for start := range p.starts {
@@ -49,33 +54,72 @@
 
 // start runs a program on settings; its log goes to a file.
 func (p *programs) start(kind, name, settings string) {
-	path := filepath.Join(p.folder, name+".yaml")
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
-		p.t.Fatal(err)
+	if err := os.WriteFile(p.settingsOf(name), []byte(settings), 0o600); err != nil {
+		p.t.Error(err)
+		return
 	}
-	log, err := os.Create(filepath.Join(p.folder, name+".log"))
+	p.run(kind, name)
+}
+
+func (p *programs) settingsOf(name string) string { return filepath.Join(p.folder, name+".yaml") }
+
+// run runs a program on the settings that it has. What it logs follows what it logged
+// before.
+func (p *programs) run(kind, name string) {
+	log, err := os.OpenFile(filepath.Join(p.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		p.t.Fatal(err)
+		p.t.Error(err)
+		return
 	}
-	cmd := exec.Command(filepath.Join(binaries, kind), "--settings", path)
+	cmd := exec.Command(filepath.Join(binaries, kind), "--settings", p.settingsOf(name))
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
 	p.starts <- func() { started <- cmd.Start() }
 	if err := <-started; err != nil {
-		p.t.Fatal(err)
+		p.t.Error(err)
+		return
 	}
-	one := &program{name, cmd, make(chan struct{})}
-	p.all = append(p.all, one)
+	one := &program{kind: kind, name: name, cmd: cmd, over: make(chan struct{})}
+	p.mu.Lock()
+	p.all[name] = one
+	p.mu.Unlock()
 	go func() {
 		defer close(one.over)
 		defer log.Close()
-		if err := cmd.Wait(); !p.ending.Load() {
+		if err := cmd.Wait(); !p.ending.Load() && !one.expected.Load() {
 			p.t.Errorf("%s ended by itself: %v", name, err)
 		}
 	}()
 }
 
+// named returns the running process of a name.
+func (p *programs) named(name string) *program {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.all[name]
+}
+
+// signal sends a signal that ends no program.
+func (p *programs) signal(name string, s syscall.Signal) {
+	if err := p.named(name).cmd.Process.Signal(s); err != nil {
+		p.t.Errorf("%s: %v", name, err)
+	}
+}
+
+// stop ends a program by a signal and waits until it is gone. It returns how long
+// that took.
+func (p *programs) stop(name string, s syscall.Signal) time.Duration {
+	one, began := p.named(name), time.Now()
+	one.expected.Store(true)
+	p.signal(name, s)
+	<-one.over
+	return time.Since(began)
+}
+
+// again starts a program that was stopped.
+func (p *programs) again(name string) { p.run(p.named(name).kind, name) }
+
 // end ends all programs.
 func (p *programs) end() {
 	p.ending.Store(true)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -54,6 +54,10 @@
 type size struct {
 	control, gateways, engines, plain int
 	plainTakes, within                time.Duration
+	// notice is how long a gateway that is to end still takes callers.
+	notice time.Duration
+	// tolerate is how many control nodes may be lost at one moment.
+	tolerate int
 }
 
 // figures are those of the engines.
@@ -64,17 +68,23 @@
 
 const (
 	beatEvery = 1200 * time.Millisecond
+	// stopLimit is how long a planned stop may take in all, and quickNotice how long a
+	// gateway still takes callers in runs that are no test of it.
+	stopLimit   = 8 * time.Second
+	quickNotice = 100 * time.Millisecond
 	// chunkTakes has the origin send a copy within a second.
 	chunkTakes = 25 * time.Millisecond
 )
 
 // world is the whole.
 type world struct {
-	t      *testing.T
-	size   size
-	net    int // the second number of addresses
-	ledger *standin.Ledger
-	origin *standin.Origin
+	t    *testing.T
+	size size
+	net  int // the second number of addresses
+	// programs are the processes.
+	programs *programs
+	ledger   *standin.Ledger
+	origin   *standin.Origin
 	// engines are in the order of their addresses.
 	engines  []*standin.Engine
 	operator standin.Operator
@@ -86,6 +96,10 @@
 
 // startWorld starts everything and puts the configuration. Logs go to a folder.
 func startWorld(t *testing.T, s size, folder string) *world {
+	if s.notice == 0 {
+		s.notice = quickNotice
+	}
+	s.tolerate = max(s.tolerate, 1)
 	w := &world{
 		t: t, size: s, net: freeNet(t), ledger: standin.NewLedger(),
 		origin: &standin.Origin{Takes: chunkTakes}, named: map[uint64]time.Time{},
@@ -96,7 +110,8 @@
 	// The programs end before the proxies do: cleanups run last first.
 	w.startProxies()
 	w.startServers(ctx)
-	w.startPrograms(newPrograms(t, folder))
+	w.programs = newPrograms(t, folder)
+	w.startPrograms()
 	w.operator = standin.Operator{Nodes: w.controlCalls(), Origin: w.at(plainVMs, 0, originPort)}
 	w.must(w.operator.Configure(ctx, figures))
 	w.name(ctx, standin.FirstVersion)
@@ -232,20 +247,13 @@
 // ----------------------------------------------------------------
 // Programs
 
-func (w *world) startPrograms(p *programs) {
-	seeds := fmt.Sprintf("seeds: [%q]", strings.Join(w.controlCalls(), `", "`))
-	seeds = strings.ReplaceAll(seeds, `\"`, `"`)
+func (w *world) startPrograms() {
+	p, seeds := w.programs, w.seeds()
 	for i := range w.size.control {
-		name := fmt.Sprintf("control-%d", i+1)
-		p.start("tidepost-control", name, w.common(name, controlVMs, i, true)+fmt.Sprintf(`
-data: {folder: %q}
-control: {listen: %q, %s, bootstrap: true}
-backends: {heartbeat: %s}
-weights: {cache: false}
-`, filepath.Join(p.folder, name), w.at(controlVMs, i, callsPort), seeds, beatEvery))
+		w.startControl(i, true)
 	}
 	for i := range w.size.engines {
-		name := fmt.Sprintf("stager-%d", i+1)
+		name := nameOf("stager", i)
 		p.start("tidepost-stager", name, w.common(name, engineVMs, i, true)+fmt.Sprintf(`
 control: {%s}
 engine: {address: %q, service: %s}
@@ -253,17 +261,39 @@
 `, seeds, w.at(engineVMs, i, serverPort), standin.EngineService, w.size.within))
 	}
 	for i := range w.size.gateways {
-		name := fmt.Sprintf("gateway-%d", i+1)
+		name := nameOf("gateway", i)
 		p.start("tidepost-gateway", name, w.common(name, gatewayVMs, i, false)+fmt.Sprintf(`
 callers: {listen: %q}
 ready: {listen: %q}
 control: {%s}
-drain: {notice: 100ms}
+drain: {notice: %s, limit: %s}
 weights: {within: %s}
-`, w.at(gatewayVMs, i, callersPort), w.at(gatewayVMs, i, readyPort), seeds, w.size.within))
+`, w.at(gatewayVMs, i, callersPort), w.at(gatewayVMs, i, readyPort), seeds, w.size.notice, stopLimit, w.size.within))
 	}
 }
 
+// seeds is the setting that names the control nodes.
+func (w *world) seeds() string {
+	return fmt.Sprintf(`seeds: ["%s"]`, strings.Join(w.controlCalls(), `", "`))
+}
+
+// startControl starts a control node; the first start of all may form the log.
+func (w *world) startControl(i int, first bool) {
+	name := nameOf("control", i)
+	w.programs.start("tidepost-control", name, w.common(name, controlVMs, i, true)+fmt.Sprintf(`
+data: {folder: %q}
+control: {listen: %q, %s, bootstrap: %t, tolerate: %d}
+backends: {heartbeat: %s}
+weights: {cache: false}
+`, w.dataOf(name), w.at(controlVMs, i, callsPort), w.seeds(), first, w.size.tolerate, beatEvery))
+}
+
+// dataOf is the data folder of a control node.
+func (w *world) dataOf(name string) string { return filepath.Join(w.programs.folder, name) }
+
+// nameOf returns the name of a program by its kind and index.
+func nameOf(kind string, index int) string { return fmt.Sprintf("%s-%d", kind, index+1) }
+
 // common are the settings that all programs have. One that others dial listens
 // behind its proxy.
 func (w *world) common(name string, kind, index int, dialed bool) string {
