--- /dev/null
+++ b/pkg/gateway/answered_test.go
@@ -0,0 +1,194 @@
+// ================================================================
+// What was seen: requests over kept connections were read, passed on to backend
+// servers that work, and the connections closed without an answer. How it comes about:
+// a handler has ways out that write nothing. They are a panic, which net/http keeps to
+// itself where its log is thrown away; a caller that has closed its sending side and
+// still reads; a planned stop whose time is over while a request waits; a stream that
+// finds no place at the moment at which its engine breaks it off. What caused it: an
+// answer was left to each way out. What proved it: these cases, each of which ended
+// without a true answer.
+// ================================================================
+
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/tidepost/tidepost/pkg/daemon"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
+	"github.com/tidepost/tidepost/pkg/settings"
+)
+
+// TestWhatWasReadIsAnswered has every request end with an answer that is true.
+func TestWhatWasReadIsAnswered(t *testing.T) {
+	t.Run("a panic before the request is passed on", func(t *testing.T) {
+		f := newFixture(t, serviceconfig.Once, false, newStandIn(t, "i-1", answerWith("200 OK", "whole")))
+		f.gateway.protocol.ReadCall = func(http.Header) Call { panic("seeded") }
+		if status, err := f.statusOf(t); status != http.StatusInternalServerError {
+			t.Errorf("status %d, %v", status, err)
+		}
+	})
+	t.Run("a panic after it was passed on", func(t *testing.T) {
+		f := newFixture(t, serviceconfig.Once, false, newStandIn(t, "i-1", answerWith("200 OK", "whole")))
+		f.gateway.protocol.ReadAnswer = func(int, http.Header) Answer { panic("seeded") }
+		if status, err := f.statusOf(t); status != http.StatusInternalServerError {
+			t.Errorf("status %d, %v", status, err)
+		}
+	})
+	t.Run("a caller that has closed its sending side", testHalfClosedCaller)
+	t.Run("a planned stop beside a silent backend server", testStopBesideSilence)
+	t.Run("a stream that waits for its next place", testBrokenStreamWaits)
+}
+
+// statusOf sends a request and returns the status, or why there is none.
+func (f *fixture) statusOf(t *testing.T) (int, error) {
+	answer, err := http.DefaultTransport.RoundTrip(f.request(t, http.MethodPost, "a", "order"))
+	if err != nil {
+		return 0, err
+	}
+	defer answer.Body.Close()
+	_, err = io.Copy(io.Discard, answer.Body)
+	return answer.StatusCode, err
+}
+
+// silentUntil is a script that says nothing until the test is over.
+func silentUntil(t *testing.T, came chan<- struct{}) exchangeScript {
+	over := make(chan struct{})
+	t.Cleanup(func() { close(over) })
+	return func(*bufio.Writer, *http.Request) bool {
+		came <- struct{}{}
+		<-over
+		return false
+	}
+}
+
+// What net/http writes for a handler that writes nothing is an empty success.
+func testHalfClosedCaller(t *testing.T) {
+	came := make(chan struct{}, 1)
+	f := newFixture(t, serviceconfig.Once, false, newStandIn(t, "i-1", silentUntil(t, came)))
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r := f.request(t, http.MethodPost, "a", "order")
+	if err := r.Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	<-came
+	if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(conn), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if answer.StatusCode != http.StatusBadGateway {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+}
+
+// The time of the stop is over long before that of the request.
+func testStopBesideSilence(t *testing.T) {
+	came := make(chan struct{}, 1)
+	f := newFixture(t, serviceconfig.Once, false, newStandIn(t, "i-1", silentUntil(t, came)))
+	address, stop := f.run(t)
+	r := f.request(t, http.MethodPost, "a", "order")
+	r.URL.Host = address
+	go func() {
+		<-came
+		stop()
+	}()
+	answer, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatalf("the connection closed without an answer: %v", err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("status %d", answer.StatusCode)
+	}
+}
+
+// run runs the fixture's gateway as a program does, with a second for a planned stop.
+// It returns its address for callers, and what sends it the signal to stop.
+func (f *fixture) run(t *testing.T) (address string, stop func()) {
+	t.Helper()
+	address = freeAddress(t)
+	text := fmt.Sprintf(`
+vm: {name: gateway-1, region: north, failure_domain: hall-a}
+peers: {listen: "127.0.0.1:1"}
+callers: {listen: %q}
+ready: {listen: %q}
+control: {seeds: ["127.0.0.1:4"]}
+retries: {reserve: 1000}
+drain: {notice: 0s, limit: 1s}
+`, address, freeAddress(t))
+	path := filepath.Join(t.TempDir(), "gateway.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := settings.LoadGateway(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, err := New(s, "", Own(), daemon.Seams{Log: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.backends = f.gateway.backends
+	g.index.Raise(f.gateway.index.Load().Document())
+	signals, over := make(chan os.Signal, 1), make(chan error)
+	go func() { over <- g.Run(signals) }()
+	t.Cleanup(func() { <-over })
+	for {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+			return address, func() { signals <- syscall.SIGTERM }
+		}
+	}
+}
+
+// freeAddress returns an address that nobody listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// The second server turns the rest of the stream away once, as a full one does.
+func testBrokenStreamWaits(t *testing.T) {
+	first := newStandIn(t, "i-1", func(w *bufio.Writer, r *http.Request) bool {
+		writeEvents(w, r, 1, 2)
+		return false
+	})
+	var asked atomic.Int32
+	second := newStandIn(t, "i-2", func(w *bufio.Writer, r *http.Request) bool {
+		if asked.Add(1) == 1 {
+			writeAnswer(w, r, "503 Service Unavailable", headerNotRun+": 1\r\n", "")
+			return true
+		}
+		writeEvents(w, r, 3, 4)
+		_, _ = w.WriteString("0\r\n\r\n")
+		return true
+	})
+	f := newFixture(t, serviceconfig.Stream, true, first, second)
+	status, _, body, err := f.do(t, f.request(t, http.MethodPost, "a", "order"))
+	if status != http.StatusOK || body != events(1, 4) || err != nil {
+		t.Errorf("%d %q %v", status, strings.TrimSpace(body), err)
+	}
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -304,7 +304,8 @@
 	return fmt.Sprintf("protocol: platform\nvm: {name: %s, region: north, failure_domain: %s}\npeers: {%s}\n", name, zone(index), peers)
 }
 
-// logFolder is where the programs' logs go: one that is named stays.
+// logFolder is where the programs' logs and data go: one that is named stays, and must be
+// empty, since control nodes go on with the data that they find.
 func logFolder(t *testing.T) string {
 	const variable = "TIDEPOST_SOAK_LOGS"
 	folder := os.Getenv(variable)
@@ -314,5 +315,8 @@
 	if err := os.MkdirAll(folder, 0o750); err != nil {
 		t.Fatal(err)
 	}
+	if there, err := os.ReadDir(folder); err != nil || len(there) > 0 {
+		t.Fatalf("%s holds %d files already (%v)", folder, len(there), err)
+	}
 	return folder
 }
