Proofs: a seeded fault gets 80 runs to be noticed, not 20

TestPromise5LeavingGetsNothingNew failed once in a whole run of the tests beside other work (20 runs did not notice take_while_draining). The check is as strict as before: the fault must be noticed; a run that notices it ends the search.

--- a/prove/prove_test.go
+++ b/prove/prove_test.go
@@ -34,8 +34,11 @@
 // runsPerProof is how many random runs each proof makes in CI.
 const runsPerProof = "12"
 
-// seededRuns bounds the runs in which a seeded fault has to be noticed.
-const seededRuns = 20
+// seededRuns bounds the runs in which a seeded fault has to be noticed. The one that is
+// hardest to notice shows in 9 to 11 of 40 seeds, and not in the same ones each time,
+// since goroutines take turns as they like: 20 runs miss it once in some hundred times,
+// 80 once in a hundred million.
+const seededRuns = 80
 
 // proof is one promise with its scenario.
 type proof struct {
