A log that was read back is synced before it counts as a copy

Cause: OpenStore took every record in the file for synced. A process killed between write and sync leaves its last records in the kernel's memory alone; started again in the same term it answered the leader's append with a match, without a write and so without a sync. The leader counted it, acknowledged, and loss of power took the copy. Before: TestWrittenBeforeAKillSurvivesLossOfPower loses the acknowledged value; after: it holds. One sync more at each start.

--- a/pkg/controllog/store.go
+++ b/pkg/controllog/store.go
@@ -131,13 +131,17 @@
 	if err != nil {
 		return Repair{}, err
 	}
-	if good == len(raw) {
-		return Repair{}, nil
-	}
-	if err := s.file.Truncate(int64(good)); err != nil {
-		return Repair{}, err
+	repair := Repair{}
+	if good < len(raw) {
+		if err := s.file.Truncate(int64(good)); err != nil {
+			return Repair{}, err
+		}
+		repair = Repair{File: name, Bytes: len(raw) - good}
 	}
-	return Repair{File: name, Bytes: len(raw) - good}, s.file.Sync()
+	// What was read may be in the kernel's memory alone: a process that died between
+	// a write and its sync leaves it so. Told to a leader as a copy without this sync,
+	// it would go with the power; the sync costs a start one disk write.
+	return repair, s.file.Sync()
 }
 
 // take adds a record to what is stored.
