Random histories of the control log: processes that die between write and sync

The histories had losses of power but no process that dies and leaves its last write in the kernel's memory; that is why they missed the unsynced copy.

--- a/pkg/controllog/agreement_test.go
+++ b/pkg/controllog/agreement_test.go
@@ -121,6 +121,9 @@
 		c.wire = append(c.wire[:i:i], c.wire[i+1:]...)
 	case p < 994 && c.mayWipe(m):
 		c.wipe(m)
+	case p < 997 && m.runner != nil:
+		// Its process dies at its next write, before the sync.
+		m.disk.FailSync = func(string) error { return errKilled }
 	default:
 		c.cut = map[[2]vm.ID]bool{}
 		return 0
--- a/pkg/controllog/cluster_test.go
+++ b/pkg/controllog/cluster_test.go
@@ -79,6 +79,7 @@
 }
 
 func (c *simulatedCluster) start(m *simulated) {
+	m.disk.FailSync = nil
 	m.values = map[string]string{}
 	runner, err := NewRunner(RunnerConfig{
 		Self:          m.self,
