Every request that was read ends by an answer

Cause: an answer was left to each way out of a handler. A panic closed the connection without a word, since the server's log is thrown away; a caller that had closed its sending side got net/http's empty 200; the limit of a planned stop closed connections of requests that waited; a stream that an engine broke off for an order was cut when no engine had a place at that moment; and what was ready after a pause of the process was dropped by a write deadline of the past. Now pkg/gateway/ending.go holds all ways out; requests without a head are answered 0.2 s before the limit of a stop; streams under way wait for a place as long as their callers do (1.5 s) and may go back to a server that was full; writes are bounded from the moment of the write on. Answers that nobody took are told as unwritten, panics are logged and answered, also by control nodes. SIGHUP is taken from the start of a process.

--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -189,7 +189,7 @@
 	n.protocol.Mount(router, n.service)
 	return daemon.ServeHTTP(ctx, &http.Server{
 		Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: daemon.QuietLog(),
+		ErrorLog: daemon.HTTPLog(n.process.Logger),
 	}, netutil.LimitListener(l, maxConnections))
 }
 
--- a/pkg/control/own.go
+++ b/pkg/control/own.go
@@ -100,6 +100,7 @@
 // as JSON, or the failure with its remedy.
 func Handle(maxBody int64, do func(r *http.Request, body []byte) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		defer answerPanic(w)
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 		if err != nil {
@@ -119,6 +120,19 @@
 	}
 }
 
+// answerPanic answers a call whose handler panicked, so that its caller does not wait for
+// a connection that closed, and has the panic logged by the server.
+func answerPanic(w http.ResponseWriter) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	WriteFailure(w, failure.New(failure.Internal, "a panic: %v", cause))
+	if err := http.NewResponseController(w).Flush(); err == nil {
+		panic(cause)
+	}
+}
+
 // bodyTimeout bounds the sending of a body.
 const bodyTimeout = 10 * time.Second
 
@@ -132,10 +146,16 @@
 // WriteFailure answers a call with a failure's status, text and remedy.
 func WriteFailure(w http.ResponseWriter, err error) {
 	f := failure.Of(err)
+	body, err := json.Marshal(failureBody{f.Message(), string(f.Kind()), f.Remedy()})
+	if err != nil {
+		// Encoding plain texts into memory cannot fail.
+		panic(err)
+	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if after := f.RetryAfter(); after > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	w.WriteHeader(f.Status())
-	_ = json.NewEncoder(w).Encode(failureBody{f.Message(), string(f.Kind()), f.Remedy()})
+	_, _ = w.Write(body) // a caller that left needs none
 }
--- /dev/null
+++ b/pkg/control/own_test.go
@@ -0,0 +1,29 @@
+package control
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/go-kit/log"
+
+	"github.com/tidepost/tidepost/pkg/daemon"
+)
+
+// An operator whose call meets a panic hears so, and does not wait for an answer.
+func TestPanicInACallIsAnswered(t *testing.T) {
+	server := httptest.NewUnstartedServer(Handle(0, func(*http.Request, []byte) (any, error) { panic("seeded") }))
+	server.Config.ErrorLog = daemon.HTTPLog(log.NewNopLogger())
+	server.Start()
+	defer server.Close()
+	answer, err := http.Get(server.URL)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if answer.StatusCode != http.StatusInternalServerError || err != nil || len(body) == 0 {
+		t.Errorf("%d %q %v", answer.StatusCode, body, err)
+	}
+}
--- a/pkg/daemon/lifecycle.go
+++ b/pkg/daemon/lifecycle.go
@@ -6,11 +6,12 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
-	"io"
 	stdlog "log"
 	"os"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"github.com/tidepost/tidepost/pkg/event"
@@ -46,6 +47,17 @@
 	return nil
 }
 
-// QuietLog is for HTTP servers: what they write about clients that break off
-// is no news.
-func QuietLog() *stdlog.Logger { return stdlog.New(io.Discard, "", 0) }
+// HTTPLog is the log of an HTTP server. A handler's panic closes its connection, so it is
+// told; what else servers write is about clients that break off, and is no news.
+func HTTPLog(logger log.Logger) *stdlog.Logger { return stdlog.New(panicLog{logger}, "", 0) }
+
+// panicLog passes on what a server writes of panics.
+type panicLog struct{ logger log.Logger }
+
+// Write takes one line, or the several of a panic.
+func (l panicLog) Write(lines []byte) (int, error) {
+	if bytes.Contains(lines, []byte("panic")) {
+		_ = level.Error(l.logger).Log("msg", "panic", "cause", string(lines))
+	}
+	return len(lines), nil
+}
--- a/pkg/daemon/main.go
+++ b/pkg/daemon/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -25,6 +27,9 @@
 // MainAt is Main for a daemon that reads its settings file again while it
 // runs.
 func MainAt[T any](name string, load func(path string) (T, error), run func(path string, s T, signals <-chan os.Signal) error) int {
+	// A reload asked for while the process starts or ends must not end it: without a
+	// taker SIGHUP does.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	var path string
 	var checkOnly bool
 	code := 2
--- a/pkg/daemon/reload.go
+++ b/pkg/daemon/reload.go
@@ -27,12 +27,15 @@
 	read   func(path string) (T, error)
 	logger log.Logger
 	value  atomic.Pointer[T]
+	hangup chan os.Signal
 }
 
-// NewReloaded returns a value read from path; an empty path never changes.
+// NewReloaded returns a value read from path; an empty path never changes. From now on
+// SIGHUP is taken: one that came before Run would end the process.
 func NewReloaded[T any](path string, first T, read func(path string) (T, error), logger log.Logger) *Reloaded[T] {
-	r := &Reloaded[T]{path: path, read: read, logger: logger}
+	r := &Reloaded[T]{path: path, read: read, logger: logger, hangup: make(chan os.Signal, 1)}
 	r.value.Store(&first)
+	signal.Notify(r.hangup, syscall.SIGHUP)
 	return r
 }
 
@@ -41,9 +44,7 @@
 
 // Run reads the file again when it is to be, until the context ends.
 func (r *Reloaded[T]) Run(ctx context.Context) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	defer signal.Stop(r.hangup)
 	ticker := time.NewTicker(lookEvery)
 	defer ticker.Stop()
 	last := r.modified()
@@ -51,7 +52,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hangup:
+		case <-r.hangup:
 			r.reload()
 		case <-ticker.C:
 			if at := r.modified(); !at.Equal(last) {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -25,8 +25,6 @@
 	dialTimeout = 350 * time.Millisecond
 	// leastTime is the least that must be left to try at all.
 	leastTime = 10 * time.Millisecond
-	// writeGrace is how long after the deadline an answer may still be written.
-	writeGrace = time.Second
 )
 
 // try makes one attempt and tells whether the request is answered.
@@ -44,6 +42,8 @@
 		return false
 	}
 	conn := &hold{Connection: taken}
+	// One that was not handed back by then is in an unknown state.
+	defer conn.Abort()
 	q.lapse = g.lapseOf(q, b, 0)
 	q.lapse.bounds = q.lapse.lapses() && q.lapse.left() > q.run
 	if q.allowed() < leastTime || q.lapse.isOver() {
@@ -147,6 +147,7 @@
 		}
 		x.gateway.note(q, attemptSilent, x.listening.found.Load().String())
 	case x.backend.isWithdrawn(time.Now()):
+		q.mayGoBackTo(x.backend)
 		x.gateway.note(q, attemptCut, why)
 	default:
 		x.backend.failed(time.Now())
@@ -173,9 +174,18 @@
 		return false
 	}
 	x.backend.refused(time.Now())
+	q.mayGoBackTo(x.backend)
 	x.gateway.note(q, attemptRefused, answer.Status)
 	return false
 }
 
+// mayGoBackTo lets a stream under way go on at a backend server that works and had no
+// place for it only at that moment.
+func (q *request) mayGoBackTo(b *backend) {
+	if q.begun {
+		delete(q.tried, b)
+	}
+}
+
 // maxRefusal bounds the body of a refusal, which nobody reads.
 const maxRefusal = 64 << 10
--- /dev/null
+++ b/pkg/gateway/ending.go
@@ -0,0 +1,105 @@
+// ================================================================
+// Every request that was read ends by an answer. A handler that returns without one
+// leaves it to net/http, which closes the connection after a panic and else writes an
+// empty success: a caller then knows nothing, or something false. So all ways out of a
+// handler come together here: a panic, a caller that left, a planned stop whose time is
+// over, and a request for which nothing more may be tried.
+//
+// Only a stream that has begun can end without a whole answer: its head is out, and a
+// connection that closes is then the one way to say that it is not whole.
+// ================================================================
+
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"github.com/tidepost/tidepost/pkg/failure"
+)
+
+const (
+	// lastAnswers is how long before the limit of a planned stop all that still wait
+	// are answered: refusals are written within some ms, and a busy VM lets a
+	// process run some 100 ms late.
+	lastAnswers = 200 * time.Millisecond
+	// writeGrace is how long after its deadline an answer may still be written, and
+	// how long one that is later than that, since the process stood still, may take.
+	writeGrace = time.Second
+)
+
+// errStopping is why requests end that still wait when the time for a planned stop is
+// nearly over.
+var errStopping = errors.New("the gateway stops")
+
+// begin bounds a request by the stop of the gateway, until its head is written. The
+// function that it returns ends it.
+func (g *Gateway) begin(q *request) (end func()) {
+	ctx, cancel := context.WithCancelCause(q.incoming.Context())
+	q.ctx = ctx
+	q.letRun = context.AfterFunc(g.ending, func() { cancel(errStopping) })
+	return func() {
+		q.letRun()
+		cancel(nil)
+	}
+}
+
+// giveUp ends a request that was not answered: by the answer that a backend
+// server did give, by breaking off a stream that began, or by a refusal.
+func (g *Gateway) giveUp(q *request, f *failure.Failure) {
+	switch {
+	case q.begun:
+		g.end(q, outcomeBroken, f.Message())
+		panic(http.ErrAbortHandler)
+	case q.fallback != nil:
+		g.deliver(q, q.fallback)
+	case q.mayHaveRun && f.Kind() != failure.DeadlineExceeded && f.Kind() != failure.OutcomeUnknown:
+		g.refuse(q, failure.New(failure.OutcomeUnknown, "%s", f.Message()))
+	default:
+		g.refuse(q, f)
+	}
+}
+
+// endEarly ends a request whose context has ended.
+func (g *Gateway) endEarly(q *request) {
+	if errors.Is(context.Cause(q.ctx), errStopping) {
+		g.giveUp(q, failure.New(failure.DeadlineExceeded, "%v; last: %s", errStopping, q.last))
+		return
+	}
+	const left = "the caller left"
+	if q.begun {
+		g.end(q, outcomeGone, left)
+		panic(http.ErrAbortHandler)
+	}
+	// It may have closed its sending side only, and still read.
+	f := failure.New(failure.Overloaded, left)
+	if q.mayHaveRun {
+		f = failure.New(failure.OutcomeUnknown, left)
+	}
+	if err := q.writeRefusal(f); err != nil {
+		g.end(q, outcomeGone, left+": "+err.Error())
+		return
+	}
+	g.end(q, outcomeGone, left)
+}
+
+// endPanic answers a request whose handler panicked, and logs where. It is to be
+// deferred.
+func (g *Gateway) endPanic(q *request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause == http.ErrAbortHandler {
+		panic(cause) // the connection is to close
+	}
+	_ = level.Error(g.process.Logger).Log("msg", "panic", "request", q.call.ID, "cause", cause, "stack", string(debug.Stack()))
+	q.mayHaveRun = q.mayHaveRun || q.sent > 0
+	q.fallback = nil
+	g.giveUp(q, failure.New(failure.Internal, "a panic: %v", cause))
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -71,6 +71,9 @@
 	index    serviceconfig.Current
 	draining atomic.Bool
 	running  context.Context // ends with Run
+	// ending ends when a planned stop has no time left for requests without a head.
+	ending    context.Context
+	endOthers context.CancelFunc
 }
 
 // New returns a gateway that is not running yet. path is its settings file,
@@ -87,6 +90,7 @@
 		budget:  newBudget(s.RetryRatio(), s.RetryReserve(), s.RetryWindow()),
 		metrics: newMetrics(process.Registry),
 	}
+	g.ending, g.endOthers = context.WithCancel(context.Background())
 	g.seeds = daemon.NewSeeds(path, s, settings.LoadGateway, process.Logger)
 	g.follower = &feed.Follower{
 		Endpoint: process.Endpoint,
@@ -141,7 +145,7 @@
 	g.process.LogStart()
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: daemon.QuietLog(),
+		ErrorLog: daemon.HTTPLog(g.process.Logger),
 	}
 	var group run.Group
 	add := func(f func(context.Context) error) {
@@ -196,7 +200,7 @@
 	})
 	return daemon.ServeHTTP(ctx, &http.Server{
 		Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: daemon.QuietLog(),
+		ErrorLog: daemon.HTTPLog(g.process.Logger),
 	}, l)
 }
 
@@ -209,6 +213,7 @@
 	case <-signals:
 	}
 	limit := time.Now().Add(g.settings.DrainLimit() - stopMargin)
+	defer time.AfterFunc(time.Until(limit.Add(-lastAnswers)), g.endOthers).Stop()
 	g.draining.Store(true)
 	_ = level.Info(g.process.Logger).Log("msg", "stopping", "limit", g.settings.DrainLimit().String())
 	select {
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -47,8 +47,10 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q, err := g.read(w, r)
-	if err != nil {
+	q := &request{writer: w, incoming: r, started: time.Now()}
+	defer g.endPanic(q)
+	defer g.begin(q)()
+	if err := g.read(q); err != nil {
 		g.refuse(q, failure.Of(err))
 		return
 	}
@@ -64,25 +66,25 @@
 }
 
 // read finds the route and the organisation of a request.
-func (g *Gateway) read(w http.ResponseWriter, r *http.Request) (*request, error) {
-	now := time.Now()
-	q := &request{ctx: r.Context(), writer: w, incoming: r, call: g.protocol.ReadCall(r.Header), started: now}
+func (g *Gateway) read(q *request) error {
+	r, now := q.incoming, q.started
+	q.call = g.protocol.ReadCall(r.Header)
 	index := g.index.Load()
 	if index == nil {
-		return q, failure.New(failure.NotReady, "no configuration is known here yet").WithRetryAfter(g.comeBack())
+		return failure.New(failure.NotReady, "no configuration is known here yet").WithRetryAfter(g.comeBack())
 	}
 	q.number = index.Number()
 	route, found := index.Route(r.Host, pathOf(r))
 	if !found {
-		return q, failure.New(failure.UnknownRoute, "host %q has no route for this path", r.Host)
+		return failure.New(failure.UnknownRoute, "host %q has no route for this path", r.Host)
 	}
 	q.route = route
 	if err := q.authenticate(index); err != nil {
-		return q, err
+		return err
 	}
 	service, found := index.Service(route.Pick(g.random()))
 	if !found {
-		return q, failure.New(failure.Internal, "route %q leads to no service", route.Name())
+		return failure.New(failure.Internal, "route %q leads to no service", route.Name())
 	}
 	q.service = service
 	hold := route.Timeout()
@@ -98,7 +100,7 @@
 		g.demand.add(now)
 		q.cameBack = g.returning.cameBack(route.Timeout(), q.call.Deadline, now)
 	}
-	return q, nil
+	return nil
 }
 
 // modelOf returns the model that a request asks for: the only one that the engines serve
@@ -172,10 +174,9 @@
 
 // forward tries backend servers until the request is answered or given up.
 func (g *Gateway) forward(q *request) {
-	_ = http.NewResponseController(q.writer).SetWriteDeadline(q.deadline.Add(writeGrace))
 	for dials := 0; ; dials++ {
 		if q.ctx.Err() != nil {
-			g.end(q, outcomeGone, "the caller left")
+			g.endEarly(q)
 			return
 		}
 		if q.remaining() <= 0 {
@@ -251,19 +252,3 @@
 func (g *Gateway) comeBack() time.Duration {
 	return comeBackLeast + time.Duration(g.random()*float64(comeBackMost-comeBackLeast))
 }
-
-// giveUp ends a request that was not answered: by the answer that a backend
-// server did give, by breaking off a stream that began, or by a refusal.
-func (g *Gateway) giveUp(q *request, f *failure.Failure) {
-	switch {
-	case q.begun:
-		g.end(q, outcomeBroken, f.Message())
-		panic(http.ErrAbortHandler)
-	case q.fallback != nil:
-		g.deliver(q, q.fallback)
-	case q.mayHaveRun && f.Kind() != failure.DeadlineExceeded && f.Kind() != failure.OutcomeUnknown:
-		g.refuse(q, failure.New(failure.OutcomeUnknown, "%s", f.Message()))
-	default:
-		g.refuse(q, f)
-	}
-}
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -25,6 +25,8 @@
 	outcomeBroken  outcome = "broken"  // a stream that could not go on
 	outcomeRefused outcome = "refused" // by the gateway
 	outcomeGone    outcome = "gone"    // the caller left
+	// outcomeUnwritten is an answer that could not be written: nobody took it.
+	outcomeUnwritten outcome = "unwritten"
 )
 
 // attemptEnd is how an attempt ended that did not answer the request.
@@ -91,24 +93,38 @@
 	if f.RetryAfter() > 0 {
 		g.returning.refused(time.Now())
 	}
-	w := q.writer
+	if err := q.writeRefusal(f); err != nil {
+		g.end(q, outcomeUnwritten, err.Error()+"; "+f.Error())
+		return
+	}
+	g.end(q, outcomeRefused, f.Error())
+}
+
+// writeRefusal writes the answer of a request that no backend server answered.
+func (q *request) writeRefusal(f *failure.Failure) error {
 	ran := "not run"
 	if q.mayHaveRun {
 		ran = "unknown"
 	}
-	w.Header().Set("Content-Type", "application/json")
+	body, err := json.Marshal(refusal{f.Message(), string(f.Kind()), ran, f.Remedy()})
+	if err != nil {
+		return err
+	}
+	header := q.writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	if after := f.RetryAfter(); after > 0 {
-		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
-	w.WriteHeader(g.refusalStatus(q, f))
-	_ = json.NewEncoder(w).Encode(refusal{f.Message(), string(f.Kind()), ran, f.Remedy()})
-	g.end(q, outcomeRefused, f.Error())
+	q.boundWrite()
+	q.writer.WriteHeader(q.refusalStatus(f))
+	return q.write(body)
 }
 
 // refusalStatus returns the status of a failure. One that promises that the
 // request has not run is only used when that is so, and where nothing was
 // sent until the deadline it is used.
-func (g *Gateway) refusalStatus(q *request, f *failure.Failure) int {
+func (q *request) refusalStatus(f *failure.Failure) int {
 	status := f.Status()
 	switch {
 	case status == http.StatusGatewayTimeout && !q.mayHaveRun:
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -70,9 +70,8 @@
 // deliver writes a whole answer.
 func (g *Gateway) deliver(q *request, held *heldAnswer) {
 	q.writeHead(held.status, held.header, int64(len(held.body)))
-	_, err := q.writer.Write(held.body)
-	if err != nil {
-		g.end(q, outcomeGone, err.Error())
+	if err := q.write(held.body); err != nil {
+		g.end(q, outcomeUnwritten, err.Error())
 		return
 	}
 	if held.status >= http.StatusInternalServerError {
@@ -88,7 +87,7 @@
 	q.writeHead(answer.StatusCode, answer.Header, answer.ContentLength)
 	_, err := q.writer.Write(start)
 	if err == nil {
-		_, err = io.Copy(q.writer, progressReader{answer.Body, x.watch})
+		_, err = io.Copy(boundWriter{q}, progressReader{answer.Body, x.watch})
 	}
 	if err != nil {
 		x.conn.Abort()
@@ -101,6 +100,15 @@
 	return true
 }
 
+// boundWriter bounds each write to the caller.
+type boundWriter struct{ request *request }
+
+// Write bounds and writes.
+func (w boundWriter) Write(p []byte) (int, error) {
+	w.request.boundWrite()
+	return w.request.writer.Write(p)
+}
+
 // progressReader notes that bytes come.
 type progressReader struct {
 	io.Reader
@@ -131,5 +139,15 @@
 		own.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	q.begun = true
+	q.letRun()
+	q.boundWrite()
 	q.writer.WriteHeader(status)
 }
+
+// write writes what is the rest of an answer, and returns once the kernel has it.
+func (q *request) write(rest []byte) error {
+	if _, err := q.writer.Write(rest); err != nil {
+		return err
+	}
+	return http.NewResponseController(q.writer).Flush()
+}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -15,7 +15,8 @@
 
 // request is one caller's request.
 type request struct {
-	ctx          context.Context
+	ctx          context.Context // ends when the caller leaves, and before the head when the gateway stops
+	letRun       func() bool     // lets it run on beyond that
 	writer       http.ResponseWriter
 	incoming     *http.Request
 	call         Call
@@ -94,6 +95,17 @@
 	q.eventAt = now
 }
 
+// boundWrite bounds the next write. An answer that is ready is written also where the
+// process stood still until long after the deadline.
+func (q *request) boundWrite() {
+	bound := time.Now()
+	if q.deadline.After(bound) {
+		bound = q.deadline
+	}
+	// A connection that takes no bounds shows in the write.
+	_ = http.NewResponseController(q.writer).SetWriteDeadline(bound.Add(writeGrace))
+}
+
 // noteFirstByte notes when the first byte of the answer goes out.
 func (q *request) noteFirstByte() {
 	if q.firstByte == 0 {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -87,10 +87,8 @@
 	if len(fresh) == 0 {
 		return nil
 	}
-	if _, err := q.writer.Write(fresh); err != nil {
-		return err
-	}
-	return http.NewResponseController(q.writer).Flush()
+	q.boundWrite()
+	return q.write(fresh)
 }
 
 // usualGap is the pause between events that a pace of 1 stands for.
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -5,6 +5,9 @@
 // that finds no place is not. So they take places that nobody waits for, at once where there
 // are any, and wait for others until their lost runs must be over.
 //
+// A stream that was broken off otherwise takes any place, and waits for one as long as its
+// caller does: without one its connection would close.
+//
 // Rejected: those whose next event can still be in time queue at engines as others do. 33 of
 // 44 were turned away there, which spent the repeats of all.
 // ================================================================
@@ -41,12 +44,30 @@
 		if b, loaded = g.choosePlaceInTime(q, idle); b != nil || !loaded {
 			return b, loaded
 		}
-		select {
-		case <-q.ctx.Done():
-		case <-time.After(yieldLook + time.Duration(g.random()*float64(yieldLook)/2)):
+		g.pauseForPlace(q)
+	}
+	for {
+		b, loaded = g.choosePlaceInTime(q, w)
+		if b != nil || !q.waitsForPlace(time.Now()) {
+			return b, loaded
 		}
+		g.pauseForPlace(q)
+	}
+}
+
+// pauseForPlace lies between two looks for a place.
+func (g *Gateway) pauseForPlace(q *request) {
+	select {
+	case <-q.ctx.Done():
+	case <-time.After(yieldLook + time.Duration(g.random()*float64(yieldLook)/2)):
 	}
-	return g.choosePlaceInTime(q, w)
+}
+
+// waitsForPlace tells whether the request is a stream under way that may still go on: its
+// caller has part of it, and a refusal can no longer be written. Engines that cut it for an
+// order or were full take it some 100 ms later.
+func (q *request) waitsForPlace(now time.Time) bool {
+	return q.begun && q.ctx.Err() == nil && now.Sub(q.eventAt) < mostYield && q.deadline.Sub(now) > leastTime
 }
 
 // choosePlaceInTime chooses a place where the request is over before the version there
