A planned stop serves connections that were not told of their end, and callers that the kernel has accepted

Cause: http.Server.Shutdown closes a kept connection right behind a stream whose head went out before the signal, while its caller sends the next request over it, and resets connections that the process has not accepted yet. The new case of TestWhatWasReadIsAnswered fails without it.

--- a/pkg/gateway/answered_test.go
+++ b/pkg/gateway/answered_test.go
@@ -23,6 +23,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
@@ -48,6 +49,7 @@
 	t.Run("a caller that has closed its sending side", testHalfClosedCaller)
 	t.Run("a planned stop beside a silent backend server", testStopBesideSilence)
 	t.Run("a stream that waits for its next place", testBrokenStreamWaits)
+	t.Run("a request behind a stream that ends within a planned stop", testKeptConnectionInStop)
 }
 
 // statusOf sends a request and returns the status, or why there is none.
@@ -102,7 +104,7 @@
 func testStopBesideSilence(t *testing.T) {
 	came := make(chan struct{}, 1)
 	f := newFixture(t, serviceconfig.Once, false, newStandIn(t, "i-1", silentUntil(t, came)))
-	address, stop := f.run(t)
+	address, stop := f.run(t, time.Second)
 	r := f.request(t, http.MethodPost, "a", "order")
 	r.URL.Host = address
 	go func() {
@@ -119,9 +121,9 @@
 	}
 }
 
-// run runs the fixture's gateway as a program does, with a second for a planned stop.
-// It returns its address for callers, and what sends it the signal to stop.
-func (f *fixture) run(t *testing.T) (address string, stop func()) {
+// run runs the fixture's gateway as a program does, with a limit for its planned stop. It
+// returns its address for callers, and what sends it the signal to stop.
+func (f *fixture) run(t *testing.T, limit time.Duration) (address string, stop func()) {
 	t.Helper()
 	address = freeAddress(t)
 	text := fmt.Sprintf(`
@@ -131,8 +133,8 @@
 ready: {listen: %q}
 control: {seeds: ["127.0.0.1:4"]}
 retries: {reserve: 1000}
-drain: {notice: 0s, limit: 1s}
-`, address, freeAddress(t))
+drain: {notice: 0s, limit: %s}
+`, address, freeAddress(t), limit)
 	path := filepath.Join(t.TempDir(), "gateway.yaml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
@@ -159,6 +161,64 @@
 	}
 }
 
+// A stream that began before the signal cannot announce that its connection closes.
+func testKeptConnectionInStop(t *testing.T) {
+	came, goOn := make(chan struct{}, 1), make(chan struct{})
+	f := newFixture(t, serviceconfig.Stream, true, newStandIn(t, "i-1", func(w *bufio.Writer, r *http.Request) bool {
+		writeEvents(w, r, 1, 1)
+		if r.Header.Get(headerID) == "a" {
+			came <- struct{}{}
+			<-goOn
+		}
+		_, _ = w.WriteString("0\r\n\r\n")
+		return true
+	}))
+	address, stop := f.run(t, 8*time.Second)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	ask := func(id string) *http.Response {
+		t.Helper()
+		r := f.request(t, http.MethodPost, id, "order")
+		if err := r.Write(conn); err != nil {
+			t.Fatal(err)
+		}
+		answer, err := http.ReadResponse(reader, r)
+		if err != nil {
+			t.Fatalf("request %s: the connection closed without an answer: %v", id, err)
+		}
+		return answer
+	}
+	first := ask("a")
+	<-came
+	stop()
+	f.awaitRefusal(address)
+	close(goOn)
+	if _, err := io.Copy(io.Discard, first.Body); err != nil {
+		t.Fatal(err)
+	}
+	if first.Close {
+		t.Fatal("the stream announced the end of its connection: the case shows nothing")
+	}
+	if second := ask("b"); second.StatusCode != http.StatusOK || !second.Close {
+		t.Errorf("%s, announced %t", second.Status, second.Close)
+	}
+}
+
+// awaitRefusal waits until nobody listens at an address any more.
+func (f *fixture) awaitRefusal(address string) {
+	for {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		_ = conn.Close()
+	}
+}
+
 // freeAddress returns an address that nobody listens at.
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -42,8 +42,6 @@
 	// fewestGateways share the reserve of repeats before a control node has
 	// counted them.
 	fewestGateways = 8
-	// stopMargin is kept to the limit of a planned stop.
-	stopMargin = 300 * time.Millisecond
 )
 
 // Gateway is one gateway process.
@@ -68,9 +66,11 @@
 	askStager func(ctx context.Context, address string, a reservation.Ask) (reservation.Answer, error)
 	metrics   *metrics
 
-	index    serviceconfig.Current
-	draining atomic.Bool
-	running  context.Context // ends with Run
+	index       serviceconfig.Current
+	draining    atomic.Bool
+	connections connections
+	callers     atomic.Pointer[callersListener] // nil until it listens
+	running     context.Context                 // ends with Run
 	// ending ends when a planned stop has no time left for requests without a head.
 	ending    context.Context
 	endOthers context.CancelFunc
@@ -145,7 +145,7 @@
 	g.process.LogStart()
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: daemon.HTTPLog(g.process.Logger),
+		ErrorLog: daemon.HTTPLog(g.process.Logger), ConnState: g.connections.changed,
 	}
 	var group run.Group
 	add := func(f func(context.Context) error) {
@@ -158,7 +158,7 @@
 	add(g.sweep)
 	add(g.tellDemand)
 	add(g.seeds.Run)
-	add(func(ctx context.Context) error { return g.waitStop(ctx, server, signals) })
+	add(func(ctx context.Context) error { return g.waitStop(ctx, signals) })
 	err := group.Run()
 	g.process.LogStop(err)
 	return err
@@ -169,9 +169,12 @@
 	if err != nil {
 		return err
 	}
+	callers := &callersListener{Listener: l}
+	g.callers.Store(callers)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(netutil.LimitListener(l, g.settings.MaxConnections())); err != http.ErrServerClosed {
+	err = server.Serve(netutil.LimitListener(callers, g.settings.MaxConnections()))
+	if err != http.ErrServerClosed && !callers.stopping.Load() {
 		return err
 	}
 	<-ctx.Done()
@@ -183,7 +186,7 @@
 }
 
 // ----------------------------------------------------------------
-// Readiness and the planned stop
+// Readiness
 
 func (g *Gateway) serveReady(ctx context.Context) error {
 	l, err := g.process.Listen(g.settings.ReadyListen())
@@ -203,25 +206,3 @@
 		ErrorLog: daemon.HTTPLog(g.process.Logger),
 	}, l)
 }
-
-// waitStop waits for a signal, turns readiness, takes callers for a while
-// longer, and then waits for what is in flight.
-func (g *Gateway) waitStop(ctx context.Context, server *http.Server, signals <-chan os.Signal) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-signals:
-	}
-	limit := time.Now().Add(g.settings.DrainLimit() - stopMargin)
-	defer time.AfterFunc(time.Until(limit.Add(-lastAnswers)), g.endOthers).Stop()
-	g.draining.Store(true)
-	_ = level.Info(g.process.Logger).Log("msg", "stopping", "limit", g.settings.DrainLimit().String())
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-time.After(g.settings.DrainNotice()):
-	}
-	ctx, cancel := context.WithDeadline(ctx, limit)
-	defer cancel()
-	return server.Shutdown(ctx)
-}
