How long a request runs is learned, so that its deadline does not cut it before its end

Cause: a request that should be over before the version of the weights lapses carries that moment as its deadline, by the configuration's figures. Engines short of processor time take several times as long, and broke streams off there that may run on. Now the longest run of late for the size of a request counts as well. The test fails without it.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -45,7 +45,7 @@
 	// One that was not handed back by then is in an unknown state.
 	defer conn.Abort()
 	q.lapse = g.lapseOf(q, b, 0)
-	q.lapse.bounds = q.lapse.lapses() && q.lapse.left() > q.run
+	q.lapse.bounds = q.lapse.lapses() && q.lapse.left() > q.longestRun(&g.silences, time.Now())
 	if q.allowed() < leastTime || q.lapse.isOver() {
 		conn.Close()
 		return false
@@ -138,6 +138,9 @@
 	switch {
 	case q.ctx.Err() != nil:
 	case x.watch.lapsed.Load() || q.hasLapsed():
+		if x.listening.ranWhenLost() {
+			q.sawRun(&x.gateway.silences, time.Now(), time.Since(x.started))
+		}
 		x.gateway.note(q, attemptLapsed, fmt.Sprintf("the version of the weights there lapses; %s; taken back %s late", why, time.Duration(x.watch.lateBy.Load())))
 	case x.listening.found.Load() != nil:
 		// The backend server works: the request may go on there, and it is no failure.
--- a/pkg/gateway/lapse.go
+++ b/pkg/gateway/lapse.go
@@ -6,7 +6,8 @@
 //
 //   - the choice leaves out where the request would not be over by then, as long as
 //     another backend server has a place (versions.go);
-//   - a request that should be over by then carries the time that is left as its deadline.
+//   - a request that is over by then, also if it runs as slowly as those of late, carries
+//     the time that is left as its deadline.
 //     The backend server drops it for itself, whatever becomes of this gateway and of the
 //     link between: a break lies behind the chunks on that link, up to 0.6 s where it is
 //     narrow;
@@ -78,6 +79,22 @@
 	return l
 }
 
+// sawRun learns from a stream that ran for a time: until its end, or until its deadline
+// cut it.
+func (q *request) sawRun(s *silences, now time.Time, took time.Duration) {
+	if q.run > 0 {
+		s.learn(usualKey{q.service.Name(), usualRun}, now, took*time.Second/q.run)
+	}
+}
+
+// longestRun is how long a request runs at the most, by its size and by how long those of
+// late ran for theirs. Engines on VMs that are short of processor time take several times
+// what the configuration says of them.
+func (q *request) longestRun(s *silences, now time.Time) time.Duration {
+	forSecond := s.due(usualKey{q.service.Name(), usualRun}, now)
+	return max(q.run, time.Duration(float64(q.run)*forSecond.Seconds()))
+}
+
 // allowed is how long a backend server may work on a request: what is left to its caller,
 // and no longer than the version there may serve, where it should be over by then.
 func (q *request) allowed() time.Duration {
--- a/pkg/gateway/lapse_test.go
+++ b/pkg/gateway/lapse_test.go
@@ -324,3 +324,29 @@
 		t.Fatalf("taken for an engine that fails: %+v", l)
 	}
 }
+
+// Seen: streams under way ended without their last events, while engines that were short
+// of processor time served the version before. How: each carried the end of that version
+// as its deadline, since it should have been over by then, and its engine broke it off
+// there. Cause: how long a request runs was taken from the configuration's figures alone.
+// A request may run on past that end; only to begin late is not allowed.
+func TestRunsThatTakeLongerOfLateKeepTheirDeadline(t *testing.T) {
+	came := make(chan *http.Request, 1)
+	f := newLapsing(t, func(w *bufio.Writer, r *http.Request) bool {
+		came <- r
+		return wholeStream(w, r)
+	}, wholeStream)
+	q := &request{service: f.service(t), model: "menu"}
+	q.estimate()
+	left := 4 * q.run
+	f.hearNamed(left)
+	for range fewestValues {
+		q.sawRun(&f.gateway.silences, time.Now(), 5*q.run)
+	}
+	if status, _, _, err := f.do(t, f.draft(t)); status != http.StatusOK || err != nil {
+		t.Fatalf("%d %v", status, err)
+	}
+	if told, _ := strconv.Atoi((<-came).Header.Get(headerDeadline)); time.Duration(told)*time.Millisecond < 2*left {
+		t.Errorf("it carries %d ms as its deadline; the version has %s left", told, left)
+	}
+}
--- a/pkg/gateway/listening.go
+++ b/pkg/gateway/listening.go
@@ -57,6 +57,7 @@
 	usualPause    usualTime = "pause"    // between two events
 	usualWait     usualTime = "wait"     // for the first event, or for an answer
 	usualLateness usualTime = "lateness" // of a first event after its forecast
+	usualRun      usualTime = "run"      // of a stream, for a second of what it should take
 )
 
 // listening is one attempt under way.
@@ -228,6 +229,13 @@
 	s.usual(key).saw(now, took)
 }
 
+// due returns what is out of the usual for a kind of time; 0 where that is not known.
+func (s *silences) due(key usualKey, now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usual(key).due(now, 0, 0)
+}
+
 // due returns for how long silence is usual, after a forecast where there is one: a
 // quarter longer than the longest of late. otherwise is the time where nothing was
 // learned; 0 has none judged.
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -48,6 +48,7 @@
 	q := x.request
 	x.conn.Finish(answer)
 	x.backend.answered()
+	q.sawRun(&x.gateway.silences, time.Now(), time.Since(x.started))
 	if gap, ok := pace.gap(); ok {
 		x.backend.sawPace(gap.Seconds() / usualGap.Seconds())
 	}
