A repeat that found no place is put back into the budget

Cause: the budget was taken before a place was looked for, and stayed taken where none was found; streams that were broken off then met "the budget of repeats is used up" although nothing had been sent. Requests refused for want of places spent it too.

--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -73,6 +73,16 @@
 	return true
 }
 
+// unspent puts back a repeat that was taken and not sent. One that was taken in a part of
+// the window that is over stays taken.
+func (b *budget) unspent(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	repeats := &b.of(service).repeats[b.current%budgetSlots]
+	*repeats = max(*repeats-1, 0)
+}
+
 func (b *budget) of(service string) *spending {
 	s := b.services[service]
 	if s == nil {
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -187,12 +187,16 @@
 			g.giveUp(q, f)
 			return
 		}
+		sent := q.sent
 		b, f := g.pick(q)
-		if f != nil {
-			g.giveUp(q, f)
+		if f == nil && g.try(q, b) {
 			return
 		}
-		if g.try(q, b) {
+		if sent > 0 && q.sent == sent {
+			g.budget.unspent(q.service.Name())
+		}
+		if f != nil {
+			g.giveUp(q, f)
 			return
 		}
 	}
