--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -117,3 +117,38 @@
 		t.Errorf("%s: %s, %s", k.ID, k.End, k.Why)
 	}
 }
+
+// A gateway stands still in the middle of a stream for longer than the longest pause that
+// it lets a backend server have. What came meanwhile waits at its socket: the backend
+// server was not silent, and the stream is neither broken off nor run again.
+func TestPauseOfAGatewayBreaksNoStream(t *testing.T) {
+	const pause, longStream = 1500 * time.Millisecond, 300
+	w := startWorld(t, small, logFolder(t))
+	ended := make(chan standin.KeptRequest, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	c := &standin.KeptCaller{
+		Name: "paused", Gateway: w.at(gatewayVMs, 0, callersPort), Random: rand.New(rand.NewPCG(seed(t), 0)),
+		Draw: func(*rand.Rand) standin.Ask {
+			return standin.Ask{Kind: standin.Stream, Within: longWithin, Stride: figures.Stride, Prompt: leastPrompt, Tokens: longStream}
+		},
+		Ended: func(k standin.KeptRequest) {
+			ended <- k
+			cancel()
+		},
+	}
+	go c.Run(ctx)
+	for w.ledger.Runs("paused-0") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(pause / 3) // its first events pass
+	gateway := nameOf("gateway", 0)
+	w.programs.signal(gateway, syscall.SIGSTOP)
+	time.Sleep(pause)
+	w.programs.signal(gateway, syscall.SIGCONT)
+	if k := <-ended; k.End != standin.Answered || k.Why != "" {
+		t.Errorf("%s: %s, %s", k.ID, k.End, k.Why)
+	}
+	if n := w.ledger.Runs("paused-0"); n != 1 {
+		t.Errorf("it ran %d times", n)
+	}
+}
