A watchdog that comes late gives the backend server its time anew

Cause: after a pause of the gateway's own process the watchdogs found streams silent whose events waited at the socket, broke them off and ran them again; without a further place or attempt the caller's connection closed. Same class as the write deadline: the process's own pause counted against others. pkg/gateway/listening.go had this already.

--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -41,6 +41,7 @@
 
 	mu   sync.Mutex // held by a look, so that none is under way once it is over
 	over bool       // the connection is not the attempt's any more
+	due  time.Time  // when the look should come that is set; one brought forward is early
 }
 
 func newWatchdog(x *exchange) *watchdog {
@@ -50,7 +51,7 @@
 	}
 	// It must be there before the first look, which sets it again.
 	w.timer = time.AfterFunc(time.Hour, w.look)
-	w.timer.Reset(w.untilLook())
+	w.lookLater()
 	x.gateway.waiting.add(w)
 	return w
 }
@@ -77,6 +78,13 @@
 	return max(0, min(left, lookAfter))
 }
 
+// lookLater sets the next look. It is called by a look, or before there is one.
+func (w *watchdog) lookLater() {
+	until := w.untilLook()
+	w.due = time.Now().Add(until)
+	w.timer.Reset(until)
+}
+
 // progress notes that the backend server said something.
 func (w *watchdog) progress() {
 	w.last.Store(int64(time.Since(w.exchange.started)))
@@ -95,6 +103,13 @@
 	if w.over || w.exchange.request.ctx.Err() != nil || w.takeBackLapsed() {
 		return
 	}
+	if time.Since(w.due) > stoodStill {
+		// This process stood still, and what came meanwhile is not read yet: the
+		// attempt counts as silent from now on.
+		w.last.Store(int64(time.Since(w.exchange.started)))
+		w.lookLater()
+		return
+	}
 	if b := w.exchange.backend; time.Since(b.heardAt.time()) > silentBeforeDial {
 		w.exchange.gateway.doubt(b)
 	}
@@ -104,7 +119,7 @@
 		w.exchange.conn.Abort()
 		return
 	}
-	w.timer.Reset(w.untilLook())
+	w.lookLater()
 }
 
 // limit is how long the attempt may be silent now.
