--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
-# Targets: build, demo, test, check, prove, soak, silence, generate, clean, and bench-...
+# Targets: build, demo, test, check, prove, soak, silence, lost, final-faults, generate,
+# clean, and bench-...
 
-.PHONY: build demo test check prove soak silence generate clean \
+.PHONY: build demo test check prove soak silence lost final-faults generate clean \
 	bench-burst bench-route bench-control bench-capacity bench-path
 
 # A failing test must fail the target, also where its output is filtered.
@@ -33,6 +34,20 @@
 	TIDEPOST_SEED=$(or $(SEED),1) TIDEPOST_SILENCE="$(MANNER)" TIDEPOST_SILENT="$(SILENT)" \
 	go test -count=1 -v -timeout 30m -tags bench ./soak -run TestSilenceCostsLittle | grep -E '^silence|aim_test|FAIL|^ok'
 
+# Requests over kept connections while the programs are rolled, reloaded, killed and
+# reconfigured: make lost SEED=1 SECONDS=60 LOAD=1.1. LOAD is a share of what the engines
+# carry, BUSY how many processes work beside, SERIES some of "roll hup change version kill";
+# GATEWAYS and ENGINES are counts. LOGS is a new folder for the programs' logs.
+lost:
+	TIDEPOST_SEED=$(or $(SEED),1) TIDEPOST_SECONDS="$(SECONDS)" TIDEPOST_LOAD="$(LOAD)" TIDEPOST_BUSY="$(BUSY)" \
+	TIDEPOST_SERIES="$(SERIES)" TIDEPOST_GATEWAYS="$(GATEWAYS)" TIDEPOST_ENGINES="$(ENGINES)" TIDEPOST_SOAK_LOGS="$(LOGS)" \
+	go test -count=1 -v -timeout 30m -tags bench ./soak -run TestNothingIsLost | grep -E '^lost|lost_test|FAIL|^ok'
+
+# Acknowledged configurations through lost disks: make final-faults SEED=1 ROUNDS=14.
+final-faults:
+	TIDEPOST_SEED=$(or $(SEED),1) TIDEPOST_ROUNDS="$(ROUNDS)" TIDEPOST_BUSY="$(BUSY)" TIDEPOST_SOAK_LOGS="$(LOGS)" \
+	go test -count=1 -v -timeout 60m -tags bench ./soak -run TestAcknowledgedSurvives | grep -E '^final|final_test|FAIL|^ok'
+
 # What CI runs besides the tests.
 check:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
