A stream is broken off as silent only where it can go on

Cause: where all backend servers stand still for a moment, as on one busy machine, dials are still answered by the kernel and all connections look silent; every stream was broken off, the budget of repeats was spent at once, and the others ended midway. Now the repeat is taken before a stream is broken off; without one it is left to the watchdog, which ends it a second later. Requests without an event go as before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -63,7 +63,7 @@
 	began := b.begin(work, takeBack)
 	defer b.end(work)
 	defer b.begun(began, false)
-	x := &exchange{gateway: g, request: q, backend: b, conn: conn, began: began}
+	x := &exchange{gateway: g, request: q, backend: b, conn: conn, began: began, isLast: q.runs+1 >= q.route.Attempts()}
 	x.listening = g.listen(x, takeBack)
 	defer g.silences.end(x.listening)
 	stop := context.AfterFunc(q.ctx, conn.Abort)
@@ -82,6 +82,19 @@
 	began   *waiting
 	// listening is how it shows when its connection falls silent.
 	listening *listening
+	isLast    bool // no attempt may follow it
+}
+
+// mayBreakOff tells whether a stream under way may be broken off because its connection
+// seems silent: only where it can go on elsewhere, and then the repeat for that is taken.
+// Without one it would end there, and a machine on which all backend servers stand still
+// for a moment looks the same; the watchdog ends it a second later.
+func (x *exchange) mayBreakOff() bool {
+	if x.isLast || !x.gateway.budget.repeat(x.request.service.Name(), x.gateway.gateways()) {
+		return false
+	}
+	x.request.repeatTaken.Store(true)
+	return true
 }
 
 // run sends the request and handles its answer.
--- a/pkg/gateway/listening.go
+++ b/pkg/gateway/listening.go
@@ -360,10 +360,13 @@
 		if f.dial && b.reached.mayDial(now, everywhere) {
 			g.doubt(b)
 		}
-		if f.evidence == evidenceSuspected || l.breakOff == nil ||
-			!l.found.CompareAndSwap(nil, &silence{f.evidence, h.silent(now), h.due}) {
+		if f.evidence == evidenceSuspected || l.breakOff == nil || l.found.Load() != nil {
 			continue
 		}
+		if h.flows && !l.exchange.mayBreakOff() {
+			continue
+		}
+		l.found.Store(&silence{f.evidence, h.silent(now), h.due})
 		g.metrics.distrusted.WithLabelValues(string(f.evidence)).Inc()
 		if h.flows {
 			flows = append(flows, l.breakOff)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
@@ -37,22 +38,24 @@
 	prefill  time.Duration
 	run      time.Duration // from its first turn at an engine to its last event, at the most
 
-	tried      map[*backend]bool
-	sent       int // attempts that reached a backend server
-	runs       int // those of them that may have run
-	fallback   *heldAnswer
-	mayHaveRun bool   // an attempt's outcome is unknown, or it ran
-	begun      bool   // the answer's head was written to the caller
-	lastEvent  string // the last event that the caller has
-	last       string // how the last attempt ended, for the log
-	backend    string // where it went last
-	firstByte  time.Duration
-	sentAfter  time.Duration // from the start to the last sending
-	eventAt    time.Time     // of the last event passed on
-	pause      time.Duration // the longest between two events passed on
-	forecast   time.Duration // of the first event, by the stager that granted a place
-	lostAt     time.Time     // when a run of it was lost behind a silent connection; zero where none was
-	lapse      lapse         // of the version at the last backend server, as known when it was sent there
+	tried map[*backend]bool
+	sent  int // attempts that reached a backend server
+	runs  int // those of them that may have run
+	// repeatTaken says that the repeat of the next attempt is out of the budget already.
+	repeatTaken atomic.Bool
+	fallback    *heldAnswer
+	mayHaveRun  bool   // an attempt's outcome is unknown, or it ran
+	begun       bool   // the answer's head was written to the caller
+	lastEvent   string // the last event that the caller has
+	last        string // how the last attempt ended, for the log
+	backend     string // where it went last
+	firstByte   time.Duration
+	sentAfter   time.Duration // from the start to the last sending
+	eventAt     time.Time     // of the last event passed on
+	pause       time.Duration // the longest between two events passed on
+	forecast    time.Duration // of the first event, by the stager that granted a place
+	lostAt      time.Time     // when a run of it was lost behind a silent connection; zero where none was
+	lapse       lapse         // of the version at the last backend server, as known when it was sent there
 }
 
 // remaining is how much of the time is left.
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -339,3 +339,28 @@
 		t.Errorf("%d attempts ended as silent and %d as broken", silent, broken)
 	}
 }
+
+// A stream under way whose connection seems silent is broken off only where it may go on
+// elsewhere, and the repeat that it needs for that is taken once.
+func TestStreamIsBrokenOffOnlyWhereItGoesOn(t *testing.T) {
+	f := newFixture(t, serviceconfig.Stream, true)
+	route, _ := f.gateway.index.Load().Route("menus.example", "/draft/x")
+	service, _ := f.gateway.index.Load().Service("menu")
+	// One repeat for this gateway, after what is kept for safety.
+	f.gateway.budget = newBudget(0, 1.5*float64(f.gateway.gateways()), time.Hour)
+	q := &request{route: route, service: service, sent: 1, runs: 1}
+	last := &exchange{gateway: f.gateway, request: q, isLast: true}
+	if last.mayBreakOff() {
+		t.Error("the last attempt is broken off")
+	}
+	x := &exchange{gateway: f.gateway, request: q}
+	if !x.mayBreakOff() || !q.repeatTaken.Load() {
+		t.Fatal("no repeat was taken")
+	}
+	if refused := f.gateway.mayTry(q, 1); refused != nil {
+		t.Errorf("the repeat that was taken is asked for again: %v", refused)
+	}
+	if x.mayBreakOff() {
+		t.Error("it is broken off without a repeat")
+	}
+}
