--- a/soak/final_test.go
+++ b/soak/final_test.go
@@ -41,14 +41,7 @@
 	w := startWorld(t, size{control: controlNodes, gateways: 1, engines: 1, plain: 1, plainTakes: 20 * time.Millisecond, within: rollWithin, tolerate: lostDisks}, logFolder(t))
 	time.Sleep(worldIsUp)
 	random := rand.New(rand.NewPCG(seed(t), 2))
-	busy, stop := context.WithCancel(t.Context())
-	defer stop()
-	for range int(number(t, "TIDEPOST_BUSY", 0)) {
-		go func() {
-			for busy.Err() == nil {
-			}
-		}()
-	}
+	beBusy(t.Context(), int(number(t, "TIDEPOST_BUSY", 0)))
 	changes := int(number(t, "TIDEPOST_CHANGES", mostChanges))
 	acknowledged := uint64(1)
 	for round := range int(number(t, "TIDEPOST_ROUNDS", 14)) {
--- a/soak/kept_test.go
+++ b/soak/kept_test.go
@@ -35,9 +35,6 @@
 	// works on until the last sixth of the time for the stop may be cut.
 	soonStopped = 3 * time.Second
 	lastSixth   = stopLimit * 5 / 6
-	// mostUnanswered is how many requests over kept connections may end without an
-	// answer outside of planned stops.
-	mostUnanswered = 3
 )
 
 // keptLoad are the callers that keep their connections.
@@ -200,21 +197,3 @@
 	return fmt.Sprintf("%s %s (%s, %d before): %s after %.2f s, ran %d, reset %t, planned %t, kept %t%s; %s; log %q",
 		c.Ended.Format("05.000"), c.ID, c.Kind, c.Before, c.End, c.Ended.Sub(c.Sent).Seconds(), c.ran, c.Reset, c.planned, c.kept, at, c.Why, c.told)
 }
-
-// count returns how many of the cut requests satisfy a condition.
-func (v verdict) count(holds func(cut) bool) (n int) {
-	for _, c := range v.cuts {
-		if holds(c) {
-			n++
-		}
-	}
-	return n
-}
-
-// leftAlone are those left without an answer while nothing was done to their gateway.
-func (v verdict) leftAlone() int {
-	return v.count(func(c cut) bool { return c.kept && c.stop == nil })
-}
-
-// cutByPlan are those that planned work cut and may not.
-func (v verdict) cutByPlan() int { return v.count(func(c cut) bool { return c.planned }) }
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -7,10 +7,12 @@
 package soak
 
 import (
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -100,6 +102,13 @@
 	return p.all[name]
 }
 
+// names are those of all programs, in order.
+func (p *programs) names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.all))
+}
+
 // signal sends a signal that ends no program.
 func (p *programs) signal(name string, s syscall.Signal) {
 	if err := p.named(name).cmd.Process.Signal(s); err != nil {
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -53,7 +53,7 @@
 	w := startWorld(t, small, logFolder(t))
 	end := w.keptCallers(t)
 	hangUp := func() {
-		for name := range w.programs.all {
+		for _, name := range w.programs.names() {
 			w.programs.signal(name, syscall.SIGHUP)
 		}
 	}
