--- a/pkg/controllog/snapshot.go
+++ b/pkg/controllog/snapshot.go
@@ -37,10 +37,10 @@
 // ----------------------------------------------------------------
 // Leader
 
-// isShorter tells whether the snapshot is less than half the bytes of the entries from an index on
-// that it stands for. A log of whole configurations holds many of which one counts: sent
-// entry by entry to a member with an empty disk it was twenty times the state, and kept
-// the voters from being whole again for 6 s.
+// isShorter tells whether the snapshot is less than half the bytes of the entries from an
+// index on that it stands for. Of a log of whole configurations one counts: sent entry by
+// entry to a member with an empty disk it was twenty times the state, and the voters were
+// whole again after up to 6 s.
 func (r *Replica) isShorter(from uint64) bool {
 	if from > r.snapshot.index {
 		return false
@@ -118,7 +118,8 @@
 func (r *Replica) stepSnapshot(m Message) {
 	r.followLeader(m)
 	part := m.snapshot
-	if part.index <= r.hard.commit {
+	if r.holds(part) {
+		r.advanceTo(part.index)
 		r.answerSnapshot(m, SnapshotPart{index: part.index, last: true})
 		return
 	}
@@ -139,6 +140,14 @@
 	r.answerSnapshot(m, SnapshotPart{index: part.index, last: true})
 }
 
+// holds tells whether the log has all that a snapshot stands for. A member that knows of
+// fewer commits than there are keeps what it has then: to start its log anew from the
+// snapshot would drop entries behind it that a quorum was counted with.
+func (r *Replica) holds(part SnapshotPart) bool {
+	term, known := r.log.term(part.index)
+	return part.index <= r.hard.commit || known && term == part.term
+}
+
 func (r *Replica) answerSnapshot(m Message, part SnapshotPart) {
 	r.send(Message{kind: MessageSnapshotAnswer, to: m.from, index: r.hard.commit, snapshot: part})
 }
