--- a/pkg/gateway/answered_test.go
+++ b/pkg/gateway/answered_test.go
@@ -18,16 +18,13 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
-	"github.com/tidepost/tidepost/pkg/settings"
 )
 
 // TestWhatWasReadIsAnswered has every request end with an answer that is true.
@@ -126,7 +123,7 @@
 func (f *fixture) run(t *testing.T, limit time.Duration) (address string, stop func()) {
 	t.Helper()
 	address = freeAddress(t)
-	text := fmt.Sprintf(`
+	g := newGateway(t, fmt.Sprintf(`
 vm: {name: gateway-1, region: north, failure_domain: hall-a}
 peers: {listen: "127.0.0.1:1"}
 callers: {listen: %q}
@@ -134,19 +131,7 @@
 control: {seeds: ["127.0.0.1:4"]}
 retries: {reserve: 1000}
 drain: {notice: 0s, limit: %s}
-`, address, freeAddress(t), limit)
-	path := filepath.Join(t.TempDir(), "gateway.yaml")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	s, err := settings.LoadGateway(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	g, err := New(s, "", Own(), daemon.Seams{Log: io.Discard})
-	if err != nil {
-		t.Fatal(err)
-	}
+`, address, freeAddress(t), limit))
 	g.backends = f.gateway.backends
 	g.index.Raise(f.gateway.index.Load().Document())
 	signals, over := make(chan os.Signal, 1), make(chan error)
--- a/pkg/gateway/stand_in_test.go
+++ b/pkg/gateway/stand_in_test.go
@@ -134,12 +134,11 @@
 retries: {reserve: 1000}
 `
 
-// newFixture returns a gateway with one route of a kind to the stand-ins, in
-// the order of their preference.
-func newFixture(t testing.TB, kind serviceconfig.Kind, resumable bool, servers ...*standIn) *fixture {
+// newGateway returns a gateway with some settings that is not running.
+func newGateway(t testing.TB, text string) *Gateway {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "gateway.yaml")
-	if err := os.WriteFile(path, []byte(testSettings), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	s, err := settings.LoadGateway(path)
@@ -150,6 +149,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return g
+}
+
+// newFixture returns a gateway with one route of a kind to the stand-ins, in
+// the order of their preference.
+func newFixture(t testing.TB, kind serviceconfig.Kind, resumable bool, servers ...*standIn) *fixture {
+	t.Helper()
+	g := newGateway(t, testSettings)
 	route := serviceconfig.NewRoute("r", "menus.example", "/draft/", kind, 3*time.Second, 400*time.Millisecond, 400*time.Millisecond, 1,
 		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, 2, false, resumable)
 	d := serviceconfig.NewDocument(1, []serviceconfig.Route{route},
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -89,31 +89,40 @@
 	}
 }
 
-// A gateway stands still until long after the deadline of a request that runs, and goes
-// on. Its caller still waits, and is answered.
-func TestAnswerAfterAPauseIsWritten(t *testing.T) {
-	w := startWorld(t, small, logFolder(t))
+// askPaused sends one request over a connection of its own, has the gateway stand still
+// once the request has run for a while, and returns what became of it.
+func (w *world) askPaused(t *testing.T, a standin.Ask, ran, pause time.Duration) standin.KeptRequest {
 	ended := make(chan standin.KeptRequest, 1)
 	ctx, cancel := context.WithCancel(t.Context())
 	c := &standin.KeptCaller{
 		Name: "paused", Gateway: w.at(gatewayVMs, 0, callersPort), Random: rand.New(rand.NewPCG(seed(t), 0)),
-		Draw: func(*rand.Rand) standin.Ask {
-			return standin.Ask{Kind: standin.Unsafe, Within: plainWithin}
-		},
+		Draw: func(*rand.Rand) standin.Ask { return a },
 		Ended: func(k standin.KeptRequest) {
 			ended <- k
 			cancel()
 		},
 	}
 	go c.Run(ctx)
-	for w.ledger.Runs("paused-0") == 0 {
+	for w.ledger.Runs(pausedRequest) == 0 {
 		time.Sleep(time.Millisecond)
 	}
+	time.Sleep(ran)
 	gateway := nameOf("gateway", 0)
 	w.programs.signal(gateway, syscall.SIGSTOP)
-	time.Sleep(2 * plainWithin)
+	time.Sleep(pause)
 	w.programs.signal(gateway, syscall.SIGCONT)
-	if k := <-ended; k.End != standin.Answered && k.End != standin.Refused {
+	return <-ended
+}
+
+// pausedRequest is the id of askPaused's request.
+const pausedRequest = "paused-0"
+
+// A gateway stands still until long after the deadline of a request that runs, and goes
+// on. Its caller still waits, and is answered.
+func TestAnswerAfterAPauseIsWritten(t *testing.T) {
+	w := startWorld(t, small, logFolder(t))
+	k := w.askPaused(t, standin.Ask{Kind: standin.Unsafe, Within: plainWithin}, 0, 2*plainWithin)
+	if k.End != standin.Answered && k.End != standin.Refused {
 		t.Errorf("%s: %s, %s", k.ID, k.End, k.Why)
 	}
 }
@@ -122,33 +131,18 @@
 // it lets a backend server have. What came meanwhile waits at its socket: the backend
 // server was not silent, and the stream is neither broken off nor run again.
 func TestPauseOfAGatewayBreaksNoStream(t *testing.T) {
-	const pause, longStream = 1500 * time.Millisecond, 300
+	const (
+		pause      = 1500 * time.Millisecond
+		before     = 500 * time.Millisecond // its first events pass
+		longStream = 300
+	)
 	w := startWorld(t, small, logFolder(t))
-	ended := make(chan standin.KeptRequest, 1)
-	ctx, cancel := context.WithCancel(t.Context())
-	c := &standin.KeptCaller{
-		Name: "paused", Gateway: w.at(gatewayVMs, 0, callersPort), Random: rand.New(rand.NewPCG(seed(t), 0)),
-		Draw: func(*rand.Rand) standin.Ask {
-			return standin.Ask{Kind: standin.Stream, Within: longWithin, Stride: figures.Stride, Prompt: leastPrompt, Tokens: longStream}
-		},
-		Ended: func(k standin.KeptRequest) {
-			ended <- k
-			cancel()
-		},
-	}
-	go c.Run(ctx)
-	for w.ledger.Runs("paused-0") == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	time.Sleep(pause / 3) // its first events pass
-	gateway := nameOf("gateway", 0)
-	w.programs.signal(gateway, syscall.SIGSTOP)
-	time.Sleep(pause)
-	w.programs.signal(gateway, syscall.SIGCONT)
-	if k := <-ended; k.End != standin.Answered || k.Why != "" {
+	a := standin.Ask{Kind: standin.Stream, Within: longWithin, Stride: figures.Stride, Prompt: leastPrompt, Tokens: longStream}
+	k := w.askPaused(t, a, before, pause)
+	if k.End != standin.Answered || k.Why != "" {
 		t.Errorf("%s: %s, %s", k.ID, k.End, k.Why)
 	}
-	if n := w.ledger.Runs("paused-0"); n != 1 {
+	if n := w.ledger.Runs(pausedRequest); n != 1 {
 		t.Errorf("it ran %d times", n)
 	}
 }
