--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -85,10 +85,10 @@
 	isLast    bool // no attempt may follow it
 }
 
-// mayBreakOff tells whether a stream under way may be broken off because its connection
-// seems silent: only where it can go on elsewhere, and then the repeat for that is taken.
-// Without one it would end there, and a machine on which all backend servers stand still
-// for a moment looks the same; the watchdog ends it a second later.
+// mayBreakOff tells whether a stream under way may be broken off because its connection or
+// its backend server seems silent: only where it can go on elsewhere, and then the repeat
+// for that is taken. Without one it would end there, while on a busy machine all backend
+// servers stand still for a moment and go on; it is left to its deadline.
 func (x *exchange) mayBreakOff() bool {
 	if x.isLast || !x.gateway.budget.repeat(x.request.service.Name(), x.gateway.gateways()) {
 		return false
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -213,7 +213,7 @@
 		return failure.New(failure.OutcomeUnknown, "the request may have run: %s", q.last)
 	case q.runs >= q.route.Attempts() || dials >= maxDials:
 		return q.exhausted("all %d attempts are used up; last: %s", q.route.Attempts(), q.last)
-	case !q.repeatTaken.Swap(false) && !g.budget.repeat(q.service.Name(), g.gateways()):
+	case !q.repeatTaken.Swap(false) && !g.awaitRepeat(q):
 		return q.exhausted("the budget of repeats is used up; last: %s", q.last)
 	}
 	return nil
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -340,6 +340,30 @@
 	}
 }
 
+// A stream under way whose repeats are spent waits for one as long as its caller does.
+func TestStreamUnderWayWaitsForARepeat(t *testing.T) {
+	f := newFixture(t, serviceconfig.Stream, true)
+	route, _ := f.gateway.index.Load().Route("menus.example", "/draft/x")
+	service, _ := f.gateway.index.Load().Service("menu")
+	f.gateway.budget = newBudget(0, 1.5*float64(f.gateway.gateways()), time.Hour)
+	if !f.gateway.budget.repeat("menu", f.gateway.gateways()) {
+		t.Fatal("there is no repeat to spend")
+	}
+	now := time.Now()
+	q := &request{ctx: t.Context(), route: route, service: service, begun: true, eventAt: now.Add(time.Hour), deadline: now.Add(2 * time.Hour)}
+	go func() {
+		<-time.After(yieldLook)
+		f.gateway.budget.unspent("menu")
+	}()
+	if !f.gateway.awaitRepeat(q) {
+		t.Error("it did not wait for the repeat that was put back")
+	}
+	q.eventAt = now.Add(-mostYield)
+	if f.gateway.awaitRepeat(q) {
+		t.Error("it got a repeat that is not there")
+	}
+}
+
 // A stream under way whose connection seems silent is broken off only where it may go on
 // elsewhere, and the repeat that it needs for that is taken once.
 func TestStreamIsBrokenOffOnlyWhereItGoesOn(t *testing.T) {
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -5,8 +5,8 @@
 // that finds no place is not. So they take places that nobody waits for, at once where there
 // are any, and wait for others until their lost runs must be over.
 //
-// A stream that was broken off otherwise takes any place, and waits for one as long as its
-// caller does: without one its connection would close.
+// A stream that was broken off otherwise takes any place, and waits for one, and for a repeat
+// in the budget, as long as its caller does: without them its connection would close.
 //
 // Rejected: those whose next event can still be in time queue at engines as others do. 33 of
 // 44 were turned away there, which spent the repeats of all.
@@ -55,7 +55,21 @@
 	}
 }
 
-// pauseForPlace lies between two looks for a place.
+// awaitRepeat takes a repeat out of the budget; a stream under way waits for one as it does
+// for a place. False where there is none.
+func (g *Gateway) awaitRepeat(q *request) bool {
+	for {
+		if g.budget.repeat(q.service.Name(), g.gateways()) {
+			return true
+		}
+		if !q.waitsForPlace(time.Now()) {
+			return false
+		}
+		g.pauseForPlace(q)
+	}
+}
+
+// pauseForPlace lies between two looks for a place or for a repeat.
 func (g *Gateway) pauseForPlace(q *request) {
 	select {
 	case <-q.ctx.Done():
