--- a/pkg/controllog/replication.go
+++ b/pkg/controllog/replication.go
@@ -31,7 +31,7 @@
 	}
 	before := p.next - 1
 	term, ok := r.log.term(before)
-	if !ok || r.isShorter(p.next) {
+	if !ok || r.snapshotIsShorter(p.next) {
 		r.startSnapshot(to)
 		return
 	}
--- a/pkg/controllog/snapshot.go
+++ b/pkg/controllog/snapshot.go
@@ -37,11 +37,11 @@
 // ----------------------------------------------------------------
 // Leader
 
-// isShorter tells whether the snapshot is less than half the bytes of the entries from an
+// snapshotIsShorter tells whether the snapshot is less than half the bytes of the entries from an
 // index on that it stands for. Of a log of whole configurations one counts: sent entry by
 // entry to a member with an empty disk it was twenty times the state, and the voters were
 // whole again after up to 6 s.
-func (r *Replica) isShorter(from uint64) bool {
+func (r *Replica) snapshotIsShorter(from uint64) bool {
 	if from > r.snapshot.index {
 		return false
 	}
--- a/pkg/gateway/ending.go
+++ b/pkg/gateway/ending.go
@@ -37,14 +37,14 @@
 // nearly over.
 var errStopping = errors.New("the gateway stops")
 
-// begin bounds a request by the stop of the gateway, until its head is written. The
-// function that it returns ends it.
-func (g *Gateway) begin(q *request) (end func()) {
+// endWithStop has a request end before the gateway's time for a planned stop does, unless
+// its head is written by then. The function that it returns ends the request's context.
+func (g *Gateway) endWithStop(q *request) (end func()) {
 	ctx, cancel := context.WithCancelCause(q.incoming.Context())
 	q.ctx = ctx
-	q.letRun = context.AfterFunc(g.ending, func() { cancel(errStopping) })
+	q.outliveStop = context.AfterFunc(g.ending, func() { cancel(errStopping) })
 	return func() {
-		q.letRun()
+		q.outliveStop()
 		cancel(nil)
 	}
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -72,8 +72,8 @@
 	callers     atomic.Pointer[callersListener] // nil until it listens
 	running     context.Context                 // ends with Run
 	// ending ends when a planned stop has no time left for requests without a head.
-	ending    context.Context
-	endOthers context.CancelFunc
+	ending     context.Context
+	endWaiting context.CancelFunc
 }
 
 // New returns a gateway that is not running yet. path is its settings file,
@@ -90,7 +90,7 @@
 		budget:  newBudget(s.RetryRatio(), s.RetryReserve(), s.RetryWindow()),
 		metrics: newMetrics(process.Registry),
 	}
-	g.ending, g.endOthers = context.WithCancel(context.Background())
+	g.ending, g.endWaiting = context.WithCancel(context.Background())
 	g.seeds = daemon.NewSeeds(path, s, settings.LoadGateway, process.Logger)
 	g.follower = &feed.Follower{
 		Endpoint: process.Endpoint,
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -49,7 +49,7 @@
 	}
 	q := &request{writer: w, incoming: r, started: time.Now()}
 	defer g.endPanic(q)
-	defer g.begin(q)()
+	defer g.endWithStop(q)()
 	if err := g.read(q); err != nil {
 		g.refuse(q, failure.Of(err))
 		return
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -139,7 +139,7 @@
 		own.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	q.begun = true
-	q.letRun()
+	q.outliveStop()
 	q.boundWrite()
 	q.writer.WriteHeader(status)
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -17,7 +17,7 @@
 // request is one caller's request.
 type request struct {
 	ctx          context.Context // ends when the caller leaves, and before the head when the gateway stops
-	letRun       func() bool     // lets it run on beyond that
+	outliveStop  func() bool     // lets it go on beyond the stop
 	writer       http.ResponseWriter
 	incoming     *http.Request
 	call         Call
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -50,7 +50,7 @@
 	case <-signals:
 	}
 	limit := time.Now().Add(g.settings.DrainLimit() - stopMargin)
-	defer time.AfterFunc(time.Until(limit.Add(-lastAnswers)), g.endOthers).Stop()
+	defer time.AfterFunc(time.Until(limit.Add(-lastAnswers)), g.endWaiting).Stop()
 	g.draining.Store(true)
 	_ = level.Info(g.process.Logger).Log("msg", "stopping", "limit", g.settings.DrainLimit().String())
 	select {
--- a/soak/kept_test.go
+++ b/soak/kept_test.go
@@ -31,10 +31,10 @@
 	// lossSlack is for how long a request may lie read and not passed on when its
 	// connection closes.
 	lossSlack = 200 * time.Millisecond
-	// soonStopped requests were sent so soon after the signal that one which a server
-	// works on until the last sixth of the time for the stop may be cut.
-	soonStopped = 3 * time.Second
-	lastSixth   = stopLimit * 5 / 6
+	// soonAfterSignal is how soon after it a request is sent that may be cut if a server
+	// works on it until the last sixth of the time for the stop.
+	soonAfterSignal = 3 * time.Second
+	lastSixth       = stopLimit * 5 / 6
 )
 
 // keptLoad are the callers that keep their connections.
@@ -116,11 +116,12 @@
 // cut is a request over a kept connection that ended without a whole answer.
 type cut struct {
 	standin.KeptRequest
-	ran     int   // how often it ran at a server
-	stop    *span // the planned stop that it met; nil for none
-	planned bool  // it counts as cut by planned work
-	kept    bool  // it counts as left without an answer, whatever was done
-	told    []string
+	ran  int   // how often it ran at a server
+	stop *span // the planned stop that it met; nil for none
+	// cutByPlan says that it counts as cut by planned work, and leftAlone that it counts as
+	// left without an answer, whatever was done.
+	cutByPlan, leftAlone bool
+	told                 []string // the gateways' log lines of it
 }
 
 // verdict is what became of all requests.
@@ -147,8 +148,8 @@
 		if i := slices.IndexFunc(stops, func(s span) bool { return s.covers(k) }); i >= 0 {
 			c.stop = &stops[i]
 		}
-		c.planned = c.stop != nil && !c.stopAllows()
-		c.kept = k.Before > 0 && c.ran > 0 && k.End != standin.Midway && !c.isLate()
+		c.cutByPlan = c.stop != nil && !c.stopAllows()
+		c.leftAlone = k.Before > 0 && c.ran > 0 && k.End != standin.Midway && !c.isLate()
 		v.cuts = append(v.cuts, c)
 	}
 	return v
@@ -163,7 +164,7 @@
 	if c.ran == 0 && c.Ended.Sub(c.Sent) <= lossSlack {
 		return true
 	}
-	soon := c.Sent.Before(c.stop.from.Add(soonStopped))
+	soon := c.Sent.Before(c.stop.from.Add(soonAfterSignal))
 	return c.isLate() || soon && c.ran > 0 && c.Ended.After(c.stop.from.Add(lastSixth))
 }
 
@@ -194,6 +195,6 @@
 	if c.stop != nil {
 		at = fmt.Sprintf(", sent %+.2f s from the signal, gone at %.2f", c.Sent.Sub(c.stop.from).Seconds(), c.stop.to.Sub(c.stop.from).Seconds())
 	}
-	return fmt.Sprintf("%s %s (%s, %d before): %s after %.2f s, ran %d, reset %t, planned %t, kept %t%s; %s; log %q",
-		c.Ended.Format("05.000"), c.ID, c.Kind, c.Before, c.End, c.Ended.Sub(c.Sent).Seconds(), c.ran, c.Reset, c.planned, c.kept, at, c.Why, c.told)
+	return fmt.Sprintf("%s %s (%s, %d before): %s after %.2f s, ran %d, reset %t, cut by plan %t, left alone %t%s; %s; log %q",
+		c.Ended.Format("05.000"), c.ID, c.Kind, c.Before, c.End, c.Ended.Sub(c.Sent).Seconds(), c.ran, c.Reset, c.cutByPlan, c.leftAlone, at, c.Why, c.told)
 }
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -102,8 +102,8 @@
 
 // leftAlone are those left without an answer while nothing was done to their gateway.
 func (v verdict) leftAlone() int {
-	return v.count(func(c cut) bool { return c.kept && c.stop == nil })
+	return v.count(func(c cut) bool { return c.leftAlone && c.stop == nil })
 }
 
 // cutByPlan are those that planned work cut and may not.
-func (v verdict) cutByPlan() int { return v.count(func(c cut) bool { return c.planned }) }
+func (v verdict) cutByPlan() int { return v.count(func(c cut) bool { return c.cutByPlan }) }
