--- a/bench/path_test.go
+++ b/bench/path_test.go
@@ -12,7 +12,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -24,6 +23,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/tidepost/tidepost/internal/loopback"
 	"github.com/tidepost/tidepost/pkg/agent"
 	"github.com/tidepost/tidepost/pkg/contract"
 	"github.com/tidepost/tidepost/pkg/daemon"
@@ -35,15 +35,6 @@
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func writeSettings(t *testing.T, text string) string {
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -67,8 +58,8 @@
 	origin.Put("menu", "v7", 1<<20, 1)
 	originServer := httptest.NewServer(origin.Handler())
 	t.Cleanup(originServer.Close)
-	w := &pathWorld{t: t, callers: freeAddress(t), entryAt: freeAddress(t), engine: engineServer.URL}
-	agentAt := freeAddress(t)
+	w := &pathWorld{t: t, callers: loopback.FreeAddress(t), entryAt: loopback.FreeAddress(t), engine: engineServer.URL}
+	agentAt := loopback.FreeAddress(t)
 
 	es, err := settings.LoadEntry(writeSettings(t, fmt.Sprintf(`
 vm: {name: entry-1, region: r, failure_domain: d}
--- a/pkg/control/cluster_test.go
+++ b/pkg/control/cluster_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/tidepost/tidepost/internal/loopback"
 	"github.com/tidepost/tidepost/internal/silenced"
 	"github.com/tidepost/tidepost/pkg/controllog"
 	"github.com/tidepost/tidepost/pkg/daemon"
@@ -41,21 +42,11 @@
 	silencer           silenced.Conns // the links that it dialed
 }
 
-// freeAddress returns an address that nobody listens on.
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func newCluster(t *testing.T, size int) *cluster {
 	c := &cluster{t: t}
 	for i := range size {
 		c.nodes = append(c.nodes, &testNode{
-			name: fmt.Sprintf("control-%d", i), links: freeAddress(t), calls: freeAddress(t), bootstrap: true, disk: disk.NewMemory(),
+			name: fmt.Sprintf("control-%d", i), links: loopback.FreeAddress(t), calls: loopback.FreeAddress(t), bootstrap: true, disk: disk.NewMemory(),
 		})
 	}
 	for _, n := range c.nodes {
@@ -290,7 +281,7 @@
 	c.awaitVoters(c.nodes...)
 	c.put(c.nodes[0], 7)
 	c.stop(c.nodes[2])
-	fresh := &testNode{name: "control-9", links: freeAddress(t), calls: freeAddress(t), disk: disk.NewMemory()}
+	fresh := &testNode{name: "control-9", links: loopback.FreeAddress(t), calls: loopback.FreeAddress(t), disk: disk.NewMemory()}
 	c.nodes = append(c.nodes, fresh)
 	c.start(fresh)
 	c.awaitVoters(c.nodes[0], c.nodes[1], fresh)
@@ -317,7 +308,7 @@
 
 func TestEmptyNodeNeverFormsACluster(t *testing.T) {
 	c := &cluster{t: t}
-	n := &testNode{name: "control-0", links: freeAddress(t), calls: freeAddress(t), disk: disk.NewMemory()}
+	n := &testNode{name: "control-0", links: loopback.FreeAddress(t), calls: loopback.FreeAddress(t), disk: disk.NewMemory()}
 	c.nodes = []*testNode{n, n, n}
 	c.start(n)
 	defer c.stop(n)
--- a/pkg/control/others_test.go
+++ b/pkg/control/others_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/tidepost/tidepost/internal/loopback"
 	"github.com/tidepost/tidepost/pkg/disk"
 	"github.com/tidepost/tidepost/pkg/registry"
 )
@@ -46,7 +47,7 @@
 	c := &cluster{t: t}
 	for i := range 3 {
 		c.nodes = append(c.nodes, &testNode{
-			name: fmt.Sprintf("control-%d", i), links: freeAddress(t), calls: freeAddress(t), bootstrap: true, disk: disk.NewMemory(),
+			name: fmt.Sprintf("control-%d", i), links: loopback.FreeAddress(t), calls: loopback.FreeAddress(t), bootstrap: true, disk: disk.NewMemory(),
 		})
 	}
 	first, last := c.nodes[0], c.nodes[2]
--- a/pkg/gateway/answered_test.go
+++ b/pkg/gateway/answered_test.go
@@ -24,6 +24,7 @@
 	"testing"
 	"time"
 
+	"github.com/tidepost/tidepost/internal/loopback"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
@@ -122,7 +123,7 @@
 // returns its address for callers, and what sends it the signal to stop.
 func (f *fixture) run(t *testing.T, limit time.Duration) (address string, stop func()) {
 	t.Helper()
-	address = freeAddress(t)
+	address = loopback.FreeAddress(t)
 	g := newGateway(t, fmt.Sprintf(`
 vm: {name: gateway-1, region: north, failure_domain: hall-a}
 peers: {listen: "127.0.0.1:1"}
@@ -131,7 +132,7 @@
 control: {seeds: ["127.0.0.1:4"]}
 retries: {reserve: 1000}
 drain: {notice: 0s, limit: %s}
-`, address, freeAddress(t), limit))
+`, address, loopback.FreeAddress(t), limit))
 	g.backends = f.gateway.backends
 	g.index.Raise(f.gateway.index.Load().Document())
 	signals, over := make(chan os.Signal, 1), make(chan error)
@@ -204,17 +205,6 @@
 	}
 }
 
-// freeAddress returns an address that nobody listens at.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // The second server turns the rest of the stream away once, as a full one does.
 func testBrokenStreamWaits(t *testing.T) {
 	first := newStandIn(t, "i-1", func(w *bufio.Writer, r *http.Request) bool {
