--- a/soak/final_test.go
+++ b/soak/final_test.go
@@ -69,13 +69,12 @@
 	if all {
 		killed = random.Perm(controlNodes)
 	}
+	var gone []<-chan struct{}
 	for _, i := range killed {
-		one := w.programs.named(nameOf("control", i))
-		one.expected.Store(true)
-		_ = one.cmd.Process.Signal(syscall.SIGKILL)
+		gone = append(gone, w.programs.ask(nameOf("control", i), syscall.SIGKILL))
 	}
-	for _, i := range killed {
-		<-w.programs.named(nameOf("control", i)).over
+	for _, over := range gone {
+		<-over
 	}
 	for _, i := range lost {
 		w.must(os.RemoveAll(w.dataOf(nameOf("control", i))))
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -116,14 +116,17 @@
 	}
 }
 
-// stop ends a program by a signal and waits until it is gone. It returns how long
-// that took.
-func (p *programs) stop(name string, s syscall.Signal) time.Duration {
-	one, began := p.named(name), time.Now()
+// stop ends a program by a signal and waits until it is gone.
+func (p *programs) stop(name string, s syscall.Signal) {
+	<-p.ask(name, s)
+}
+
+// ask sends a signal that is to end a program, and returns what is closed when it is gone.
+func (p *programs) ask(name string, s syscall.Signal) (gone <-chan struct{}) {
+	one := p.named(name)
 	one.expected.Store(true)
 	p.signal(name, s)
-	<-one.over
-	return time.Since(began)
+	return one.over
 }
 
 // again starts a program that was stopped.
