A write to a caller is bounded in one place, and a stream takes one repeat

Read once more: the bound was set in three places, and twice for the first event of a stream; it stands in boundWriter now. The watchdog and the looks for silence could each take a repeat for the same attempt, so that one was spent in vain; the test fails without the mend. The bounds are as before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -90,10 +90,15 @@
 // for that is taken. Without one it would end there, while on a busy machine all backend
 // servers stand still for a moment and go on; it is left to its deadline.
 func (x *exchange) mayBreakOff() bool {
-	if x.isLast || !x.gateway.budget.repeat(x.request.service.Name(), x.gateway.gateways()) {
+	q := x.request
+	if x.isLast {
+		return false
+	}
+	// The watchdog and the looks for silence may both come to it, and one repeat does.
+	if !q.repeatTaken.Load() && !x.gateway.budget.repeat(q.service.Name(), x.gateway.gateways()) {
 		return false
 	}
-	x.request.repeatTaken.Store(true)
+	q.repeatTaken.Store(true)
 	return true
 }
 
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -85,7 +85,7 @@
 func (x *exchange) passThrough(answer *http.Response, start []byte) bool {
 	q := x.request
 	q.writeHead(answer.StatusCode, answer.Header, answer.ContentLength)
-	_, err := q.writer.Write(start)
+	_, err := boundWriter{q}.Write(start)
 	if err == nil {
 		_, err = io.Copy(boundWriter{q}, progressReader{answer.Body, x.watch})
 	}
@@ -140,13 +140,12 @@
 	}
 	q.begun = true
 	q.outliveStop()
-	q.boundWrite()
 	q.writer.WriteHeader(status)
 }
 
 // write writes what is the rest of an answer, and returns once the kernel has it.
 func (q *request) write(rest []byte) error {
-	if _, err := q.writer.Write(rest); err != nil {
+	if _, err := (boundWriter{q}).Write(rest); err != nil {
 		return err
 	}
 	return http.NewResponseController(q.writer).Flush()
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -381,6 +381,9 @@
 	if !x.mayBreakOff() || !q.repeatTaken.Load() {
 		t.Fatal("no repeat was taken")
 	}
+	if !x.mayBreakOff() {
+		t.Error("a repeat that is in hand is asked for again")
+	}
 	if refused := f.gateway.mayTry(q, 1); refused != nil {
 		t.Errorf("the repeat that was taken is asked for again: %v", refused)
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -54,6 +54,7 @@
 	}
 	if !q.begun {
 		q.writeHead(answer.StatusCode, answer.Header, -1)
+		q.boundWrite() // of the head alone, when the handler returns
 	}
 	x.gateway.end(q, outcomeServed, answer.Status)
 	return true
@@ -88,7 +89,6 @@
 	if len(fresh) == 0 {
 		return nil
 	}
-	q.boundWrite()
 	return q.write(fresh)
 }
 
