Sight: attempts say which request they are of, and whether the backend server ended

The logs could not tell whether one request ends servers or servers fail by themselves: each try has a new id, and 'broken' stood for a server that ended as for one that lives on. Lines of attempts and requests now have the fingerprint of what is asked (organisation, method, host, path, body), and what a dial right after the break found: refused where the server ended, answered where it lives on. No change of logic.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -31,7 +31,7 @@
 func (g *Gateway) try(q *request, b *backend) (answered bool) {
 	q.tried[b] = true
 	word := b.word()
-	q.backend = word.Incarnation()
+	q.backend, q.sign = word.Incarnation(), signNone
 	taken, err := b.pool.Get(q.ctx, min(dialTimeout, q.remaining()))
 	if err != nil {
 		if q.ctx.Err() == nil {
@@ -110,19 +110,19 @@
 	defer x.watch.stop()
 	answer, err := x.conn.Exchange(q.ctx, x.outgoing(), q.deadline)
 	if err != nil {
-		return x.broken("no answer: " + err.Error())
+		return x.broken("no answer", err)
 	}
 	x.watch.progress()
 	x.listening.hear(time.Now())
 	told := x.gateway.protocol.ReadAnswer(answer.StatusCode, answer.Header)
 	if told.ID != "" && told.ID != q.call.ID {
-		return x.broken("an answer to request " + told.ID)
+		return x.broken("an answer to request "+told.ID, nil)
 	}
 	if told.NotRun {
 		return x.notRun(answer, told)
 	}
 	if !told.Genuine && answer.StatusCode < http.StatusMultipleChoices {
-		return x.broken("an answer that is no backend server's own")
+		return x.broken("an answer that is no backend server's own", nil)
 	}
 	x.backend.sawVersion(told.Version)
 	if isStream(q, answer) {
@@ -147,12 +147,17 @@
 	return upstream.Request{Method: q.incoming.Method, URI: target(q.incoming), Host: q.incoming.Host, Header: header, Body: q.body}
 }
 
-// broken notes an attempt whose outcome is not known.
-func (x *exchange) broken(why string) bool {
+// broken notes an attempt whose outcome is not known, by what was seen and the error of
+// its connection, if there was one.
+func (x *exchange) broken(why string, cause error) bool {
+	if cause != nil {
+		why += ": " + cause.Error()
+	}
 	x.conn.Abort()
 	q := x.request
 	q.mayHaveRun = true
 	q.runs++
+	q.sign = x.backend.signAfter(cause)
 	switch {
 	case q.ctx.Err() != nil:
 	case x.watch.lapsed.Load() || q.hasLapsed():
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 	"github.com/tidepost/tidepost/pkg/upstream"
 )
@@ -62,6 +63,7 @@
 		g.end(q, outcomeGone, "body not sent: "+err.Error())
 		panic(http.ErrAbortHandler)
 	}
+	q.fingerprint = quarantine.Of(q.content())
 	g.forward(q)
 }
 
@@ -172,6 +174,12 @@
 	return nil
 }
 
+// content is what tells a request apart from others, whatever try of its caller it is.
+func (q *request) content() quarantine.Content {
+	r := q.incoming
+	return quarantine.Content{Organisation: q.organisation, Method: r.Method, Host: r.Host, Target: target(r), Body: q.body}
+}
+
 // forward tries backend servers until the request is answered or given up.
 func (g *Gateway) forward(q *request) {
 	for dials := 0; ; dials++ {
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -47,7 +47,7 @@
 func (g *Gateway) note(q *request, end attemptEnd, why string) {
 	q.last = string(end) + " at " + q.backend + ": " + why
 	g.metrics.attempts.WithLabelValues(string(end)).Inc()
-	_ = level.Info(g.process.Logger).Log("msg", "attempt", "request", q.call.ID, "end", string(end), "backend", q.backend,
+	_ = level.Info(g.process.Logger).Log("msg", "attempt", "request", q.call.ID, "fingerprint", q.fingerprint, "end", string(end), "sign", string(q.sign), "backend", q.backend,
 		"service", q.service.Name(), "sent", q.sent, "left_ms", q.remaining().Milliseconds(),
 		"version", q.lapse.served, "lapses_ms", q.untilLapse(), "why", why)
 }
@@ -64,7 +64,7 @@
 		route = q.route.Name()
 		objective, pauseObjective = q.route.Objective(), q.route.GapObjective()
 	}
-	_ = level.Info(g.process.Logger).Log("msg", "request", "request", q.call.ID, "outcome", string(o), "route", route,
+	_ = level.Info(g.process.Logger).Log("msg", "request", "request", q.call.ID, "fingerprint", q.fingerprint, "outcome", string(o), "route", route,
 		"configuration", q.number, "organisation", q.organisation, "backend", q.backend, "sent", q.sent,
 		"sent_ms", q.sentAfter.Milliseconds(), "came_back", q.cameBack, "forecast_ms", q.forecast.Milliseconds(), "first_ms", q.firstByte.Milliseconds(), "pause_ms", q.pause.Milliseconds(),
 		"objective_ms", objective.Milliseconds(), "pause_objective_ms", pauseObjective.Milliseconds(), "allowed_ms", q.call.Deadline.Milliseconds(), "ms", time.Since(q.started).Milliseconds(),
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -33,7 +33,7 @@
 func (x *exchange) plain(answer *http.Response) (answered bool) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeld))
 	if err != nil {
-		return x.broken("the answer broke off: " + err.Error())
+		return x.broken("the answer broke off", err)
 	}
 	if len(body) == maxHeld {
 		return x.passThrough(answer, body)
@@ -41,7 +41,7 @@
 	x.conn.Finish(answer)
 	held := &heldAnswer{answer.StatusCode, answer.Header, body}
 	if x.request.begun {
-		return x.broken("a stream went on as " + answer.Status)
+		return x.broken("a stream went on as "+answer.Status, nil)
 	}
 	if answer.StatusCode >= http.StatusInternalServerError {
 		return x.failedAnswer(held)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
@@ -28,7 +29,8 @@
 	urgency      int
 	header       http.Header // passed on
 	body         []byte
-	number       uint64 // of the configuration that it was routed by
+	fingerprint  quarantine.Fingerprint // of what it asks; empty until the body is read
+	number       uint64                 // of the configuration that it was routed by
 
 	cameBack bool // the caller was refused before
 
@@ -44,6 +46,7 @@
 	// repeatTaken says that the repeat of the next attempt is out of the budget already.
 	repeatTaken atomic.Bool
 	fallback    *heldAnswer
+	sign        sign   // of what became of the backend server where the last attempt broke
 	mayHaveRun  bool   // an attempt's outcome is unknown, or it ran
 	begun       bool   // the answer's head was written to the caller
 	lastEvent   string // the last event that the caller has
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -61,11 +61,10 @@
 }
 
 func (x *exchange) streamBroken(err error) bool {
-	why := "the stream broke off: " + err.Error()
 	if x.watch.barked.Load() {
-		why = "the stream stood still"
+		return x.broken("the stream stood still", nil)
 	}
-	return x.broken(why)
+	return x.broken("the stream broke off", err)
 }
 
 // passOn writes the events that the caller does not have yet.
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -101,6 +101,19 @@
 	return true
 }
 
+// Refuses tells whether a dial is refused within dialTimeout: nobody listens there. One
+// that is not answered tells nothing.
+func (p *Pool) Refuses(ctx context.Context, dialTimeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
 func (p *Pool) take() *Connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
