--- /dev/null
+++ b/pkg/gateway/ends_servers_test.go
@@ -0,0 +1,241 @@
+// ================================================================
+// What was seen: one request ended each backend server that ran it, and was sent to
+// servers again and again; two fifths of all other work were lost with them. How it
+// comes about: a server that ends takes all its requests with it, a gateway sends them
+// once more, and callers come again, at any gateway. What caused it: nothing of a request
+// was remembered after its end. What proved it: these cases, and the same with the real
+// programs in soak.
+// ================================================================
+
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
+)
+
+const (
+	endingBody  = "a request that ends its server"
+	popularBody = "what everybody asks"
+	// mostEnds is how many servers one request may end that comes at one gateway, one try
+	// after the other.
+	mostEnds = 3
+)
+
+// mortal is a stand-in that ends when it runs a certain body: its port closes, and all its
+// connections.
+type mortal struct {
+	*standIn
+	mu    sync.Mutex
+	conns []net.Conn
+	over  bool
+}
+
+// mortals are stand-ins that end, and how many have.
+type mortals struct {
+	all   []*mortal
+	mu    sync.Mutex
+	ended int
+	next  bool // the next request ends its server
+}
+
+// newMortals starts stand-ins that answer each request whole, but for the one that ends
+// them.
+func newMortals(t *testing.T, count int) *mortals {
+	m := &mortals{}
+	for i := range count {
+		one := &mortal{}
+		one.standIn = newAcceptingStandIn(t, fmt.Sprintf("i-%d", i+1), m.script(one), one.accept)
+		m.all = append(m.all, one)
+	}
+	return m
+}
+
+// script answers whole, but for the request that ends the server.
+func (m *mortals) script(one *mortal) exchangeScript {
+	return func(w *bufio.Writer, r *http.Request) bool {
+		if r.ContentLength == int64(len(endingBody)) || m.takeNext() {
+			m.end(one)
+			return false
+		}
+		writeAnswer(w, r, "200 OK", "", "whole")
+		return true
+	}
+}
+
+// takeNext tells whether this is the request that the next end comes with.
+func (m *mortals) takeNext() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next := m.next
+	m.next = false
+	return next
+}
+
+func (m *mortals) end(one *mortal) {
+	one.end()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ended++
+}
+
+func (m *mortals) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ended
+}
+
+func (m *mortals) standIns() (all []*standIn) {
+	for _, one := range m.all {
+		all = append(all, one.standIn)
+	}
+	return all
+}
+
+// accept keeps a connection until the end.
+func (m *mortal) accept(conn net.Conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.over {
+		_ = conn.Close()
+	}
+	m.conns = append(m.conns, conn)
+}
+
+func (m *mortal) end() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.over = true
+	_ = m.listener.Close()
+	for _, conn := range m.conns {
+		_ = conn.Close()
+	}
+}
+
+// tryOf sends a try of a request with a body and returns the status.
+func (f *fixture) tryOf(t *testing.T, id, body string, change func(*http.Request)) int {
+	t.Helper()
+	r := f.request(t, http.MethodPost, id, body)
+	if change != nil {
+		change(r)
+	}
+	status, _, _, _ := f.do(t, r)
+	return status
+}
+
+// endThree has a request end servers until it may no more.
+func (f *fixture) endThree(t *testing.T, m *mortals) {
+	t.Helper()
+	const tries = 20
+	for i := range tries {
+		f.tryOf(t, fmt.Sprintf("ending-%d", i), endingBody, nil)
+	}
+	if n := m.count(); n != mostEnds {
+		t.Fatalf("%d tries of one request ended %d servers; %d may end", tries, n, mostEnds)
+	}
+}
+
+func TestRequestThatEndsServers(t *testing.T) {
+	for _, kind := range []serviceconfig.Kind{serviceconfig.Repeatable, serviceconfig.Once} {
+		t.Run("that is "+string(kind), func(t *testing.T) {
+			m := newMortals(t, 8)
+			f := newFixture(t, kind, false, m.standIns()...)
+			f.endThree(t, m)
+			if status := f.tryOf(t, "more", endingBody, nil); status != http.StatusServiceUnavailable {
+				t.Errorf("status %d for a request that is kept away from servers", status)
+			}
+			if status := f.tryOf(t, "other", "another order", nil); status != http.StatusOK {
+				t.Errorf("status %d for another request", status)
+			}
+		})
+	}
+	t.Run("of another organisation", testSameBodyOfAnother)
+	t.Run("whose tries carry the last event", testTriesDiffer)
+	t.Run("beside one that everybody asks", testPopularIsServed)
+	t.Run("and servers that live on", testBrokenOffIsNoEnd)
+}
+
+// The same path and body by another organisation is another request.
+func testSameBodyOfAnother(t *testing.T) {
+	m := newMortals(t, 8)
+	f := newFixture(t, serviceconfig.Repeatable, false, m.standIns()...)
+	f.endThree(t, m)
+	f.tryOf(t, "theirs", endingBody, func(r *http.Request) { r.Header.Set(headerKey, "k2") })
+	if m.count() == mostEnds {
+		t.Error("the request of another organisation was kept away from servers")
+	}
+}
+
+func testTriesDiffer(t *testing.T) {
+	m := newMortals(t, 8)
+	f := newFixture(t, serviceconfig.Repeatable, false, m.standIns()...)
+	f.endThree(t, m)
+	f.tryOf(t, "again", endingBody, func(r *http.Request) {
+		r.Header.Set(headerLastEvent, "7")
+		r.Header.Set(headerDeadline, "900")
+	})
+	if n := m.count(); n != mostEnds {
+		t.Errorf("a try with another deadline and last event ended a server: %d", n)
+	}
+}
+
+// Each end takes the popular request with it, and it is served all the same: it has run
+// whole elsewhere.
+func testPopularIsServed(t *testing.T) {
+	m := newMortals(t, 12)
+	f := newFixture(t, serviceconfig.Repeatable, false, m.standIns()...)
+	const runs, ends = 30, 5
+	for i := range runs {
+		if i%(runs/ends) == 1 {
+			m.endNext()
+		}
+		if status := f.tryOf(t, fmt.Sprintf("popular-%d", i), popularBody, nil); status != http.StatusOK {
+			t.Errorf("try %d: status %d", i, status)
+		}
+	}
+	if n := m.count(); n < ends-1 {
+		t.Fatalf("%d servers ended under it", n)
+	}
+}
+
+// endNext has the server end that runs the next request.
+func (m *mortals) endNext() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.next = true
+}
+
+// Servers that break an answer off and live on are no reason to keep a request away.
+func testBrokenOffIsNoEnd(t *testing.T) {
+	breaks := 6
+	var mu sync.Mutex
+	script := func(w *bufio.Writer, r *http.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		if breaks--; breaks >= 0 {
+			_, _ = w.WriteString("HTTP/1.1 200 OK\r\nContent-Le")
+			return false
+		}
+		writeAnswer(w, r, "200 OK", "", "whole")
+		return true
+	}
+	var servers []*standIn
+	for i := range 4 {
+		servers = append(servers, newStandIn(t, fmt.Sprintf("i-%d", i+1), script))
+	}
+	f := newFixture(t, serviceconfig.Repeatable, false, servers...)
+	var last int
+	for i := 0; i < 10 && last != http.StatusOK; i++ {
+		last = f.tryOf(t, fmt.Sprintf("a-%d", i), strings.Repeat("x", 9), nil)
+	}
+	if last != http.StatusOK {
+		t.Errorf("status %d after servers broke answers off", last)
+	}
+}
--- a/pkg/gateway/stand_in_test.go
+++ b/pkg/gateway/stand_in_test.go
@@ -29,6 +29,7 @@
 	incarnation string
 	listener    net.Listener
 	script      exchangeScript
+	accepted    func(net.Conn) // gets each connection; nil for none
 
 	mu   sync.Mutex
 	seen []string // ids of the requests that came
@@ -36,12 +37,18 @@
 }
 
 func newStandIn(t testing.TB, incarnation string, script exchangeScript) *standIn {
+	t.Helper()
+	return newAcceptingStandIn(t, incarnation, script, nil)
+}
+
+// newAcceptingStandIn is newStandIn where somebody gets each connection.
+func newAcceptingStandIn(t testing.TB, incarnation string, script exchangeScript, accepted func(net.Conn)) *standIn {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &standIn{incarnation: incarnation, listener: l, script: script, gone: make(chan string, 16)}
+	s := &standIn{incarnation: incarnation, listener: l, script: script, accepted: accepted, gone: make(chan string, 16)}
 	t.Cleanup(func() { _ = l.Close() })
 	go s.accept()
 	return s
@@ -53,6 +60,9 @@
 		if err != nil {
 			return
 		}
+		if s.accepted != nil {
+			s.accepted(conn)
+		}
 		go s.serve(conn)
 	}
 }
@@ -161,7 +171,10 @@
 		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, 2, false, resumable)
 	d := serviceconfig.NewDocument(1, []serviceconfig.Route{route},
 		[]serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", serviceconfig.Engine{}, false)},
-		[]serviceconfig.Organisation{serviceconfig.NewOrganisation("larder", []string{"k1"}, 0, false)}, serviceconfig.Limits{})
+		[]serviceconfig.Organisation{
+			serviceconfig.NewOrganisation("larder", []string{"k1"}, 0, false),
+			serviceconfig.NewOrganisation("lamps", []string{"k2"}, 0, false),
+		}, serviceconfig.Limits{})
 	if err := d.Check(); err != nil {
 		t.Fatal(err)
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -6,6 +6,7 @@
 //	127.n.2.i  gateway i            callers 8005, readiness 8002
 //	127.n.3.i  engine and stager i  links 7700 (proxy) to 7701, engine 9000 (proxy) to 9001
 //	127.n.4.i  plain server i       9000 (proxy) to 9001; the origin 9100 on the first
+//	127.n.5.i  ending server i      9001, without a proxy: its port closes when it ends
 //
 // Links go to one port on every VM, so a stager is found at its engine's host: the
 // proxies have that port, and the programs listen beside it and tell the proxy's
@@ -47,6 +48,7 @@
 	gatewayVMs
 	engineVMs
 	plainVMs
+	endingVMs
 )
 
 // size says how many of each there are, how long a plain server takes, and within
@@ -56,6 +58,10 @@
 	plainTakes, within                time.Duration
 	// notice is how long a gateway that is to end still takes callers.
 	notice time.Duration
+	// ending is how many plain servers end when they run endingBody, and sameInstance has
+	// them start again under the instance that they had.
+	ending       int
+	sameInstance bool
 	// tolerate is how many control nodes may be lost at one moment.
 	tolerate int
 }
@@ -87,6 +93,7 @@
 	origin   *standin.Origin
 	// engines are in the order of their addresses.
 	engines  []*standin.Engine
+	ending   []*standin.EndingServer
 	operator standin.Operator
 	// named are the versions named so far, with when that was acknowledged.
 	named map[uint64]time.Time
@@ -110,6 +117,7 @@
 	// The programs end before the proxies do: cleanups run last first.
 	w.startProxies()
 	w.startServers(ctx)
+	w.startEnding(ctx)
 	w.programs = newPrograms(t, folder)
 	w.startPrograms()
 	w.operator = standin.Operator{Nodes: w.controlCalls(), Origin: w.at(plainVMs, 0, originPort)}
@@ -231,6 +239,26 @@
 	}
 }
 
+// startEnding starts the servers that end.
+func (w *world) startEnding(ctx context.Context) {
+	for i := range w.size.ending {
+		s := &standin.EndingServer{
+			Beats: standin.Beats{
+				Instance: fmt.Sprintf("x-%d", i+1), Service: standin.PlainService, Address: w.at(endingVMs, i, ownServer),
+				Zone: zone(i), Slots: figures.Slots, Every: beatEvery, Nodes: w.controlCalls(),
+			},
+			Takes: w.size.plainTakes, Ledger: w.ledger, Body: endingBody, After: endsAfter, Down: endedFor,
+			SameInstance: w.size.sameInstance,
+		}
+		w.ending = append(w.ending, s)
+		go func() {
+			if err := s.Run(ctx); err != nil {
+				w.t.Error(err)
+			}
+		}()
+	}
+}
+
 func (w *world) beat(ctx context.Context, instance, service string, kind, index int, engine *standin.Engine) {
 	b := &standin.Beats{
 		Instance: instance, Service: service, Address: w.at(kind, index, serverPort), Zone: zone(index),
