A request that ends the servers that run it is kept away from them, at all gateways

Cause: nothing of a request outlived its end. A gateway noted the server as failed and never the request; each gateway sent it on, twice a try where it may be repeated, and callers' own tries are new requests that no bound of ours counts.

Now what ended under a request is remembered by its content and told to all gateways through the control nodes, as registrations are, also to those that start anew (hellos tell a control node that has). A server counts as ended where its connection closed and a dial right afterwards is refused. Three separate ends keep a request away: ends of one failure domain within a second are one, unless the later try was sent by somebody who knew of the earlier end; one whole run clears a request. After two ends a try gets no second attempt, and from the first end on a gateway has one try of it under way.

Ruled out: counting ends alone, which shuts out what everybody asks.

--- a/pkg/control/ages_test.go
+++ b/pkg/control/ages_test.go
@@ -254,7 +254,7 @@
 		Own: identity, Clock: event.NewClock(time.Now), Logger: log.NewNopLogger(), Dial: (&testNode{name: "front-1"}).dial,
 	})
 	f := &feed.Follower{
-		Endpoint: e, Hello: feed.NewHello(feed.RoleGateway, identity, "", "", nil), Seeds: c.seeds,
+		Endpoint: e, Hello: feed.NewHello(feed.RoleGateway, identity, "", "", nil, nil), Seeds: c.seeds,
 		Held: func() uint64 { return math.MaxUint64 }, Take: func(string, feed.Update) {},
 		Weights: func() []feed.Weights { return known }, Logger: log.NewNopLogger(),
 	}
--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -22,6 +22,7 @@
 	"github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/settings"
 	"github.com/tidepost/tidepost/pkg/staging"
@@ -82,7 +83,7 @@
 	n := &Node{settings: s, process: process, protocol: protocol}
 	n.seeds = daemon.NewSeeds(path, s, settings.LoadControl, process.Logger)
 	n.service = &Service{
-		registry: registry.NewTable(nil), endpoint: process.Endpoint, logger: process.Logger,
+		registry: registry.NewTable(nil), quarantine: quarantine.NewTable(nil), endpoint: process.Endpoint, logger: process.Logger,
 		metrics: newMetrics(process.Registry),
 	}
 	n.service.state = NewState(n.changed)
@@ -96,6 +97,8 @@
 		Weights:       n.service.state.Weights,
 		Known:         n.learnFrom,
 		Registrations: n.service.registry.All,
+		Records:       n.service.quarantine.Records,
+		Learn:         n.service.learnRecords,
 		Nodes:         func() []string { return n.member.nodes() },
 		Confirmed:     func() bool { return n.member.confirmed() },
 	})
--- a/pkg/control/others.go
+++ b/pkg/control/others.go
@@ -34,12 +34,13 @@
 func (n *Node) newOthers() *feed.Follower {
 	return &feed.Follower{
 		Endpoint: n.process.Endpoint,
-		Hello:    feed.NewHello(feed.RoleNode, n.process.Identity, "", "", nil),
+		Hello:    feed.NewHello(feed.RoleNode, n.process.Identity, "", "", nil, nil),
 		Seeds:    func() []string { return append(n.seedLinks(), n.member.nodes()...) },
 		// Documents come by the control log.
 		Held:    func() uint64 { return math.MaxUint64 },
 		Take:    n.takeOther,
 		Weights: n.service.state.Weights,
+		Records: n.service.quarantine.Records,
 		Logger:  n.process.Logger,
 	}
 }
@@ -58,6 +59,7 @@
 		}
 	}
 	n.service.state.Learn(u.Weights(), string(feed.RoleNode), address)
+	n.service.learnRecords(u.Records())
 	n.service.publisher.Relayed(address, u)
 }
 
@@ -72,6 +74,7 @@
 			n.service.logRegistration(r)
 		}
 		n.service.publisher.Sweep()
+		n.service.quarantine.Sweep()
 	})
 }
 
--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -19,6 +19,7 @@
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 )
 
@@ -48,13 +49,15 @@
 // Service is what a control node does for others. It is safe for concurrent
 // use.
 type Service struct {
-	state     *State
-	member    *member
-	registry  *registry.Table
-	publisher *feed.Publisher
-	endpoint  *link.Endpoint
-	logger    log.Logger
-	metrics   *metrics
+	state    *State
+	member   *member
+	registry *registry.Table
+	// quarantine is what gateways told of requests under which servers ended.
+	quarantine *quarantine.Table
+	publisher  *feed.Publisher
+	endpoint   *link.Endpoint
+	logger     log.Logger
+	metrics    *metrics
 }
 
 // PutConfiguration has a configuration agreed on. One whose number is not
@@ -134,6 +137,14 @@
 	return failure.New(failure.NoQuorum, "this node hears no quorum; another one may")
 }
 
+// learnRecords takes what a gateway or another node tells of requests under which servers
+// ended, and has what is new told to all others.
+func (s *Service) learnRecords(records []quarantine.Record) {
+	changed, _ := s.quarantine.Merge(records)
+	s.publisher.Recorded(changed)
+	quarantine.LogBarred(s.logger, changed)
+}
+
 // ----------------------------------------------------------------
 // Agreement
 
--- a/pkg/failure/kinds.go
+++ b/pkg/failure/kinds.go
@@ -53,6 +53,7 @@
 	SourceRefused       Kind = "source_refused"
 	StaleOrder          Kind = "stale_order"
 	InvariantBroken     Kind = "invariant_broken"
+	EndsServers         Kind = "ends_servers"
 	Internal            Kind = "internal"
 )
 
@@ -103,6 +104,7 @@
 	{SourceRefused, http.StatusServiceUnavailable, time.Second, "The origin or the weight store refused or failed.", "check the source; the copy goes on from what is verified"},
 	{StaleOrder, http.StatusConflict, 0, "The engine has accepted an order with a later fence.", "nothing to do: the later order is in force"},
 	{InvariantBroken, http.StatusInternalServerError, 0, "A check of something that must always hold has failed.", "report it with the time line: `tidepost timeline -o json`"},
+	{EndsServers, http.StatusServiceUnavailable, time.Minute, "Backend servers ended while they ran this request, one after the other, and none has run it whole: it is kept away from them.", "send another request; look for what ends the servers in their logs, by the fingerprint that the message names, and mend them"},
 	{Internal, http.StatusInternalServerError, 0, "An error without a kind.", "report it with the log lines around it"},
 }
 
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -20,6 +20,7 @@
 
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/quarantine"
 )
 
 const (
@@ -43,6 +44,9 @@
 	// aloneAfter is how long a node may be without word of a quorum's leader
 	// before another one is followed beside it: an election takes a second.
 	aloneAfter = 2 * time.Second
+	// maxHelloRecords bounds what a Hello says of requests under which servers ended, those
+	// with the most ends first: some 10 KB.
+	maxHelloRecords = 64
 	// settleFor is how long a node is heard before it takes the place of a primary
 	// that works. One that has just started counts few of the others, and gateways
 	// that take its count for all send engines more than they have places for.
@@ -65,6 +69,9 @@
 	// Weights returns the named versions that are known here, for nodes that have
 	// started anew; nil where none are kept.
 	Weights func() []Weights
+	// Records returns what is known here of requests under which servers ended, for nodes
+	// that have started anew; nil where nothing is.
+	Records func() []quarantine.Record
 	// Logger gets a line for each node that is found or lost.
 	Logger log.Logger
 
@@ -284,6 +291,9 @@
 	if f.Weights != nil {
 		hello.weights = f.Weights()
 	}
+	if f.Records != nil {
+		hello.records = firstOf(quarantine.Sorted(f.Records()), maxHelloRecords)
+	}
 	if err := stream.Send(hello); err != nil {
 		return err
 	}
@@ -430,6 +440,23 @@
 // here, a second.
 func (f *Follower) TellDemand(perSecond float64) { f.tellPrimary(Word{demand: perSecond}) }
 
+// TellRecords tells all nodes that are heard what was learnt of requests under which
+// servers ended: with one of them lost, the others still hear of it.
+func (f *Follower) TellRecords(records []quarantine.Record) {
+	f.mu.Lock()
+	var heard []*link.Stream
+	for _, s := range f.streams {
+		if s.stream != nil {
+			heard = append(heard, s.stream)
+		}
+	}
+	f.mu.Unlock()
+	for _, stream := range heard {
+		// A failure shows in the reading, and the next Hello has it again.
+		_ = stream.Send(Word{records: records})
+	}
+}
+
 func (f *Follower) tellPrimary(w Word) {
 	f.mu.Lock()
 	stream := f.primary
--- a/pkg/feed/herd_test.go
+++ b/pkg/feed/herd_test.go
@@ -99,7 +99,7 @@
 	h.mu.Lock()
 	h.addrs = append(h.addrs, l.Addr().String())
 	h.mu.Unlock()
-	h.follow(e, NewHello(RoleNode, identity, "", "", nil), p.Relayed)
+	h.follow(e, NewHello(RoleNode, identity, "", "", nil, nil), p.Relayed)
 	return p
 }
 
@@ -118,7 +118,7 @@
 func (h *herd) startFollower(role Role, i int, take func(string, Update)) *Follower {
 	name := fmt.Sprintf("%s-%d", role, i)
 	identity := vm.NewIdentity(vm.ID(name), 1, "", fmt.Sprintf("hall-%d", i%herdNodes), name+":7700")
-	return h.follow(h.endpoint(identity), NewHello(role, identity, "menu", name+":80", nil), take)
+	return h.follow(h.endpoint(identity), NewHello(role, identity, "menu", name+":80", nil, nil), take)
 }
 
 func (h *herd) eventually(what string, done func() bool) {
--- a/pkg/feed/messages.go
+++ b/pkg/feed/messages.go
@@ -28,6 +28,7 @@
 import (
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 	"github.com/tidepost/tidepost/pkg/vm"
@@ -73,6 +74,9 @@
 	// weights are the named versions that the follower knows of. A node that has
 	// started anew takes their ages from it; what is named the log alone decides.
 	weights []Weights
+	// records are what the follower knows of requests under which servers ended: a node
+	// that has started anew learns them so.
+	records []quarantine.Record
 }
 
 // Word is what a follower tells a node after its Hello.
@@ -88,6 +92,8 @@
 	demand float64
 	// subscription changes what the follower wants to be told.
 	subscription Subscription
+	// records are what a gateway has learnt of requests under which servers ended.
+	records []quarantine.Record
 }
 
 // Load is the state of an engine, read on its own VM.
@@ -188,6 +194,9 @@
 	// demands are the requests for engines that come to gateways, by failure
 	// domain: in all, or those of the node where another node is told.
 	demands []Demand
+	// records are what the follower has not heard from this node of requests under which
+	// servers ended: for gateways and nodes.
+	records []quarantine.Record
 }
 
 // Demand is how many requests for engines come to gateways, a second.
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -19,6 +19,7 @@
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 	"github.com/tidepost/tidepost/pkg/vm"
@@ -57,6 +58,10 @@
 	Known func(f Hello)
 	// Registrations returns all words that the node holds.
 	Registrations func() []registry.Registration
+	// Records returns what the node knows of requests under which servers ended, and
+	// Learn takes what a follower knows of them; nil where nobody asks.
+	Records func() []quarantine.Record
+	Learn   func(records []quarantine.Record)
 	// Nodes returns the link addresses of the control nodes.
 	Nodes func() []string
 	// Confirmed tells whether a quorum's leader was heard of lately.
@@ -183,8 +188,12 @@
 	if p.source.Known != nil {
 		p.source.Known(hello)
 	}
+	p.learn(hello.records)
 	s := newSubscriber(hello)
 	s.queueWords(p.source.Registrations())
+	if p.source.Records != nil {
+		s.queueRecords(p.source.Records())
+	}
 	if !p.add(s) {
 		return failure.New(failure.Overloaded, "%d followers are served already", maxFollowers)
 	}
@@ -230,6 +239,7 @@
 		if w.load != nil {
 			p.loaded(*w.load)
 		}
+		p.learn(w.records)
 		if w.demand > 0 {
 			p.demanded(s, w.demand)
 		}
@@ -239,6 +249,13 @@
 	}
 }
 
+// learn takes what a follower tells of requests under which servers ended.
+func (p *Publisher) learn(records []quarantine.Record) {
+	if len(records) > 0 && p.source.Learn != nil {
+		p.source.Learn(records)
+	}
+}
+
 // subscribe makes this node a follower's primary, or takes that back. The census
 // counts a follower where it has its primary.
 func (p *Publisher) subscribe(s *subscriber, to Subscription) {
@@ -381,7 +398,7 @@
 // update takes what waits for the follower.
 func (p *Publisher) update(s *subscriber) Update {
 	t := s.take()
-	u := Update{number: p.source.Number(), weights: p.source.Weights(), confirmed: p.source.Confirmed()}
+	u := Update{number: p.source.Number(), weights: p.source.Weights(), confirmed: p.source.Confirmed(), records: t.records}
 	if t.asked {
 		u.document = p.documentFor(s.hello.role)
 	}
--- /dev/null
+++ b/pkg/feed/records.go
@@ -0,0 +1,83 @@
+// ================================================================
+// What control nodes tell of requests under which servers ended. All gateways have to
+// know within a second or two, so it goes the way of registrations: whichever node
+// learns something new tells all gateways and nodes that it serves.
+//
+// It must not fill links either. A server that ends takes tens of requests with it, and
+// nearly all of them are innocent: records of one end wait for others, and what is told
+// at a time is bounded.
+// ================================================================
+
+package feed
+
+import (
+	"slices"
+
+	"github.com/tidepost/tidepost/pkg/daemon"
+	"github.com/tidepost/tidepost/pkg/quarantine"
+)
+
+// maxRecordsAtOnce bounds the records of one Update, some 150 bytes each: 32 in 80 ms to
+// a gateway and in 400 ms to another node, at the most.
+const maxRecordsAtOnce = 32
+
+// Recorded queues records for the followers that need them.
+func (p *Publisher) Recorded(records []quarantine.Record) {
+	if len(records) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s := range p.subscribers {
+		s.queueRecords(records)
+	}
+}
+
+// takesRecords tells whether a follower needs to know of requests.
+func (s *subscriber) takesRecords() bool {
+	return s.hello.role == RoleGateway || s.hello.role == RoleNode
+}
+
+// queueRecords queues records, and has them told at once where one may soon keep a request
+// away, or clears one.
+func (s *subscriber) queueRecords(records []quarantine.Record) {
+	if !s.takesRecords() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		s.records[r.Fingerprint()] = r
+	}
+	if slices.ContainsFunc(records, isUrgent) {
+		daemon.Wake(s.wake)
+	} else {
+		daemon.Wake(s.soon)
+	}
+}
+
+func isUrgent(r quarantine.Record) bool { return len(r.Ends()) > 1 || len(r.Whole()) > 0 }
+
+// takeRecords takes the most urgent records off the queue. The caller holds the lock.
+func (s *subscriber) takeRecords() []quarantine.Record {
+	if len(s.records) == 0 {
+		return nil
+	}
+	var all []quarantine.Record
+	for _, r := range s.records {
+		all = append(all, r)
+	}
+	all = firstOf(quarantine.Sorted(all), maxRecordsAtOnce)
+	for _, r := range all {
+		delete(s.records, r.Fingerprint())
+	}
+	if len(s.records) > 0 {
+		daemon.Wake(s.soon)
+	}
+	return all
+}
+
+// firstOf returns the first records, so many at the most.
+func firstOf(records []quarantine.Record, most int) []quarantine.Record {
+	return records[:min(len(records), most)]
+}
--- a/pkg/feed/subscriber.go
+++ b/pkg/feed/subscriber.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/daemon"
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 )
 
@@ -23,6 +24,7 @@
 	mu         sync.Mutex
 	primary    bool // it wants loads, demand and peers
 	pending    map[string]registry.Registration
+	records    map[quarantine.Fingerprint]quarantine.Record
 	loads      map[string]Load  // by engine
 	peers      map[string]*Peer // changes by link address; nil is one that left
 	wholePeers bool             // all peers are to be told
@@ -35,6 +37,7 @@
 	return &subscriber{
 		hello: hello, wake: make(chan struct{}, 1), soon: make(chan struct{}, 1),
 		primary: hello.role == RoleNode, wholePeers: hello.role == RoleNode, nodes: true,
+		records: map[quarantine.Fingerprint]quarantine.Record{},
 		pending: map[string]registry.Registration{}, loads: map[string]Load{}, peers: map[string]*Peer{},
 	}
 }
@@ -127,13 +130,14 @@
 	nodes         bool
 	asked         bool
 	primary       bool
+	records       []quarantine.Record
 }
 
 // take empties the queue.
 func (s *subscriber) take() taken {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := taken{s.pending, s.loads, s.peers, s.wholePeers, s.nodes, s.asked, s.primary}
+	t := taken{s.pending, s.loads, s.peers, s.wholePeers, s.nodes, s.asked, s.primary, s.takeRecords()}
 	s.pending, s.loads, s.peers = map[string]registry.Registration{}, map[string]Load{}, map[string]*Peer{}
 	s.wholePeers, s.nodes, s.asked = false, false, false
 	return t
--- a/pkg/feed/wire_generated.go
+++ b/pkg/feed/wire_generated.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 	"github.com/tidepost/tidepost/pkg/vm"
@@ -52,8 +53,8 @@
 }
 
 // NewHello returns a Hello with the given fields.
-func NewHello(role Role, self vm.Identity, service string, engine string, weights []Weights) Hello {
-	return Hello{role: role, self: self, service: service, engine: engine, weights: weights}
+func NewHello(role Role, self vm.Identity, service string, engine string, weights []Weights, records []quarantine.Record) Hello {
+	return Hello{role: role, self: self, service: service, engine: engine, weights: weights, records: records}
 }
 
 // Role is what the follower is.
@@ -72,12 +73,16 @@
 // started anew takes their ages from it; what is named the log alone decides.
 func (h Hello) Weights() []Weights { return h.weights }
 
+// Records are what the follower knows of requests under which servers ended: a node
+// that has started anew learns them so.
+func (h Hello) Records() []quarantine.Record { return h.records }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (h Hello) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(5); err != nil {
+	if err := enc.EncodeArrayLen(6); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(h.role, h.self, h.service, h.engine, h.weights)
+	return enc.EncodeMulti(h.role, h.self, h.service, h.engine, h.weights, h.records)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -86,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&h.role, &h.self, &h.service, &h.engine, &h.weights}
+	fields := []any{&h.role, &h.self, &h.service, &h.engine, &h.weights, &h.records}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -249,8 +254,8 @@
 }
 
 // NewUpdate returns a Update with the given fields.
-func NewUpdate(number uint64, document *serviceconfig.Document, weights []Weights, registrations []registry.Registration, confirmed bool, nodes []Node, gateways int, whole bool, peers []Peer, gone []string, loads []Load, demands []Demand) Update {
-	return Update{number: number, document: document, weights: weights, registrations: registrations, confirmed: confirmed, nodes: nodes, gateways: gateways, whole: whole, peers: peers, gone: gone, loads: loads, demands: demands}
+func NewUpdate(number uint64, document *serviceconfig.Document, weights []Weights, registrations []registry.Registration, confirmed bool, nodes []Node, gateways int, whole bool, peers []Peer, gone []string, loads []Load, demands []Demand, records []quarantine.Record) Update {
+	return Update{number: number, document: document, weights: weights, registrations: registrations, confirmed: confirmed, nodes: nodes, gateways: gateways, whole: whole, peers: peers, gone: gone, loads: loads, demands: demands, records: records}
 }
 
 // Number is the newest document applied at the node; 0 is none.
@@ -293,12 +298,16 @@
 // domain: in all, or those of the node where another node is told.
 func (u Update) Demands() []Demand { return u.demands }
 
+// Records are what the follower has not heard from this node of requests under which
+// servers ended: for gateways and nodes.
+func (u Update) Records() []quarantine.Record { return u.records }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (u Update) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(12); err != nil {
+	if err := enc.EncodeArrayLen(13); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(u.number, u.document, u.weights, u.registrations, u.confirmed, u.nodes, u.gateways, u.whole, u.peers, u.gone, u.loads, u.demands)
+	return enc.EncodeMulti(u.number, u.document, u.weights, u.registrations, u.confirmed, u.nodes, u.gateways, u.whole, u.peers, u.gone, u.loads, u.demands, u.records)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -307,7 +316,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&u.number, &u.document, &u.weights, &u.registrations, &u.confirmed, &u.nodes, &u.gateways, &u.whole, &u.peers, &u.gone, &u.loads, &u.demands}
+	fields := []any{&u.number, &u.document, &u.weights, &u.registrations, &u.confirmed, &u.nodes, &u.gateways, &u.whole, &u.peers, &u.gone, &u.loads, &u.demands, &u.records}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -364,8 +373,8 @@
 }
 
 // NewWord returns a Word with the given fields.
-func NewWord(ask bool, load *Load, demand float64, subscription Subscription) Word {
-	return Word{ask: ask, load: load, demand: demand, subscription: subscription}
+func NewWord(ask bool, load *Load, demand float64, subscription Subscription, records []quarantine.Record) Word {
+	return Word{ask: ask, load: load, demand: demand, subscription: subscription, records: records}
 }
 
 // Ask asks for the document that the node holds.
@@ -381,12 +390,15 @@
 // Subscription changes what the follower wants to be told.
 func (w Word) Subscription() Subscription { return w.subscription }
 
+// Records are what a gateway has learnt of requests under which servers ended.
+func (w Word) Records() []quarantine.Record { return w.records }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (w Word) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(4); err != nil {
+	if err := enc.EncodeArrayLen(5); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(w.ask, w.load, w.demand, w.subscription)
+	return enc.EncodeMulti(w.ask, w.load, w.demand, w.subscription, w.records)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -395,7 +407,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&w.ask, &w.load, &w.demand, &w.subscription}
+	fields := []any{&w.ask, &w.load, &w.demand, &w.subscription, &w.records}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -16,6 +16,7 @@
 	"net/http"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/upstream"
 )
 
@@ -46,7 +47,8 @@
 	defer conn.Abort()
 	q.lapse = g.lapseOf(q, b, 0)
 	q.lapse.bounds = q.lapse.lapses() && q.lapse.left() > q.longestRun(&g.silences, time.Now())
-	if q.allowed() < leastTime || q.lapse.isOver() {
+	q.knownEnds = g.quarantine.Ends(q.fingerprint)
+	if q.knownEnds >= quarantine.EndsToBar || q.allowed() < leastTime || q.lapse.isOver() {
 		conn.Close()
 		return false
 	}
@@ -158,6 +160,9 @@
 	q.mayHaveRun = true
 	q.runs++
 	q.sign = x.backend.signAfter(cause)
+	if q.sign == signEnded {
+		x.sawEnd()
+	}
 	switch {
 	case q.ctx.Err() != nil:
 	case x.watch.lapsed.Load() || q.hasLapsed():
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -22,10 +22,12 @@
 	"github.com/go-kit/log/level"
 	"github.com/oklog/run"
 	"golang.org/x/net/netutil"
+	"golang.org/x/time/rate"
 
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/reservation"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 	"github.com/tidepost/tidepost/pkg/settings"
@@ -46,19 +48,25 @@
 
 // Gateway is one gateway process.
 type Gateway struct {
-	settings  settings.Gateway
-	seeds     *daemon.Reloaded[[]string]
-	process   *daemon.Process
-	protocol  Protocol
-	follower  *feed.Follower
-	backends  *backends
-	versions  *feed.Versions
-	waiting   *waitingSet
-	fleet     fleet
-	budget    *budget
-	demand    demand
-	returning returning
-	silences  silences
+	settings settings.Gateway
+	seeds    *daemon.Reloaded[[]string]
+	process  *daemon.Process
+	protocol Protocol
+	follower *feed.Follower
+	backends *backends
+	versions *feed.Versions
+	waiting  *waitingSet
+	fleet    fleet
+	budget   *budget
+	demand   demand
+	// quarantine is what is known of requests under which servers ended.
+	quarantine *quarantine.Table
+	// tellRecords tells control nodes what was learnt of them here, and mayTell bounds
+	// how many ends are told a second.
+	tellRecords func(records []quarantine.Record)
+	mayTell     *rate.Limiter
+	returning   returning
+	silences    silences
 	// heardDemands returns the requests for engines that come to all gateways a
 	// second, by failure domain.
 	heardDemands func() map[string]float64
@@ -87,20 +95,23 @@
 	g := &Gateway{
 		settings: s, process: process, protocol: protocol, running: context.Background(),
 		backends: newBackends(), versions: feed.NewVersions(), waiting: newWaitingSet(),
-		budget:  newBudget(s.RetryRatio(), s.RetryReserve(), s.RetryWindow()),
-		metrics: newMetrics(process.Registry),
+		budget:     newBudget(s.RetryRatio(), s.RetryReserve(), s.RetryWindow()),
+		metrics:    newMetrics(process.Registry),
+		quarantine: quarantine.NewTable(nil), mayTell: rate.NewLimiter(endsTold, endsToldAtOnce),
 	}
 	g.ending, g.endWaiting = context.WithCancel(context.Background())
 	g.seeds = daemon.NewSeeds(path, s, settings.LoadGateway, process.Logger)
 	g.follower = &feed.Follower{
 		Endpoint: process.Endpoint,
-		Hello:    feed.NewHello(feed.RoleGateway, process.Identity, "", "", nil),
+		Hello:    feed.NewHello(feed.RoleGateway, process.Identity, "", "", nil, nil),
 		Seeds:    func() []string { return link.WithPortOf(g.seeds.Get(), process.Identity.Address()) },
 		Held:     g.index.Number,
 		Take:     g.take,
 		Weights:  func() []feed.Weights { return g.versions.Weights(time.Now()) },
+		Records:  g.quarantine.Records,
 		Logger:   process.Logger,
 	}
+	g.tellRecords = g.follower.TellRecords
 	g.heardDemands = g.follower.Demands
 	g.askStager = g.callStager
 	return g, nil
@@ -118,6 +129,7 @@
 		feed.LogMoves(g.process.Logger, moves, string(feed.RoleNode), address)
 		g.waiting.lookNow()
 	}
+	g.learnRecords(u.Records())
 	d := u.Document()
 	if d == nil || !g.index.Raise(*d) {
 		return
@@ -182,7 +194,11 @@
 }
 
 func (g *Gateway) sweep(ctx context.Context) error {
-	return daemon.Every(ctx, sweepEvery, g.backends.sweep)
+	return daemon.Every(ctx, sweepEvery, func() {
+		g.backends.sweep()
+		g.quarantine.Sweep()
+		g.metrics.quarantined.Set(float64(g.quarantine.Barred()))
+	})
 }
 
 // ----------------------------------------------------------------
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -64,6 +64,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	q.fingerprint = quarantine.Of(q.content())
+	done, f := g.admit(q)
+	if f != nil {
+		g.refuse(q, f)
+		return
+	}
+	defer done()
 	g.forward(q)
 }
 
@@ -212,7 +218,12 @@
 
 // mayTry tells why a further attempt may not be made; nil when it may.
 func (g *Gateway) mayTry(q *request, dials int) *failure.Failure {
+	ends := g.quarantine.Ends(q.fingerprint)
 	switch {
+	case ends >= quarantine.EndsToBar:
+		return endsServers(q, ends)
+	case q.sign == signEnded && ends > 1:
+		return q.exhausted("%d backend servers ended under this request; last: %s", ends, q.last)
 	case q.sent == 0 && dials < maxDials:
 		return nil
 	case q.sent == 0:
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -19,6 +19,8 @@
 	firstEvent   prometheus.Histogram
 	inFlight     prometheus.Gauge
 	number       prometheus.Gauge
+	ends         prometheus.Counter
+	quarantined  prometheus.Gauge
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -30,7 +32,9 @@
 		firstEvent:   metric.NewHistogram(metric.GatewayFirstEvent),
 		inFlight:     metric.NewGauge(metric.GatewayInFlight),
 		number:       metric.NewGauge(metric.GatewayNumber),
+		ends:         metric.NewCounter(metric.GatewayEnds),
+		quarantined:  metric.NewGauge(metric.GatewayQuarantined),
 	}
-	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number)
+	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number, m.ends, m.quarantined)
 	return m
 }
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -47,6 +47,7 @@
 		return x.failedAnswer(held)
 	}
 	x.backend.answered()
+	x.sawWhole(answer)
 	x.gateway.deliver(x.request, held)
 	return true
 }
@@ -86,16 +87,21 @@
 	q := x.request
 	q.writeHead(answer.StatusCode, answer.Header, answer.ContentLength)
 	_, err := boundWriter{q}.Write(start)
+	rest := &progressReader{Reader: answer.Body, watch: x.watch}
 	if err == nil {
-		_, err = io.Copy(boundWriter{q}, progressReader{answer.Body, x.watch})
+		_, err = io.Copy(boundWriter{q}, rest)
 	}
 	if err != nil {
 		x.conn.Abort()
+		if q.sign = x.backend.signAfter(rest.err); q.sign == signEnded {
+			x.sawEnd()
+		}
 		x.gateway.end(q, outcomeBroken, err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	x.conn.Finish(answer)
 	x.backend.answered()
+	x.sawWhole(answer)
 	x.gateway.end(q, outcomeServed, answer.Status)
 	return true
 }
@@ -113,14 +119,18 @@
 type progressReader struct {
 	io.Reader
 	watch *watchdog
+	err   error // that broke the answer off; nil at its end
 }
 
 // Read reads and notes.
-func (r progressReader) Read(p []byte) (int, error) {
+func (r *progressReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
 	if n > 0 {
 		r.watch.flows()
 	}
+	if err != io.EOF {
+		r.err = err
+	}
 	return n, err
 }
 
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -45,6 +45,7 @@
 	runs  int // those of them that may have run
 	// repeatTaken says that the repeat of the next attempt is out of the budget already.
 	repeatTaken atomic.Bool
+	knownEnds   int // of servers under this request, when it was sent last
 	fallback    *heldAnswer
 	sign        sign   // of what became of the backend server where the last attempt broke
 	mayHaveRun  bool   // an attempt's outcome is unknown, or it ran
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -49,6 +49,7 @@
 	x.conn.Finish(answer)
 	x.backend.answered()
 	q.sawRun(&x.gateway.silences, time.Now(), time.Since(x.started))
+	x.sawWhole(answer)
 	if gap, ok := pace.gap(); ok {
 		x.backend.sawPace(gap.Seconds() / usualGap.Seconds())
 	}
--- a/pkg/metric/table.go
+++ b/pkg/metric/table.go
@@ -33,6 +33,8 @@
 	GatewayDistrusted   = "tidepost_gateway_distrusted_connections_total"
 	GatewayFirstEvent   = "tidepost_gateway_first_event_seconds"
 	GatewayInFlight     = "tidepost_gateway_requests_in_flight"
+	GatewayEnds         = "tidepost_gateway_ended_backend_servers_total"
+	GatewayQuarantined  = "tidepost_gateway_quarantined_requests"
 	GatewayNumber       = "tidepost_gateway_configuration_number"
 	StagerChunks        = "tidepost_stager_chunks_total"
 	StagerVersionServed = "tidepost_stager_version"
@@ -70,6 +72,8 @@
 	{GatewayDistrusted, "gateway", "Connections to backend servers that were given up as silent, by evidence: suspected (resting ones), newer or many.", "many: a device on the way forgets connections; the log lines name the addresses"},
 	{GatewayFirstEvent, "gateway", "Time to the answer or to the first event of a stream, in seconds.", "over the objective: too few backend servers, or slow ones"},
 	{GatewayInFlight, "gateway", "Requests in flight.", "grows without end: backend servers hang"},
+	{GatewayEnds, "gateway", "Attempts under which the backend server ended: its port was closed right afterwards.", "grows by more than a server's requests at a time: one request may end them; the log lines of attempts have its fingerprint"},
+	{GatewayQuarantined, "gateway", "Requests that are kept away from backend servers, since these ended under them.", "above zero: find the fingerprint in the log lines 'request ends backend servers', and what ends the servers"},
 	{GatewayNumber, "gateway", "Number of the service configuration in force here.", "differs between gateways for more than 2 s: one is cut off from the control nodes"},
 	{StagerChunks, "stager", "Chunks by where they came from: origin, peer or engine, and spoilt ones.", "many from the origin: peers are cut off; spoilt: look at the source"},
 	{StagerVersionServed, "stager", "Version that the engine here serves.", "behind the named version: read the stager's log lines"},
--- /dev/null
+++ b/pkg/quarantine/table.go
@@ -0,0 +1,333 @@
+// ================================================================
+// The table of the requests that servers ended under, in shards by fingerprint, each
+// under its own lock: every request of a gateway looks here twice.
+//
+// It is bounded whatever callers send. Requests whose servers never ended have no record;
+// of the others the ones with the fewest ends are forgotten first. What ran whole is
+// remembered for the newest few thousand requests, which is enough for what comes often.
+// ================================================================
+
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	shardCount = 16
+	// maxRecords of a shard bound the table: 1,024 in all, some 300 bytes each.
+	maxRecords = 64
+	// maxWhole of a shard bounds what ran whole, twice: 4,096 to 8,192 requests in all.
+	maxWhole = 256
+	// suspectLife is how long a request with too few ends to bar it is remembered, and
+	// barredLife the same for one that is barred, from when it last came.
+	suspectLife = time.Hour
+	barredLife  = 24 * time.Hour
+	// askedEvery is how often the coming of a barred request counts as a change, so that
+	// all remember it as long as it comes anywhere.
+	askedEvery = time.Hour
+)
+
+// Verdict says whether a request may be sent to a backend server.
+type Verdict string
+
+// The verdicts.
+const (
+	// Clear is a request that nothing is held against.
+	Clear Verdict = "clear"
+	// Suspect is one under which servers ended: one try of it at a time.
+	Suspect Verdict = "suspect"
+	// Busy is a suspect with a try under way here.
+	Busy Verdict = "busy"
+	// Barred is one that is kept away from servers.
+	Barred Verdict = "barred"
+)
+
+// ran is a request that ran whole on a build.
+type ran struct {
+	fingerprint Fingerprint
+	build       string
+}
+
+type shard struct {
+	mu      sync.Mutex
+	entries map[Fingerprint]*entry
+	// whole and wholeBefore are what ran whole: when the first is full it takes the place
+	// of the second.
+	whole, wholeBefore map[ran]bool
+}
+
+// Table holds what is known of requests. It is safe for concurrent use.
+type Table struct {
+	now    func() time.Time
+	shards [shardCount]shard
+}
+
+// NewTable returns an empty table; now is the clock, time.Now when nil.
+func NewTable(now func() time.Time) *Table {
+	if now == nil {
+		now = time.Now
+	}
+	t := &Table{now: now}
+	for i := range t.shards {
+		t.shards[i].entries, t.shards[i].whole = map[Fingerprint]*entry{}, map[ran]bool{}
+	}
+	return t
+}
+
+func (t *Table) shard(f Fingerprint) *shard {
+	return &t.shards[xxhash.Sum64String(string(f))%shardCount]
+}
+
+// ----------------------------------------------------------------
+// Before and while a request runs
+
+// Begin asks whether a request may be tried. After Suspect, End must follow.
+func (t *Table) Begin(f Fingerprint) Verdict {
+	s := t.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[f]
+	if e == nil {
+		return Clear
+	}
+	v := e.verdict()
+	if v == Suspect {
+		e.under++
+	}
+	return v
+}
+
+// End notes that a try of a suspect is over.
+func (t *Table) End(f Fingerprint) {
+	s := t.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.entries[f]; e != nil {
+		e.under = max(e.under-1, 0)
+	}
+}
+
+func (e *entry) verdict() Verdict {
+	switch ends := e.separateEnds(); {
+	case ends >= EndsToBar:
+		return Barred
+	case ends == 0:
+		return Clear
+	case e.under > 0:
+		return Busy
+	}
+	return Suspect
+}
+
+// Ends returns how many separate ends are held against a request.
+func (t *Table) Ends(f Fingerprint) int {
+	s := t.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e := s.entries[f]; e != nil {
+		return e.separateEnds()
+	}
+	return 0
+}
+
+// Asked notes that a barred request came, and tells whether others are to hear of it, so
+// that they go on remembering.
+func (t *Table) Asked(f Fingerprint) (r Record, tell bool) {
+	s := t.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, now := s.entries[f], t.now()
+	if e == nil || now.Sub(e.heard) < askedEvery {
+		return Record{}, false
+	}
+	e.heard = now
+	return e.record(f, now), true
+}
+
+// ----------------------------------------------------------------
+// What is learnt
+
+// Ended notes that a server ended while it ran a request, and returns what others are to
+// hear of it: nothing where the request has run whole on such a server.
+func (t *Table) Ended(f Fingerprint, one End) (r Record, tell bool) {
+	s := t.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hasRun(ran{f, one.build}) {
+		return Record{}, false
+	}
+	now := t.now()
+	e := s.entry(f, now)
+	if !e.addEnd(one, now) {
+		return Record{}, false
+	}
+	e.heard = now
+	return e.record(f, now), true
+}
+
+// Ran notes that a request ran whole on a build, and returns what others are to hear where
+// an end is held against it.
+func (t *Table) Ran(f Fingerprint, build string) (r Record, tell bool) {
+	s := t.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keepWhole(ran{f, build})
+	e, now := s.entries[f], t.now()
+	if e == nil || !e.addWhole(build) {
+		return Record{}, false
+	}
+	e.heard = now
+	return e.record(f, now), true
+}
+
+// Merge takes what others tell. It returns the records that say more than was known here,
+// and those of them that the others are to hear of because their requests ran whole here.
+func (t *Table) Merge(records []Record) (changed, cleared []Record) {
+	for _, r := range records {
+		now, isChanged, isCleared := t.merge(r)
+		if isChanged {
+			changed = append(changed, now)
+		}
+		if isCleared {
+			cleared = append(cleared, now)
+		}
+	}
+	return changed, cleared
+}
+
+func (t *Table) merge(r Record) (merged Record, changed, cleared bool) {
+	s := t.shard(r.fingerprint)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := t.now()
+	e := s.entry(r.fingerprint, now)
+	for _, build := range r.whole {
+		changed = e.addWhole(build) || changed
+	}
+	for _, one := range r.ends {
+		changed = e.addEnd(one, now) || changed
+		if s.hasRun(ran{r.fingerprint, one.build}) {
+			cleared = e.addWhole(one.build) || cleared
+		}
+	}
+	if changed || cleared {
+		e.heard = now
+	}
+	return e.record(r.fingerprint, now), changed || cleared, cleared
+}
+
+// Records returns all records.
+func (t *Table) Records() (all []Record) {
+	now := t.now()
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for f, e := range s.entries {
+			all = append(all, e.record(f, now))
+		}
+		s.mu.Unlock()
+	}
+	return all
+}
+
+// Barred counts the requests that are kept away from servers.
+func (t *Table) Barred() (count int) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, e := range s.entries {
+			if e.separateEnds() >= EndsToBar {
+				count++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return count
+}
+
+// IsBarred tells whether a record, as it is, keeps its request away from servers.
+func (r Record) IsBarred() bool {
+	e := entry{whole: r.whole}
+	for _, one := range r.ends {
+		e.addEnd(one, time.Time{})
+	}
+	return e.separateEnds() >= EndsToBar
+}
+
+// Sweep forgets what is old.
+func (t *Table) Sweep() {
+	now := t.now()
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for f, e := range s.entries {
+			if e.under == 0 && now.Sub(e.heard) > e.life() {
+				delete(s.entries, f)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (e *entry) life() time.Duration {
+	if e.separateEnds() >= EndsToBar {
+		return barredLife
+	}
+	return suspectLife
+}
+
+// ----------------------------------------------------------------
+// A shard, for whoever holds its lock
+
+// entry returns the entry of a request, a new one where there is none.
+func (s *shard) entry(f Fingerprint, now time.Time) *entry {
+	if e := s.entries[f]; e != nil {
+		return e
+	}
+	if len(s.entries) >= maxRecords {
+		s.forgetLeast()
+	}
+	e := &entry{heard: now}
+	s.entries[f] = e
+	return e
+}
+
+// forgetLeast forgets the record with the fewest ends, the oldest of those.
+func (s *shard) forgetLeast() {
+	var least Fingerprint
+	var held *entry
+	for f, e := range s.entries {
+		if held == nil || e.isLess(held) {
+			least, held = f, e
+		}
+	}
+	delete(s.entries, least)
+}
+
+func (e *entry) isLess(o *entry) bool {
+	if a, b := e.separateEnds(), o.separateEnds(); a != b {
+		return a < b
+	}
+	return e.heard.Before(o.heard)
+}
+
+func (s *shard) hasRun(r ran) bool { return s.whole[r] || s.wholeBefore[r] }
+
+func (s *shard) keepWhole(r ran) {
+	if len(s.whole) >= maxWhole {
+		s.wholeBefore, s.whole = s.whole, make(map[ran]bool, maxWhole)
+	}
+	s.whole[r] = true
+}
+
+// Sorted returns records with those first that have more ends: of what is told in parts,
+// they are the most urgent.
+func Sorted(records []Record) []Record {
+	slices.SortStableFunc(records, func(a, b Record) int { return len(b.ends) - len(a.ends) })
+	return records
+}
--- a/tools/wiregen/main.go
+++ b/tools/wiregen/main.go
@@ -159,7 +159,7 @@
 	if strings.Contains(body.String(), "msgpack.") {
 		b.WriteString("\t\"github.com/vmihailenco/msgpack/v5\"\n\n")
 	}
-	for _, world := range []string{"contract", "controllog", "event", "failure", "feed", "registry", "serviceconfig", "vm"} {
+	for _, world := range []string{"contract", "controllog", "event", "failure", "feed", "quarantine", "registry", "serviceconfig", "vm"} {
 		used := regexp.MustCompile(`[ *\]]` + world + `\.[A-Z]`)
 		if used.MatchString(body.String()) {
 			fmt.Fprintf(&b, "\t\"github.com/tidepost/tidepost/pkg/%s\"\n", world)
