--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-# Targets: build, demo, test, check, prove, soak, silence, lost, final-faults, generate,
+# Targets: build, demo, test, check, prove, soak, silence, lost, ends, final-faults, generate,
 # clean, and bench-...
 
-.PHONY: build demo test check prove soak silence lost final-faults generate clean \
+.PHONY: build demo test check prove soak silence lost ends final-faults generate clean \
 	bench-burst bench-route bench-control bench-capacity bench-path
 
 # A failing test must fail the target, also where its output is filtered.
@@ -43,6 +43,13 @@
 	TIDEPOST_SERIES="$(SERIES)" TIDEPOST_GATEWAYS="$(GATEWAYS)" TIDEPOST_ENGINES="$(ENGINES)" TIDEPOST_SOAK_LOGS="$(LOGS)" \
 	go test -count=1 -v -timeout 30m -tags bench ./soak -run TestNothingIsLost | grep -E '^lost|lost_test|FAIL|^ok'
 
+# A request that ends the servers that run it: make ends SEED=1 KIND=unsafe SAME=1 RACKS=1
+# RESTARTS=1 ENDING=0, each of them optional.
+ends:
+	TIDEPOST_SEED=$(or $(SEED),1) TIDEPOST_KIND="$(KIND)" TIDEPOST_SAME="$(SAME)" TIDEPOST_RACKS="$(RACKS)" \
+	TIDEPOST_RESTARTS="$(RESTARTS)" TIDEPOST_ENDING="$(ENDING)" TIDEPOST_SOAK_LOGS="$(LOGS)" \
+	go test -count=1 -v -timeout 10m -tags bench ./soak -run TestEndsAtSize | grep -E '^ends|ends_size|FAIL|^ok'
+
 # Acknowledged configurations through lost disks: make final-faults SEED=1 ROUNDS=14.
 final-faults:
 	TIDEPOST_SEED=$(or $(SEED),1) TIDEPOST_ROUNDS="$(ROUNDS)" TIDEPOST_BUSY="$(BUSY)" TIDEPOST_SOAK_LOGS="$(LOGS)" \
