A backend server may start again under its id; odd entries name none

A start is told by born, its Unix millisecond. A word of a later start takes the place of all that is held, whatever its sequence and however the earlier start ended; one of an earlier start changes nothing, also where a cut held it up. A leave is of all starts until then, since it does not say which. Gateways take a later start for another backend server: pace, failures, version and connections of the earlier one are not its. Before: the old word and its holdings stayed until the sequence had caught up, and draining and gone were final for an id.

--- a/pkg/control/cluster_test.go
+++ b/pkg/control/cluster_test.go
@@ -321,7 +321,7 @@
 func TestLeavingNeedsAQuorum(t *testing.T) {
 	c := newCluster(t, 3)
 	c.awaitVoters(c.nodes...)
-	leaving := registry.NewRegistration("i-1", "menu", "10.0.0.1:80", "north", "v1", 4, registry.Draining, 0, nil, 2)
+	leaving := registry.NewRegistration("i-1", "menu", "10.0.0.1:80", "north", "v1", 4, registry.Draining, 0, nil, 2, 0)
 	c.eventually("drain", func() error { return c.nodes[0].node.service.Hear(leaving) })
 	c.stop(c.nodes[1])
 	c.stop(c.nodes[2])
--- a/pkg/control/others_test.go
+++ b/pkg/control/others_test.go
@@ -10,7 +10,7 @@
 )
 
 func heartbeat(state registry.State, sequence uint64) registry.Registration {
-	return registry.NewRegistration("i-1", "menu", "10.0.0.1:80", "north", "v1", 4, state, 0, nil, sequence)
+	return registry.NewRegistration("i-1", "menu", "10.0.0.1:80", "north", "v1", 4, state, 0, nil, sequence, 0)
 }
 
 // awaitState waits until a node knows the backend server in a state.
--- a/pkg/control/own.go
+++ b/pkg/control/own.go
@@ -71,6 +71,7 @@
 	State         string        `json:"state"`
 	Holdings      []holdingWord `json:"holdings"`
 	Sequence      uint64        `json:"sequence"`
+	Born          uint64        `json:"born"`
 }
 
 type holdingWord struct {
@@ -86,14 +87,15 @@
 		return registry.Registration{}, failure.New(failure.BadRequest, "heartbeat: %v", err)
 	}
 	state := registry.State(w.State)
-	if (state != registry.Ready && state != registry.Draining) || w.Service == "" || w.Address == "" {
-		return registry.Registration{}, failure.New(failure.BadRequest, "heartbeat: state %q, service %q, address %q", w.State, w.Service, w.Address)
+	if state != registry.Ready && state != registry.Draining {
+		return registry.Registration{}, failure.New(failure.BadRequest, "heartbeat: state %q is not known", w.State)
 	}
 	var holdings []registry.Holding
 	for _, h := range w.Holdings {
 		holdings = append(holdings, registry.NewHolding(h.Model, h.Version, h.From, h.To))
 	}
-	return registry.NewRegistration(incarnation, w.Service, w.Address, w.FailureDomain, w.Software, w.Slots, state, 0, holdings, w.Sequence), nil
+	r := registry.NewRegistration(incarnation, w.Service, w.Address, w.FailureDomain, w.Software, w.Slots, state, 0, holdings, w.Sequence, w.Born)
+	return r, r.Check()
 }
 
 // Handle serves one call: it reads at most maxBody bytes and writes the result
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -196,7 +196,8 @@
 		x.conn.Finish(answer)
 	}
 	if told.Elsewhere(x.backend.word().Incarnation()) {
-		x.gateway.backends.depart(x.backend.word().Incarnation())
+		word := x.backend.word()
+		x.gateway.backends.depart(word.Incarnation(), word.Born())
 		x.gateway.note(q, attemptElsewhere, "the address belongs to "+told.Incarnation)
 		return false
 	}
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -35,7 +35,7 @@
 	paceWeight = 0.2
 )
 
-// backend is one incarnation of a backend server.
+// backend is one start of a backend server.
 type backend struct {
 	pool    *upstream.Pool
 	address string
@@ -94,11 +94,9 @@
 func (b *backend) hear(r registry.Registration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	old := b.registration
-	if r.Sequence() < old.Sequence() || old.State() == registry.Gone || old.State() == registry.Draining {
-		return
+	if r.Follows(b.registration) {
+		b.registration = r
 	}
-	b.registration = r
 }
 
 // hearLoad takes the load that the stager beside it told. The version that it
@@ -241,13 +239,12 @@
 	b.refusals++
 }
 
-// isGone notes that another backend server has the address.
+// isGone notes that it has left, or that another backend server or another start has its
+// place.
 func (b *backend) isGone() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.registration
-	b.registration = registry.NewRegistration(r.Incarnation(), r.Service(), r.Address(), r.Domain(), r.Software(), r.Slots(),
-		registry.Gone, 0, nil, r.Sequence())
+	b.registration = b.registration.AsGone(0)
 }
 
 // sawPace notes how an answer's time compares with the expected one.
--- a/pkg/gateway/backends.go
+++ b/pkg/gateway/backends.go
@@ -5,6 +5,10 @@
 // The word that one is gone may come from a control node that never heard it
 // before, and then names no service. So departures are kept by incarnation,
 // apart from the shards: a late word of another node never brings one back.
+//
+// One that starts again may keep its incarnation. It is another backend server all the
+// same: what was measured of the earlier start says nothing of it, and its connections
+// are over.
 // ================================================================
 
 package gateway
@@ -43,11 +47,17 @@
 	shards [backendShards]backendShard
 
 	departedLock sync.Mutex
-	departed     map[string]time.Time // by incarnation
+	departed     map[string]departure // by incarnation
+}
+
+// departure is that all starts of an incarnation up to one are gone.
+type departure struct {
+	born uint64 // the latest of them
+	at   time.Time
 }
 
 func newBackends() *backends {
-	t := &backends{departed: map[string]time.Time{}}
+	t := &backends{departed: map[string]departure{}}
 	for i := range t.shards {
 		t.shards[i].services = map[string]map[string]*backend{}
 		t.shards[i].addressed = map[serviceAddress][]*backend{}
@@ -62,12 +72,13 @@
 // hear takes the word of a backend server.
 func (t *backends) hear(r registry.Registration) {
 	if r.State() == registry.Gone {
-		t.depart(r.Incarnation())
+		t.depart(r.Incarnation(), r.Born())
 		return
 	}
-	if t.hasDeparted(r.Incarnation()) {
+	if t.hasDeparted(r) {
 		return
 	}
+	t.endEarlierStarts(r)
 	s := t.shard(r.Service())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -77,11 +88,15 @@
 		s.services[r.Service()] = service
 	}
 	if b := service[r.Incarnation()]; b != nil {
-		b.hear(r)
-		return
+		if b.word().Born() >= r.Born() {
+			b.hear(r)
+			return
+		}
+		b.pool.Close()
+		s.forgetAddress(b)
 	}
 	b := newBackend(r)
-	if t.hasDeparted(r.Incarnation()) {
+	if t.hasDeparted(r) {
 		// The word that it left came after the look above.
 		b.isGone()
 	}
@@ -90,23 +105,44 @@
 	s.addressed[at] = append(s.addressed[at], b)
 }
 
-// depart notes that an incarnation is gone, whatever its service.
-func (t *backends) depart(incarnation string) {
-	t.departedLock.Lock()
-	t.departed[incarnation] = time.Now()
-	t.departedLock.Unlock()
+// endEarlierStarts ends what is known of an incarnation's starts before the one of a word:
+// the later one may be of another service, or at another address.
+func (t *backends) endEarlierStarts(r registry.Registration) {
+	if r.Born() == 0 {
+		return
+	}
+	t.each(func(b *backend, id string) {
+		if id == r.Incarnation() && b.word().Born() < r.Born() {
+			b.isGone()
+		}
+	})
+}
+
+// depart notes that the starts of an incarnation up to one are gone, whatever their
+// service; with 0 all that are known.
+func (t *backends) depart(incarnation string, born uint64) {
 	t.each(func(b *backend, id string) {
-		if id == incarnation {
+		if id != incarnation {
+			return
+		}
+		if born == 0 {
+			born = b.word().Born()
+		}
+		if b.word().Born() <= born {
 			b.isGone()
 		}
 	})
+	t.departedLock.Lock()
+	defer t.departedLock.Unlock()
+	t.departed[incarnation] = departure{max(born, t.departed[incarnation].born), time.Now()}
 }
 
-func (t *backends) hasDeparted(incarnation string) bool {
+// hasDeparted tells whether a word is of a start that is gone.
+func (t *backends) hasDeparted(r registry.Registration) bool {
 	t.departedLock.Lock()
 	defer t.departedLock.Unlock()
-	_, gone := t.departed[incarnation]
-	return gone
+	d, gone := t.departed[r.Incarnation()]
+	return gone && r.Born() <= d.born
 }
 
 // each calls f with every backend server and its incarnation.
@@ -161,8 +197,8 @@
 	}
 	t.departedLock.Lock()
 	defer t.departedLock.Unlock()
-	for incarnation, at := range t.departed {
-		if time.Since(at) > departedLife {
+	for incarnation, d := range t.departed {
+		if time.Since(d.at) > departedLife {
 			delete(t.departed, incarnation)
 		}
 	}
--- a/pkg/gateway/backends_test.go
+++ b/pkg/gateway/backends_test.go
@@ -9,7 +9,7 @@
 )
 
 func wordOf(state registry.State, service string, sequence uint64) registry.Registration {
-	return registry.NewRegistration("i-1", service, "127.0.0.1:9", "north", "v1", 4, state, 0, nil, sequence)
+	return registry.NewRegistration("i-1", service, "127.0.0.1:9", "north", "v1", 4, state, 0, nil, sequence, 0)
 }
 
 func statesOf(table *backends, service string) []registry.State {
@@ -53,7 +53,7 @@
 func TestLateHeartbeatOfAnEarlierIncarnation(t *testing.T) {
 	all := newBackends()
 	at := func(incarnation string, sequence uint64) registry.Registration {
-		return registry.NewRegistration(incarnation, "menu", "127.0.0.1:9", "hall-a", "v1", 16, registry.Ready, 0, nil, sequence)
+		return registry.NewRegistration(incarnation, "menu", "127.0.0.1:9", "hall-a", "v1", 16, registry.Ready, 0, nil, sequence, 0)
 	}
 	all.hear(at("i-new", 1))
 	all.hear(at("i-old", 40))
@@ -70,7 +70,7 @@
 	if !fresh() {
 		t.Error("the load of the engine is not known of the incarnation that is there")
 	}
-	all.depart("i-old")
+	all.depart("i-old", 0)
 	all.sweep()
 	all.hear(at("i-old", 41))
 	tell()
@@ -78,3 +78,44 @@
 		t.Errorf("after the earlier one is gone: load known %t, %d backend servers", fresh(), len(all.of("menu")))
 	}
 }
+
+// A backend server that starts again under its incarnation is another one: nothing of the
+// earlier start is held against it, and words of that one change nothing.
+func TestLaterStartIsAnotherBackend(t *testing.T) {
+	for _, before := range []registry.State{registry.Ready, registry.Draining, registry.Gone} {
+		all := newBackends()
+		at := func(address string, born, sequence uint64, state registry.State) registry.Registration {
+			return registry.NewRegistration("i-1", "menu", address, "hall-a", "v1", 16, state, 0, nil, sequence, born)
+		}
+		all.hear(at("127.0.0.1:9", 1000, 40, registry.Ready))
+		earlier := all.of("menu")[0]
+		earlier.failed(time.Now())
+		earlier.sawVersion(7)
+		all.hear(at("127.0.0.1:9", 1000, 41, before))
+		all.hear(at("127.0.0.1:10", 2000, 1, registry.Ready))
+		all.hear(at("127.0.0.1:9", 1000, 42, registry.Ready))
+		all.hear(at("127.0.0.1:9", 1000, 43, registry.Gone))
+		all.sweep()
+		there := all.of("menu")
+		if len(there) != 1 || there[0] == earlier || there[0].address != "127.0.0.1:10" {
+			t.Fatalf("after %s: %d backend servers", before, len(there))
+		}
+		if l := there[0].load(time.Now()); l.state != registry.Ready || l.resting || l.failureRate > 0 || there[0].version != 0 {
+			t.Errorf("after %s the later start is %+v", before, l)
+		}
+		if !earlier.isOver() {
+			t.Errorf("after %s the earlier start is not over", before)
+		}
+	}
+}
+
+// The later start may be of another service.
+func TestLaterStartOfAnotherService(t *testing.T) {
+	all := newBackends()
+	all.hear(registry.NewRegistration("i-1", "menu", "127.0.0.1:9", "hall-a", "v1", 16, registry.Ready, 0, nil, 40, 1000))
+	all.hear(registry.NewRegistration("i-1", "orders", "127.0.0.1:9", "hall-a", "v1", 16, registry.Ready, 0, nil, 1, 2000))
+	all.sweep()
+	if len(all.of("menu")) != 0 || len(all.of("orders")) != 1 {
+		t.Errorf("%d of the earlier service, %d of the later one", len(all.of("menu")), len(all.of("orders")))
+	}
+}
--- a/pkg/gateway/forward_test.go
+++ b/pkg/gateway/forward_test.go
@@ -194,9 +194,9 @@
 func TestDrainingBackendServerGetsNothing(t *testing.T) {
 	first, second := newStandIn(t, "i-1", answerWith("200 OK", "first")), newStandIn(t, "i-2", answerWith("200 OK", "second"))
 	f := newFixture(t, serviceconfig.Repeatable, false, first, second)
-	f.gateway.backends.hear(registry.NewRegistration("i-1", "menu", first.listener.Addr().String(), "hall-a", "v1", 4, registry.Draining, 0, nil, 2))
+	f.gateway.backends.hear(registry.NewRegistration("i-1", "menu", first.listener.Addr().String(), "hall-a", "v1", 4, registry.Draining, 0, nil, 2, 0))
 	// A late heartbeat does not bring it back.
-	f.gateway.backends.hear(registry.NewRegistration("i-1", "menu", first.listener.Addr().String(), "hall-a", "v1", 4, registry.Ready, 0, nil, 3))
+	f.gateway.backends.hear(registry.NewRegistration("i-1", "menu", first.listener.Addr().String(), "hall-a", "v1", 4, registry.Ready, 0, nil, 3, 0))
 	if _, _, body, _ := f.do(t, f.request(t, http.MethodGet, "a", "")); body != "second" {
 		t.Fatalf("got %q", body)
 	}
--- a/pkg/gateway/lapse_test.go
+++ b/pkg/gateway/lapse_test.go
@@ -58,7 +58,7 @@
 // hearVersion makes an engine known by a heartbeat that tells what it serves.
 func (f *fixture) hearVersion(s *standIn, version uint64) {
 	f.gateway.backends.hear(registry.NewRegistration(s.incarnation, "menu", s.listener.Addr().String(), "hall-a", "v1", 16, registry.Ready, 0,
-		[]registry.Holding{registry.NewHolding("menu", version, 0, 1)}, 1))
+		[]registry.Holding{registry.NewHolding("menu", version, 0, 1)}, 1, 0))
 }
 
 // hearNamed has the gateway know that version 2 was named, when so much of its time is
@@ -207,7 +207,7 @@
 		came <- r
 		return wholeStream(w, r)
 	}, breakOff)
-	f.gateway.backends.depart("i-young")
+	f.gateway.backends.depart("i-young", 0)
 	f.hearNamed(lapseMargin + 50*time.Millisecond)
 	if status, _, _, _ := f.do(t, f.draft(t)); status != http.StatusOK {
 		t.Fatalf("status %d", status)
--- a/pkg/gateway/places_test.go
+++ b/pkg/gateway/places_test.go
@@ -113,7 +113,7 @@
 
 func (f *fixture) hearEngineAt(address, domain string, running int) {
 	id := fmt.Sprintf("i-%s", address)
-	f.gateway.backends.hear(registry.NewRegistration(id, "menu", address, domain, "v1", 16, registry.Ready, 0, nil, 1))
+	f.gateway.backends.hear(registry.NewRegistration(id, "menu", address, domain, "v1", 16, registry.Ready, 0, nil, 1, 0))
 	f.gateway.backends.hearLoad(feed.NewLoad("menu", address, "menu", 1, running, 0, 1, false, false))
 }
 
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -62,7 +62,7 @@
 	g, q := x.gateway, x.request
 	g.metrics.ends.Inc()
 	word := x.backend.word()
-	end := quarantine.NewEnd(word.Incarnation(), 0, word.Domain(), x.backend.build(q), q.knownEnds, 0)
+	end := quarantine.NewEnd(word.Incarnation(), word.Born(), word.Domain(), x.backend.build(q), q.knownEnds, 0)
 	r, tell := g.quarantine.Ended(q.fingerprint, end)
 	if !tell {
 		return
--- a/pkg/gateway/reserve_test.go
+++ b/pkg/gateway/reserve_test.go
@@ -142,7 +142,7 @@
 // Behind the chunks on a link an answer takes longer than it is worth.
 func TestStagersWithChunksOnTheirLinkAreAwaitedForLess(t *testing.T) {
 	now := time.Now()
-	b := newBackend(registry.NewRegistration("i", "menu", "127.0.0.1:9", "hall-a", "v1", 16, registry.Ready, 0, nil, 1))
+	b := newBackend(registry.NewRegistration("i", "menu", "127.0.0.1:9", "hall-a", "v1", 16, registry.Ready, 0, nil, 1, 0))
 	b.hearLoad(feed.NewLoad("menu", "127.0.0.1:9", "menu", 1, 3, 0, 1, false, true))
 	if got := b.reserveTimeout(now); got != exchangingTimeout {
 		t.Errorf("awaited for %s", got)
--- a/pkg/gateway/stand_in_test.go
+++ b/pkg/gateway/stand_in_test.go
@@ -180,7 +180,7 @@
 	}
 	g.index.Raise(d)
 	for i, server := range servers {
-		g.backends.hear(registry.NewRegistration(server.incarnation, "menu", server.listener.Addr().String(), "hall-a", "v1", 4, registry.Ready, 0, nil, 1))
+		g.backends.hear(registry.NewRegistration(server.incarnation, "menu", server.listener.Addr().String(), "hall-a", "v1", 4, registry.Ready, 0, nil, 1, 0))
 		// Work that is not there makes the later ones the second choice.
 		for _, b := range g.backends.of("menu") {
 			if b.word().Incarnation() == server.incarnation {
--- a/pkg/registry/registration.go
+++ b/pkg/registry/registration.go
@@ -12,7 +12,12 @@
 
 //go:generate go run github.com/tidepost/tidepost/tools/wiregen
 
-import "time"
+import (
+	"net/netip"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/failure"
+)
 
 // State is where a backend server stands in its life.
 type State string
@@ -25,18 +30,15 @@
 	Silent State = "silent"
 	// Draining ends what it has and takes nothing new.
 	Draining State = "draining"
-	// Gone has left; its incarnation never comes back.
+	// Gone has left; its incarnation comes back only by another start.
 	Gone State = "gone"
 )
 
-// leaving tells whether no word of a later sequence makes it ready again.
-func (s State) leaving() bool { return s == Draining || s == Gone }
-
 // Registration is the newest word of one incarnation of a backend server.
 //
 //wire:generate
 type Registration struct {
-	// incarnation is the identity of this start of the backend server.
+	// incarnation is the identity of the backend server.
 	incarnation string
 	// service is the service that it belongs to.
 	service string
@@ -54,8 +56,12 @@
 	cold time.Duration
 	// holdings are the weights that it serves.
 	holdings []Holding
-	// sequence rises with each word of the incarnation.
+	// sequence rises with each word of one start.
 	sequence uint64
+	// born is when the backend server started, in Unix milliseconds; 0 when it does not
+	// say. One that starts again may keep its incarnation, and counts and holds anew. In a
+	// word that one is gone it is the latest start that the word may be of.
+	born uint64
 }
 
 // Holding is a range of layers of one version of a model.
@@ -71,6 +77,49 @@
 	to   int
 }
 
+// mostSlots bounds what a backend server may say of its places: some hundred times what any
+// has.
+const mostSlots = 1 << 14
+
+// Check tells what is odd about what a backend server says of itself. Another program may
+// write entries of its own, and what those name is no backend server to use.
+func (r Registration) Check() error {
+	address, err := netip.ParseAddrPort(r.address)
+	switch {
+	case r.incarnation == "" || r.service == "":
+		return failure.New(failure.BadRequest, "incarnation %q, service %q: neither may be missing", r.incarnation, r.service)
+	case err != nil || address.Port() == 0 || address.Addr().IsUnspecified():
+		return failure.New(failure.BadRequest, "address %q is not IP:PORT", r.address)
+	case r.slots < 1 || r.slots > mostSlots:
+		return failure.New(failure.BadRequest, "slots %d are not from 1 to %d", r.slots, mostSlots)
+	}
+	return nil
+}
+
+// AsGone returns the word that the backend server has left, with all its starts up to one
+// at the earliest.
+func (r Registration) AsGone(born uint64) Registration {
+	r.state = Gone
+	r.born = max(r.born, born)
+	return r
+}
+
+// Follows tells whether a word may take the place of an earlier one of its incarnation:
+// it is of a later start, or of the same and not older. Leaving is final for a start. Words
+// of followers come in any order, and those that a cut held up after those of a later
+// start.
+func (r Registration) Follows(old Registration) bool {
+	switch {
+	case r.state == Gone:
+		return r.born == 0 || r.born >= old.born
+	case r.born != old.born:
+		return r.born > old.born
+	case r.sequence < old.sequence:
+		return false
+	}
+	return old.state != Gone && (r.state == Draining || old.state != Draining)
+}
+
 // Version returns the one version of a model that covers all layers, or 0.
 // A layers value of 0 means that the number of layers is not known; any
 // holding counts then.
@@ -95,7 +144,7 @@
 
 // sameWord tells whether followers would learn nothing new from o.
 func (r Registration) sameWord(o Registration) bool {
-	if r.service != o.service || r.address != o.address || r.domain != o.domain ||
+	if r.born != o.born || r.service != o.service || r.address != o.address || r.domain != o.domain ||
 		r.slots != o.slots || r.state != o.state || len(r.holdings) != len(o.holdings) {
 		return false
 	}
--- a/pkg/registry/table.go
+++ b/pkg/registry/table.go
@@ -2,8 +2,8 @@
 // The table of registrations, in shards by incarnation, each under its own
 // lock: heartbeats of many backend servers arrive at the same time.
 //
-// A word is taken when its sequence is not below the one held. Leaving is
-// final for an incarnation: a late heartbeat never brings it back.
+// A word is taken where it is of a later start than the one held, or of the same and its
+// sequence not below. Leaving is final for a start: a late heartbeat never brings it back.
 // ================================================================
 
 package registry
@@ -80,9 +80,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, known = s.entries[r.incarnation]
-	if known && !mayFollow(r, old.registration) {
+	if known && !r.Follows(old.registration) {
 		return old, known, false
 	}
+	if r.state == Gone {
+		r = r.AsGone(old.registration.born)
+	}
 	if known && relayed && r.sequence == old.registration.sequence && r.sameWord(old.registration) {
 		// The same word again: who hears the heartbeats goes on doing so.
 		relayed = old.relayed
@@ -91,21 +94,13 @@
 	return old, known, true
 }
 
-// mayFollow tells whether r may take the place of old.
-func mayFollow(r, old Registration) bool {
-	if old.state == Gone || !supersedes(r, old) {
-		return false
-	}
-	return r.state.leaving() || !old.state.leaving()
-}
-
-// supersedes tells whether r may take the place of old. Words without a
-// sequence (a leave) always may.
-func supersedes(r, old Registration) bool {
-	return r.sequence >= old.sequence || r.state == Gone
-}
+// leaveSlack is how far clocks may differ. A backend server that leaves does not say which
+// start it is of, so the word is of all that began by the time here, less this. One that
+// starts again does so seconds later, and is not kept out by a clock that is ahead.
+const leaveSlack = 10 * time.Second
 
-// Leave marks an incarnation as gone and returns its last word.
+// Leave marks an incarnation as gone and returns its last word. A start that is known is
+// gone whenever it began.
 func (t *Table) Leave(incarnation string) (Registration, bool) {
 	s := t.shard(incarnation)
 	s.mu.Lock()
@@ -114,7 +109,7 @@
 	r := held.registration
 	r.incarnation = incarnation
 	changed := !known || r.state != Gone
-	r.state = Gone
+	r = r.AsGone(uint64(max(t.now().Add(-leaveSlack).UnixMilli(), 0)))
 	s.entries[incarnation] = entry{registration: r, heard: t.now()}
 	return r, changed
 }
--- a/pkg/registry/table_test.go
+++ b/pkg/registry/table_test.go
@@ -6,7 +6,7 @@
 )
 
 func word(sequence uint64, state State) Registration {
-	return NewRegistration("i-1", "menu", "10.0.0.1:80", "north", "v1", 16, state, 0, nil, sequence)
+	return NewRegistration("i-1", "menu", "10.0.0.1:80", "north", "v1", 16, state, 0, nil, sequence, 0)
 }
 
 func TestLateWordIsIgnored(t *testing.T) {
@@ -112,3 +112,61 @@
 		t.Fatal("nothing brings it back")
 	}
 }
+
+// start is a word of one start of a backend server that keeps its incarnation.
+func start(born, sequence uint64, state State, holdings ...Holding) Registration {
+	return NewRegistration("i-1", "menu", "10.0.0.1:80", "north", "v1", 16, state, 0, holdings, sequence, born)
+}
+
+// A backend server that starts again under its incarnation counts anew and holds nothing.
+func TestLaterStartTakesThePlaceOfAnEarlierOne(t *testing.T) {
+	for _, state := range []State{Ready, Silent, Draining} {
+		table := NewTable(nil)
+		table.Hear(start(1000, 40, state, NewHolding("menu", 3, 0, 16)))
+		if !table.Hear(start(2000, 1, Ready)) {
+			t.Errorf("after %s the later start is no change", state)
+		}
+		if r, _ := table.Get("i-1"); r.State() != Ready || r.Sequence() != 1 || len(r.Holdings()) != 0 {
+			t.Errorf("after %s it is %v", state, r)
+		}
+		if table.Hear(start(1000, 41, Ready, NewHolding("menu", 3, 0, 16))) {
+			t.Errorf("after %s a word of the earlier start was taken", state)
+		}
+		if r, _ := table.Get("i-1"); len(r.Holdings()) != 0 {
+			t.Errorf("it holds what the earlier start did: %v", r)
+		}
+	}
+}
+
+// A leave is of all starts until then; one that comes later is there again.
+func TestLeaveEndsStartsUntilThen(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	for _, known := range []bool{true, false} {
+		table := NewTable(func() time.Time { return now })
+		if known {
+			table.Hear(start(900_000, 40, Ready))
+		}
+		gone, _ := table.Leave("i-1")
+		if table.Hear(start(900_000, 41, Ready)) {
+			t.Errorf("known %t: a late heartbeat brought it back", known)
+		}
+		if !table.Hear(start(1_003_000, 1, Ready)) {
+			t.Errorf("known %t: the next start is not there", known)
+		}
+		other := NewTable(nil)
+		other.Hear(start(1_003_000, 1, Ready))
+		if _, tell := other.HearRelayed(gone); tell {
+			t.Errorf("known %t: the leave of an earlier start ended the next one at another node", known)
+		}
+	}
+}
+
+// A start that has only just begun by another clock is gone when it leaves.
+func TestLeaveOfAStartByAClockAhead(t *testing.T) {
+	table := NewTable(func() time.Time { return time.UnixMilli(1_000_000) })
+	table.Hear(start(1_004_000, 2, Ready))
+	table.Leave("i-1")
+	if r, _ := table.Get("i-1"); r.State() != Gone {
+		t.Errorf("it is %s", r.State())
+	}
+}
--- a/pkg/staging/protocol.go
+++ b/pkg/staging/protocol.go
@@ -22,6 +22,8 @@
 	Busy bool
 	// Sequence is the number of orders that it has taken.
 	Sequence uint64
+	// Born is when it started, in Unix milliseconds; 0 when it does not say.
+	Born uint64
 	// Running and Queued count its requests.
 	Running, Queued int
 	// Pace is its time for a step over the usual one; 0 when not known.
--- a/pkg/staging/serve.go
+++ b/pkg/staging/serve.go
@@ -72,21 +72,22 @@
 	case err == nil:
 		s.awaitObeyed(ctx, order)
 	case failure.Is(err, failure.StaleOrder):
-		s.outranked = outranking{order.Fence, report.Sequence}
+		s.outranked = outranking{order.Fence, report.Sequence, report.Born}
 	}
 }
 
-// outranking is a fencing token that was refused for a higher one, and how many
-// orders the engine had taken by then. The zero value is none.
+// outranking is a fencing token that was refused for a higher one, how many orders the
+// engine had taken by then, and when it had started. The zero value is none.
 type outranking struct {
 	fence    uint64
 	sequence uint64
+	born     uint64
 }
 
 // forbids tells whether an order with a token is not to be given again. An
 // engine that started anew has forgotten its tokens and counts orders anew.
 func (o outranking) forbids(fence uint64, report Report) bool {
-	return fence <= o.fence && report.Sequence >= o.sequence
+	return fence <= o.fence && report.Sequence >= o.sequence && report.Born == o.born
 }
 
 // layDown lays every chunk down beside the engine.
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -197,7 +197,7 @@
 }
 
 func wholeVersion(holdings []registry.Holding, model string, layers int) uint64 {
-	return registry.NewRegistration("", "", "", "", "", 0, registry.Ready, 0, holdings, 0).Version(model, layers)
+	return registry.NewRegistration("", "", "", "", "", 0, registry.Ready, 0, holdings, 0, 0).Version(model, layers)
 }
 
 // model returns the model that the engine here is to serve, and its service.
--- a/pkg/staging/withdraw_test.go
+++ b/pkg/staging/withdraw_test.go
@@ -78,7 +78,7 @@
 	if !s.outranked.forbids(given[0].Fence, report) || s.outranked.forbids(given[0].Fence+1, report) {
 		t.Error("the refused token is used again, or a higher one is not")
 	}
-	if s.outranked.forbids(given[0].Fence, Report{}) {
+	if s.outranked.forbids(given[0].Fence, Report{}) || s.outranked.forbids(given[0].Fence, Report{Sequence: 9, Born: 1}) {
 		t.Error("an engine that started anew gets no order")
 	}
 }
