A barred request finds its way back where servers are mended: two trials for good

One gateway, named by the leader of the control nodes, tries it once on a server of a build (software and weights) under which no server has ended: 30 s after the last end, and once more 10 minutes after that. One whole run lets it run on such builds again, and it goes on avoiding the others.

--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -99,6 +99,7 @@
 		Registrations: n.service.registry.All,
 		Records:       n.service.quarantine.Records,
 		Learn:         n.service.learnRecords,
+		Trial:         n.service.askTrial,
 		Nodes:         func() []string { return n.member.nodes() },
 		Confirmed:     func() bool { return n.member.confirmed() },
 	})
--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -36,6 +36,10 @@
 type request struct {
 	// data is the encoded command; empty for a confirmed read.
 	data []byte
+	// trial is a barred request that a gateway asks to try once more, and tester the
+	// gateway; both empty in other calls.
+	trial  quarantine.Fingerprint
+	tester string
 }
 
 // response is the leader's answer.
@@ -94,7 +98,7 @@
 // ReadConfiguration returns the newest configuration, confirmed by a quorum.
 // It fails with UnknownObject when there is none yet.
 func (s *Service) ReadConfiguration(ctx context.Context) (Configuration, error) {
-	answer, err := s.call(ctx, nil)
+	answer, err := s.call(ctx, request{})
 	if err != nil {
 		return Configuration{}, err
 	}
@@ -145,6 +149,26 @@
 	quarantine.LogBarred(s.logger, changed)
 }
 
+// askTrial has the leader decide whether a gateway may try a barred request once more: one
+// node decides, so that not each gateway tries it.
+func (s *Service) askTrial(f quarantine.Fingerprint, tester string) {
+	if _, err := s.call(context.Background(), request{trial: f, tester: tester}); err != nil {
+		// The gateway asks again while the request comes.
+		_ = level.Info(s.logger).Log("msg", "no trial of a request", "fingerprint", f, "tester", tester, "err", err)
+	}
+}
+
+// grantTrial lets a gateway try a barred request once more, if it is time. The caller is
+// the leader, and a quorum has just confirmed that.
+func (s *Service) grantTrial(f quarantine.Fingerprint, tester string) {
+	r, granted := s.quarantine.Grant(f, tester)
+	if !granted {
+		return
+	}
+	s.publisher.Recorded([]quarantine.Record{r})
+	_ = level.Info(s.logger).Log("msg", "trial of a request", "fingerprint", f, "tester", tester, "trials", r.Trials())
+}
+
 // ----------------------------------------------------------------
 // Agreement
 
@@ -153,17 +177,17 @@
 	if err != nil {
 		return failure.New(failure.Internal, "a command cannot be encoded: %v", err)
 	}
-	_, err = s.call(ctx, data)
+	_, err = s.call(ctx, request{data: data})
 	return err
 }
 
 // call hands a command or a read to the leader until it answers or the time
 // is over.
-func (s *Service) call(ctx context.Context, data []byte) (response, error) {
+func (s *Service) call(ctx context.Context, r request) (response, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerWithin)
 	defer cancel()
 	for {
-		answer, err := s.callOnce(ctx, data)
+		answer, err := s.callOnce(ctx, r)
 		if err == nil {
 			return answer, nil
 		}
@@ -175,9 +199,9 @@
 	}
 }
 
-func (s *Service) callOnce(ctx context.Context, data []byte) (response, error) {
+func (s *Service) callOnce(ctx context.Context, r request) (response, error) {
 	if s.member.state().Role == controllog.Leader {
-		return s.execute(ctx, data)
+		return s.execute(ctx, r)
 	}
 	leader := s.member.leader()
 	if leader == "" {
@@ -188,23 +212,27 @@
 	ctx, cancel := context.WithTimeout(ctx, answerWithin/3)
 	defer cancel()
 	var answer response
-	err := s.endpoint.Call(ctx, leader, link.KindControlCall, request{data}, &answer)
+	err := s.endpoint.Call(ctx, leader, link.KindControlCall, r, &answer)
 	return answer, err
 }
 
 // execute carries a call out on the leader.
-func (s *Service) execute(ctx context.Context, data []byte) (response, error) {
+func (s *Service) execute(ctx context.Context, r request) (response, error) {
 	runner := s.member.runner.Load()
 	if runner == nil {
 		return response{}, failure.New(failure.NotLeader, "this node keeps no log now")
 	}
-	if len(data) > 0 {
-		_, err := runner.Propose(ctx, data)
+	if len(r.data) > 0 {
+		_, err := runner.Propose(ctx, r.data)
 		return response{}, err
 	}
 	if err := runner.ConfirmedRead(ctx); err != nil {
 		return response{}, err
 	}
+	if r.trial != "" {
+		s.grantTrial(r.trial, r.tester)
+		return response{}, nil
+	}
 	return response{s.state.Configuration()}, nil
 }
 
@@ -217,7 +245,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerWithin)
 	defer cancel()
-	answer, err := s.execute(ctx, r.data)
+	answer, err := s.execute(ctx, r)
 	if err != nil {
 		return err
 	}
--- a/pkg/control/wire_generated.go
+++ b/pkg/control/wire_generated.go
@@ -7,6 +7,7 @@
 
 	"github.com/tidepost/tidepost/pkg/controllog"
 	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
@@ -221,16 +222,16 @@
 }
 
 // newRequest returns a request with the given fields.
-func newRequest(data []byte) request {
-	return request{data: data}
+func newRequest(data []byte, trial quarantine.Fingerprint, tester string) request {
+	return request{data: data, trial: trial, tester: tester}
 }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (r request) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(1); err != nil {
+	if err := enc.EncodeArrayLen(3); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(r.data)
+	return enc.EncodeMulti(r.data, r.trial, r.tester)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -239,7 +240,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&r.data}
+	fields := []any{&r.data, &r.trial, &r.tester}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -440,6 +440,10 @@
 // here, a second.
 func (f *Follower) TellDemand(perSecond float64) { f.tellPrimary(Word{demand: perSecond}) }
 
+// AskTrial asks the primary to let the gateway here try a barred request once more. Where
+// it may, a record says so.
+func (f *Follower) AskTrial(request quarantine.Fingerprint) { f.tellPrimary(Word{trial: request}) }
+
 // TellRecords tells all nodes that are heard what was learnt of requests under which
 // servers ended: with one of them lost, the others still hear of it.
 func (f *Follower) TellRecords(records []quarantine.Record) {
--- a/pkg/feed/messages.go
+++ b/pkg/feed/messages.go
@@ -94,6 +94,8 @@
 	subscription Subscription
 	// records are what a gateway has learnt of requests under which servers ended.
 	records []quarantine.Record
+	// trial is a barred request that a gateway asks to try once more; else empty.
+	trial quarantine.Fingerprint
 }
 
 // Load is the state of an engine, read on its own VM.
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -62,6 +62,9 @@
 	// Learn takes what a follower knows of them; nil where nobody asks.
 	Records func() []quarantine.Record
 	Learn   func(records []quarantine.Record)
+	// Trial takes that a follower asks to try a barred request once more; nil where nobody
+	// may.
+	Trial func(f quarantine.Fingerprint, tester string)
 	// Nodes returns the link addresses of the control nodes.
 	Nodes func() []string
 	// Confirmed tells whether a quorum's leader was heard of lately.
@@ -240,6 +243,9 @@
 			p.loaded(*w.load)
 		}
 		p.learn(w.records)
+		if w.trial != "" && p.source.Trial != nil {
+			go p.source.Trial(w.trial, quarantine.Tester(s.hello.self))
+		}
 		if w.demand > 0 {
 			p.demanded(s, w.demand)
 		}
--- a/pkg/feed/wire_generated.go
+++ b/pkg/feed/wire_generated.go
@@ -373,8 +373,8 @@
 }
 
 // NewWord returns a Word with the given fields.
-func NewWord(ask bool, load *Load, demand float64, subscription Subscription, records []quarantine.Record) Word {
-	return Word{ask: ask, load: load, demand: demand, subscription: subscription, records: records}
+func NewWord(ask bool, load *Load, demand float64, subscription Subscription, records []quarantine.Record, trial quarantine.Fingerprint) Word {
+	return Word{ask: ask, load: load, demand: demand, subscription: subscription, records: records, trial: trial}
 }
 
 // Ask asks for the document that the node holds.
@@ -393,12 +393,15 @@
 // Records are what a gateway has learnt of requests under which servers ended.
 func (w Word) Records() []quarantine.Record { return w.records }
 
+// Trial is a barred request that a gateway asks to try once more; else empty.
+func (w Word) Trial() quarantine.Fingerprint { return w.trial }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (w Word) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(5); err != nil {
+	if err := enc.EncodeArrayLen(6); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(w.ask, w.load, w.demand, w.subscription, w.records)
+	return enc.EncodeMulti(w.ask, w.load, w.demand, w.subscription, w.records, w.trial)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -407,7 +410,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&w.ask, &w.load, &w.demand, &w.subscription, &w.records}
+	fields := []any{&w.ask, &w.load, &w.demand, &w.subscription, &w.records, &w.trial}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -14,9 +14,9 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"slices"
 	"time"
 
-	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/upstream"
 )
 
@@ -48,7 +48,8 @@
 	q.lapse = g.lapseOf(q, b, 0)
 	q.lapse.bounds = q.lapse.lapses() && q.lapse.left() > q.longestRun(&g.silences, time.Now())
 	q.knownEnds = g.quarantine.Ends(q.fingerprint)
-	if q.knownEnds >= quarantine.EndsToBar || q.allowed() < leastTime || q.lapse.isOver() {
+	q.build = b.build(q.modelAndLayers())
+	if !g.mayRun(q) || slices.Contains(q.avoid, q.build) || q.allowed() < leastTime || q.lapse.isOver() {
 		conn.Close()
 		return false
 	}
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -12,6 +12,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/registry"
@@ -58,6 +59,8 @@
 	engine serviceconfig.Engine
 	// wait is the longest wait for a place that is taken; 0 is any.
 	wait time.Duration
+	// avoid are the builds under which servers ended with the request.
+	avoid []string
 	// tried are those that the request was sent to.
 	tried map[*backend]bool
 }
@@ -168,6 +171,9 @@
 }
 
 func (w wanted) allows(b *backend, now time.Time) bool {
+	if len(w.avoid) > 0 && slices.Contains(w.avoid, b.build(w.model, w.layers)) {
+		return false
+	}
 	if w.layers == 0 {
 		return true
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -65,6 +65,11 @@
 	// how many ends are told a second.
 	tellRecords func(records []quarantine.Record)
 	mayTell     *rate.Limiter
+	// askTrial asks to try a barred request once more, as tester, and mayAskTrial bounds
+	// how often.
+	askTrial    func(f quarantine.Fingerprint)
+	tester      string
+	mayAskTrial *rate.Limiter
 	returning   returning
 	silences    silences
 	// heardDemands returns the requests for engines that come to all gateways a
@@ -98,6 +103,7 @@
 		budget:     newBudget(s.RetryRatio(), s.RetryReserve(), s.RetryWindow()),
 		metrics:    newMetrics(process.Registry),
 		quarantine: quarantine.NewTable(nil), mayTell: rate.NewLimiter(endsTold, endsToldAtOnce),
+		tester: quarantine.Tester(process.Identity), mayAskTrial: rate.NewLimiter(trialsAsked, 1),
 	}
 	g.ending, g.endWaiting = context.WithCancel(context.Background())
 	g.seeds = daemon.NewSeeds(path, s, settings.LoadGateway, process.Logger)
@@ -111,7 +117,7 @@
 		Records:  g.quarantine.Records,
 		Logger:   process.Logger,
 	}
-	g.tellRecords = g.follower.TellRecords
+	g.tellRecords, g.askTrial = g.follower.TellRecords, g.follower.AskTrial
 	g.heardDemands = g.follower.Demands
 	g.askStager = g.callStager
 	return g, nil
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -220,7 +220,7 @@
 func (g *Gateway) mayTry(q *request, dials int) *failure.Failure {
 	ends := g.quarantine.Ends(q.fingerprint)
 	switch {
-	case ends >= quarantine.EndsToBar:
+	case !g.mayRun(q):
 		return endsServers(q, ends)
 	case q.sign == signEnded && ends > 1:
 		return q.exhausted("%d backend servers ended under this request; last: %s", ends, q.last)
@@ -249,7 +249,7 @@
 // pick chooses a backend server for the next attempt. A request that no engine
 // would begin in time is refused at once: it is worth more when it comes back.
 func (g *Gateway) pick(q *request) (*backend, *failure.Failure) {
-	w := wanted{service: q.service.Name(), work: q.work, tried: q.tried, engine: q.service.Engine()}
+	w := wanted{service: q.service.Name(), work: q.work, tried: q.tried, engine: q.service.Engine(), avoid: q.avoid}
 	if q.model != "" {
 		w.model, w.layers = q.model, max(w.engine.Layers(), 1)
 		w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, q.run) }
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -14,10 +14,12 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/quarantine"
+	"github.com/tidepost/tidepost/pkg/registry"
 )
 
 const (
@@ -29,22 +31,65 @@
 	// besideSuspect is when a request may come back that is under way here already, and
 	// under which servers ended before.
 	besideSuspect = time.Second
+	// trialsAsked bounds the trials of barred requests that are asked for a second.
+	trialsAsked = 0.5
 )
 
 // admit tells why a request may not be tried; where it may, done is to be called at its end.
 func (g *Gateway) admit(q *request) (done func(), f *failure.Failure) {
-	switch g.quarantine.Begin(q.fingerprint) {
+	var verdict quarantine.Verdict
+	verdict, q.avoid = g.quarantine.Begin(q.fingerprint)
+	switch verdict {
 	case quarantine.Suspect:
 		return func() { g.quarantine.End(q.fingerprint) }, nil
 	case quarantine.Barred:
-		g.askedForBarred(q)
-		return nil, endsServers(q, g.quarantine.Ends(q.fingerprint))
+		return g.admitBarred(q)
 	case quarantine.Busy:
 		return nil, failure.New(failure.Overloaded, "backend servers ended under request %s, and a try of it is under way", q.fingerprint).WithRetryAfter(besideSuspect)
 	}
 	return func() {}, nil
 }
 
+// admitBarred tells whether a request that is kept away from servers is to be tried on
+// those of another build, and else why not.
+func (g *Gateway) admitBarred(q *request) (done func(), f *failure.Failure) {
+	g.askedForBarred(q)
+	if g.hasOtherBuild(q) {
+		switch g.quarantine.BeginTrial(q.fingerprint, g.tester) {
+		case quarantine.Granted:
+			q.isTrial = true
+			return func() { g.quarantine.EndTrial(q.fingerprint, q.sent > 0) }, nil
+		case quarantine.MayAsk:
+			if g.mayAskTrial.Allow() {
+				g.askTrial(q.fingerprint)
+			}
+		}
+	}
+	return nil, endsServers(q, g.quarantine.Ends(q.fingerprint))
+}
+
+// hasOtherBuild tells whether a server serves of a build that the request need not avoid.
+func (g *Gateway) hasOtherBuild(q *request) bool {
+	for _, b := range g.backends.of(q.service.Name()) {
+		if l := b.load(time.Now()); l.serves() && l.state == registry.Ready && !slices.Contains(q.avoid, b.build(q.modelAndLayers())) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayRun tells whether the ends held against a request let it be sent to a server now. A
+// trial is sent once.
+func (g *Gateway) mayRun(q *request) bool {
+	switch {
+	case q.isTrial:
+		return q.sent == 0
+	case len(q.avoid) > 0:
+		return true
+	}
+	return g.quarantine.Ends(q.fingerprint) < quarantine.EndsToBar
+}
+
 // endsServers is the failure of a request that is kept away from servers.
 func endsServers(q *request, ends int) *failure.Failure {
 	return failure.New(failure.EndsServers, "%d backend servers ended under request %s", ends, q.fingerprint)
@@ -62,7 +107,7 @@
 	g, q := x.gateway, x.request
 	g.metrics.ends.Inc()
 	word := x.backend.word()
-	end := quarantine.NewEnd(word.Incarnation(), word.Born(), word.Domain(), x.backend.build(q), q.knownEnds, 0)
+	end := quarantine.NewEnd(word.Incarnation(), word.Born(), word.Domain(), q.build, q.knownEnds, 0)
 	r, tell := g.quarantine.Ended(q.fingerprint, end)
 	if !tell {
 		return
@@ -81,14 +126,24 @@
 		return
 	}
 	g, q := x.gateway, x.request
-	if r, tell := g.quarantine.Ran(q.fingerprint, x.backend.build(q)); tell {
+	if r, tell := g.quarantine.Ran(q.fingerprint, q.build); tell {
 		g.tellRecords([]quarantine.Record{r})
 	}
 }
 
-// build is what a backend server runs: its software, and its weights of the request's model.
-func (b *backend) build(q *request) string {
-	return fmt.Sprintf("%s/%d", b.word().Software(), q.lapse.served)
+// build is what a backend server runs: its software, and the version of a model's weights
+// that it serves, 0 where it has none.
+func (b *backend) build(model string, layers int) string {
+	var version uint64
+	if model != "" {
+		version = b.servedVersion(model, layers)
+	}
+	return fmt.Sprintf("%s/%d", b.word().Software(), version)
+}
+
+// modelAndLayers are the model that a request needs, empty for plain services, and its layers.
+func (q *request) modelAndLayers() (model string, layers int) {
+	return q.model, max(q.service.Engine().Layers(), 1)
 }
 
 // learnRecords takes what a control node tells. Of a request that ran whole here the
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -45,7 +45,10 @@
 	runs  int // those of them that may have run
 	// repeatTaken says that the repeat of the next attempt is out of the budget already.
 	repeatTaken atomic.Bool
-	knownEnds   int // of servers under this request, when it was sent last
+	knownEnds   int      // of servers under this request, when it was sent last
+	build       string   // of the server that it was sent to last
+	avoid       []string // builds that it may not be sent to
+	isTrial     bool     // it is barred, and tried once on another build
 	fallback    *heldAnswer
 	sign        sign   // of what became of the backend server where the last attempt broke
 	mayHaveRun  bool   // an attempt's outcome is unknown, or it ran
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -67,6 +67,10 @@
 	ends []End
 	// whole are the builds on which it ran whole.
 	whole []string
+	// trials is how often one gateway was let to try it once more after it was barred, and
+	// tester who that was last.
+	trials int
+	tester string
 }
 
 // seenEnd is an end and when it was, by the clock here.
@@ -79,13 +83,16 @@
 type entry struct {
 	ends  []seenEnd
 	whole []string
-	heard time.Time // when it last changed, or was asked for while it was barred
-	under int       // tries under way here
+	// trials and tester are those of the record; used is how many were used here.
+	trials, used int
+	tester       string
+	heard        time.Time // when it last changed, or was asked for while it was barred
+	under        int       // tries under way here
 }
 
 // record returns what is told of an entry.
 func (e *entry) record(f Fingerprint, now time.Time) Record {
-	r := Record{fingerprint: f, whole: slices.Clone(e.whole)}
+	r := Record{fingerprint: f, whole: slices.Clone(e.whole), trials: e.trials, tester: e.tester}
 	for _, one := range e.ends {
 		one.age = now.Sub(one.at)
 		r.ends = append(r.ends, one.End)
@@ -125,6 +132,26 @@
 	return true
 }
 
+// addTrial takes who may try the request once more, and tells whether that is new.
+func (e *entry) addTrial(trials int, tester string) (changed bool) {
+	if trials <= e.trials {
+		return false
+	}
+	e.trials, e.tester = trials, tester
+	return true
+}
+
+// endedOn returns the builds on which servers ended under the request, and it never ran
+// whole.
+func (e *entry) endedOn() (builds []string) {
+	for _, one := range e.ends {
+		if !slices.Contains(e.whole, one.build) && !slices.Contains(builds, one.build) {
+			builds = append(builds, one.build)
+		}
+	}
+	return builds
+}
+
 // separateEnds counts the ends that stand for failures of their own, on builds where the
 // request has not run whole.
 func (e *entry) separateEnds() int {
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -45,6 +45,8 @@
 	Busy Verdict = "busy"
 	// Barred is one that is kept away from servers.
 	Barred Verdict = "barred"
+	// Limited is one that is kept away from servers of some builds, and runs on others.
+	Limited Verdict = "limited"
 )
 
 // ran is a request that ran whole on a build.
@@ -86,20 +88,24 @@
 // ----------------------------------------------------------------
 // Before and while a request runs
 
-// Begin asks whether a request may be tried. After Suspect, End must follow.
-func (t *Table) Begin(f Fingerprint) Verdict {
+// Begin asks whether a request may be tried, and which builds are to be avoided. After
+// Suspect, End must follow.
+func (t *Table) Begin(f Fingerprint) (v Verdict, avoid []string) {
 	s := t.shard(f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[f]
 	if e == nil {
-		return Clear
+		return Clear, nil
 	}
-	v := e.verdict()
-	if v == Suspect {
+	v = e.verdict()
+	switch v {
+	case Suspect:
 		e.under++
+	case Barred, Limited:
+		avoid = e.endedOn()
 	}
-	return v
+	return v, avoid
 }
 
 // End notes that a try of a suspect is over.
@@ -114,6 +120,8 @@
 
 func (e *entry) verdict() Verdict {
 	switch ends := e.separateEnds(); {
+	case ends >= EndsToBar && len(e.whole) > 0:
+		return Limited
 	case ends >= EndsToBar:
 		return Barred
 	case ends == 0:
@@ -206,6 +214,7 @@
 	defer s.mu.Unlock()
 	now := t.now()
 	e := s.entry(r.fingerprint, now)
+	changed = e.addTrial(r.trials, r.tester)
 	for _, build := range r.whole {
 		changed = e.addWhole(build) || changed
 	}
@@ -241,7 +250,7 @@
 		s := &t.shards[i]
 		s.mu.Lock()
 		for _, e := range s.entries {
-			if e.separateEnds() >= EndsToBar {
+			if e.verdict() == Barred {
 				count++
 			}
 		}
@@ -256,7 +265,7 @@
 	for _, one := range r.ends {
 		e.addEnd(one, time.Time{})
 	}
-	return e.separateEnds() >= EndsToBar
+	return e.verdict() == Barred
 }
 
 // Sweep forgets what is old.
--- /dev/null
+++ b/pkg/quarantine/table_test.go
@@ -0,0 +1,302 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+)
+
+// clock is a clock that tests set.
+type clock struct{ now time.Time }
+
+func newClock() *clock                   { return &clock{time.Unix(1_000_000, 0)} }
+func (c *clock) read() time.Time         { return c.now }
+func (c *clock) advance(d time.Duration) { c.now = c.now.Add(d) }
+
+const request = Fingerprint("0123456789abcdef")
+
+func endOf(server, domain, build string, known int) End {
+	return NewEnd(server, 1, domain, build, known, 0)
+}
+
+// step is something that is learnt of a request.
+type step struct {
+	after time.Duration
+	end   *End
+	whole string
+}
+
+func ended(after time.Duration, server, domain string, known int) step {
+	e := endOf(server, domain, "v1/0", known)
+	return step{after: after, end: &e}
+}
+
+func TestWhatKeepsARequestAway(t *testing.T) {
+	at := func(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+	cases := []struct {
+		name  string
+		steps []step
+		want  Verdict
+	}{
+		{"two ends", []step{ended(0, "a", "x", 0), ended(at(10), "b", "y", 0)}, Suspect},
+		{"three ends of different domains at once", []step{ended(0, "a", "x", 0), ended(0, "b", "y", 0), ended(0, "c", "z", 0)}, Barred},
+		{"a rack that ends at once", []step{ended(0, "a", "x", 0), ended(at(5), "b", "x", 0), ended(at(5), "c", "x", 0), ended(at(5), "d", "x", 0)}, Suspect},
+		{"a rack that ends twice", []step{ended(0, "a", "x", 0), ended(0, "b", "x", 0), ended(at(4000), "c", "x", 1), ended(0, "d", "x", 1)}, Suspect},
+		{"each sent by one who knew of the ends before", []step{ended(0, "a", "x", 0), ended(at(100), "b", "x", 1), ended(at(100), "c", "x", 2)}, Barred},
+		{"three ends a while apart in one domain", []step{ended(0, "a", "x", 0), ended(at(1500), "b", "x", 0), ended(at(1500), "c", "x", 0)}, Barred},
+		{"the same end told again", []step{ended(0, "a", "x", 0), ended(at(1500), "a", "x", 0), ended(at(1500), "a", "x", 0)}, Suspect},
+		{"a whole run before the ends", []step{{whole: "v1/0"}, ended(0, "a", "x", 0), ended(0, "b", "y", 0), ended(0, "c", "z", 0)}, Clear},
+		{"a whole run after the ends", []step{ended(0, "a", "x", 0), ended(0, "b", "y", 0), ended(0, "c", "z", 0), {whole: "v1/0"}}, Clear},
+		{"a whole run on another build", []step{{whole: "v2/0"}, ended(0, "a", "x", 0), ended(0, "b", "y", 0), ended(0, "c", "z", 0)}, Barred},
+		{"a whole run on another build after the ends", []step{ended(0, "a", "x", 0), ended(0, "b", "y", 0), ended(0, "c", "z", 0), {whole: "v2/0"}}, Limited},
+	}
+	for _, c := range cases {
+		now := newClock()
+		table := NewTable(now.read)
+		for _, s := range c.steps {
+			now.advance(s.after)
+			if s.end != nil {
+				table.Ended(request, *s.end)
+			} else {
+				table.Ran(request, s.whole)
+			}
+		}
+		got, avoid := table.Begin(request)
+		if got != c.want {
+			t.Errorf("%s: %s", c.name, got)
+		}
+		if got == Limited && !slices.Equal(avoid, []string{"v1/0"}) {
+			t.Errorf("%s: avoids %v", c.name, avoid)
+		}
+	}
+}
+
+func TestASuspectHasOneTryUnderWay(t *testing.T) {
+	table := NewTable(nil)
+	table.Ended(request, endOf("a", "x", "v1/0", 0))
+	for _, want := range []Verdict{Suspect, Busy, Busy} {
+		if got, _ := table.Begin(request); got != want {
+			t.Errorf("%s, not %s", got, want)
+		}
+	}
+	table.End(request)
+	if got, _ := table.Begin(request); got != Suspect {
+		t.Errorf("%s after the try", got)
+	}
+}
+
+// copied is a record as another process gets it.
+func copied(t *rapid.T, r Record) (got Record) {
+	raw, err := msgpack.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := msgpack.Unmarshal(raw, &got); err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+// Gateways that were cut off from each other learn for themselves, and agree when joined,
+// in whatever order they hear.
+func TestTablesAgreeWhateverTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := newClock()
+		tables := make([]*Table, 3)
+		for i := range tables {
+			tables[i] = NewTable(now.read)
+		}
+		for range rapid.IntRange(1, maxEnds).Draw(t, "steps") {
+			table := tables[rapid.IntRange(0, len(tables)-1).Draw(t, "table")]
+			now.advance(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
+				table.Ran(request, "v1/0")
+				continue
+			}
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server")
+			table.Ended(request, endOf(name, name[:1], "v1/0", table.Ends(request)))
+		}
+		for range len(tables) {
+			order := rapid.Permutation([]int{0, 1, 2}).Draw(t, "order")
+			for _, from := range order {
+				for _, to := range order {
+					for _, r := range tables[from].Records() {
+						tables[to].Merge([]Record{copied(t, r)})
+					}
+				}
+			}
+		}
+		for _, table := range tables[1:] {
+			a, b := tables[0].Ends(request), table.Ends(request)
+			if a != b {
+				t.Fatalf("%d and %d ends: %v, %v", a, b, tables[0].Records(), table.Records())
+			}
+		}
+		for _, table := range tables {
+			for _, r := range tables[0].Records() {
+				if changed, _ := table.Merge([]Record{r}); len(changed) > 0 {
+					t.Fatalf("a record that is known is told on: %v", changed)
+				}
+			}
+		}
+	})
+}
+
+// What a gateway saw run whole it tells those who hold ends against it.
+func TestWhoSawItRunClearsIt(t *testing.T) {
+	saw, others := NewTable(nil), NewTable(nil)
+	saw.Ran(request, "v1/0")
+	for _, name := range []string{"a", "b", "c"} {
+		r, tell := others.Ended(request, endOf(name, name, "v1/0", 0))
+		if !tell {
+			t.Fatal("an end is not told")
+		}
+		if _, cleared := saw.Merge([]Record{r}); name == "a" && len(cleared) != 1 {
+			t.Fatal("it is not cleared")
+		}
+	}
+	others.Merge(saw.Records())
+	if got, _ := others.Begin(request); got != Clear {
+		t.Errorf("%s", got)
+	}
+}
+
+// Whatever comes, the table stays small and keeps what is barred.
+func TestTableIsBounded(t *testing.T) {
+	table := NewTable(nil)
+	for _, name := range []string{"a", "b", "c"} {
+		table.Ended(request, endOf(name, name, "v1/0", 0))
+	}
+	for i := range 100 * shardCount * maxRecords {
+		f := Of(Content{Target: fmt.Sprint(i)})
+		table.Ended(f, endOf("a", "x", "v1/0", 0))
+		table.Ran(f, "v2/0")
+	}
+	if n := len(table.Records()); n > shardCount*maxRecords {
+		t.Errorf("%d records", n)
+	}
+	for i := range table.shards {
+		if s := &table.shards[i]; len(s.whole)+len(s.wholeBefore) > 2*maxWhole {
+			t.Errorf("%d requests that ran whole in one shard", len(s.whole)+len(s.wholeBefore))
+		}
+	}
+	if got, _ := table.Begin(request); got != Barred {
+		t.Errorf("what was barred is %s", got)
+	}
+}
+
+// A barred request is remembered for as long as it comes.
+func TestBarredIsRememberedWhileItComes(t *testing.T) {
+	now := newClock()
+	table := NewTable(now.read)
+	for _, name := range []string{"a", "b", "c"} {
+		table.Ended(request, endOf(name, name, "v1/0", 0))
+	}
+	for range 10 {
+		now.advance(barredLife - time.Minute)
+		if _, tell := table.Asked(request); !tell {
+			t.Error("others are not told that it comes")
+		}
+		table.Sweep()
+	}
+	if got, _ := table.Begin(request); got != Barred {
+		t.Errorf("while it comes it is %s", got)
+	}
+	now.advance(barredLife + time.Minute)
+	table.Sweep()
+	if got, _ := table.Begin(request); got != Clear {
+		t.Errorf("a day after it came last it is %s", got)
+	}
+}
+
+// The same path and body of another organisation is another request, and no field runs
+// into the next.
+func TestFingerprintsDiffer(t *testing.T) {
+	base := Content{Organisation: "larder", Method: "POST", Host: "a.example", Target: "/x", Body: []byte("order")}
+	others := []Content{
+		{Organisation: "lamps", Method: "POST", Host: "a.example", Target: "/x", Body: []byte("order")},
+		{Organisation: "larder", Method: "PUT", Host: "a.example", Target: "/x", Body: []byte("order")},
+		{Organisation: "larder", Method: "POST", Host: "b.example", Target: "/x", Body: []byte("order")},
+		{Organisation: "larder", Method: "POST", Host: "a.example", Target: "/x?y", Body: []byte("order")},
+		{Organisation: "larder", Method: "POST", Host: "a.example", Target: "/x", Body: []byte("orders")},
+		{Organisation: "larderPOST", Method: "", Host: "a.example", Target: "/x", Body: []byte("order")},
+		{Organisation: "larder", Method: "POST", Host: "a.example", Target: "/xorder"},
+	}
+	for _, o := range others {
+		if Of(o) == Of(base) {
+			t.Errorf("%+v has the fingerprint of %+v", o, base)
+		}
+	}
+	if Of(base) != Of(base) || len(Of(base)) != fingerprintBytes {
+		t.Error("the fingerprint is not the same twice")
+	}
+}
+
+// ----------------------------------------------------------------
+// Trials
+
+func TestTrialsAreFewForGood(t *testing.T) {
+	now := newClock()
+	leader, tester, other := NewTable(now.read), NewTable(now.read), NewTable(now.read)
+	share := func() {
+		for range 2 {
+			leader.Merge(append(tester.Records(), other.Records()...))
+			tester.Merge(leader.Records())
+			other.Merge(leader.Records())
+		}
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		tester.Ended(request, endOf(name, name, "v1/0", 0))
+	}
+	share()
+	if _, granted := leader.Grant(request, "g1"); granted || tester.BeginTrial(request, "g1") != NoTrial {
+		t.Fatal("a trial right after the last end")
+	}
+	made := 0
+	for range 100 {
+		now.advance(time.Minute)
+		if tester.BeginTrial(request, "g1") == MayAsk {
+			leader.Grant(request, "g1")
+			leader.Grant(request, "g2")
+		}
+		share()
+		if other.BeginTrial(request, "g2") == Granted {
+			t.Fatal("a gateway tries it that was not named")
+		}
+		if tester.BeginTrial(request, "g1") == Granted {
+			made++
+			tester.Ended(request, endOf(fmt.Sprint("d", made), "x", fmt.Sprint("v", made+1, "/0"), EndsToBar))
+			tester.EndTrial(request, true)
+		}
+		share()
+	}
+	if made != len(trialPauses) {
+		t.Errorf("%d trials in 100 minutes; %d may be", made, len(trialPauses))
+	}
+	if got, _ := other.Begin(request); got != Barred {
+		t.Errorf("after the trials it is %s", got)
+	}
+}
+
+func TestTrialThatWasNotSentIsStillToCome(t *testing.T) {
+	now := newClock()
+	table := NewTable(now.read)
+	for _, name := range []string{"a", "b", "c"} {
+		table.Ended(request, endOf(name, name, "v1/0", 0))
+	}
+	now.advance(time.Minute)
+	table.Grant(request, "g1")
+	for _, wasSent := range []bool{false, true} {
+		if got := table.BeginTrial(request, "g1"); got != Granted {
+			t.Fatalf("%d", got)
+		}
+		table.EndTrial(request, wasSent)
+	}
+	if got := table.BeginTrial(request, "g1"); got != NoTrial {
+		t.Errorf("%d after it was sent", got)
+	}
+}
--- a/pkg/quarantine/wire_generated.go
+++ b/pkg/quarantine/wire_generated.go
@@ -60,8 +60,8 @@
 }
 
 // NewRecord returns a Record with the given fields.
-func NewRecord(fingerprint Fingerprint, ends []End, whole []string) Record {
-	return Record{fingerprint: fingerprint, ends: ends, whole: whole}
+func NewRecord(fingerprint Fingerprint, ends []End, whole []string, trials int, tester string) Record {
+	return Record{fingerprint: fingerprint, ends: ends, whole: whole, trials: trials, tester: tester}
 }
 
 // Fingerprint is the request's.
@@ -73,12 +73,19 @@
 // Whole are the builds on which it ran whole.
 func (r Record) Whole() []string { return r.whole }
 
+// Trials is how often one gateway was let to try it once more after it was barred, and
+// tester who that was last.
+func (r Record) Trials() int { return r.trials }
+
+// Tester returns the field of that name.
+func (r Record) Tester() string { return r.tester }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (r Record) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(3); err != nil {
+	if err := enc.EncodeArrayLen(5); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(r.fingerprint, r.ends, r.whole)
+	return enc.EncodeMulti(r.fingerprint, r.ends, r.whole, r.trials, r.tester)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -87,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&r.fingerprint, &r.ends, &r.whole}
+	fields := []any{&r.fingerprint, &r.ends, &r.whole, &r.trials, &r.tester}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
