--- a/pkg/control/cluster_test.go
+++ b/pkg/control/cluster_test.go
@@ -93,7 +93,13 @@
 	n.node.others.Seeds = n.node.member.config.seeds
 	n.signals, n.ended = make(chan os.Signal, 1), make(chan error, 1)
 	node, signals, ended := n.node, n.signals, n.ended
-	go func() { ended <- node.Run(signals) }()
+	go func() {
+		err := node.Run(signals)
+		if err != nil {
+			c.t.Logf("%s ended: %v", n.name, err)
+		}
+		ended <- err
+	}()
 }
 
 func (n *testNode) dial(ctx context.Context, address string) (net.Conn, error) {
