--- a/pkg/control/ages_test.go
+++ b/pkg/control/ages_test.go
@@ -249,19 +249,25 @@
 
 // follow starts a gateway's follower that knows of versions.
 func (c *cluster) follow(known []feed.Weights) {
-	identity := vm.NewIdentity("front-1", 1, "north", "hall-front", "127.0.0.1:1")
+	c.followAs("front-1", func(f *feed.Follower) { f.Weights = func() []feed.Weights { return known } })
+}
+
+// followAs starts a gateway's follower of a name, after a change to it.
+func (c *cluster) followAs(name string, change func(f *feed.Follower)) *feed.Follower {
+	identity := vm.NewIdentity(vm.ID(name), 1, "north", "hall-"+name, name+":1")
 	e := link.NewEndpoint(link.Config{
-		Own: identity, Clock: event.NewClock(time.Now), Logger: log.NewNopLogger(), Dial: (&testNode{name: "front-1"}).dial,
+		Own: identity, Clock: event.NewClock(time.Now), Logger: log.NewNopLogger(), Dial: (&testNode{name: name}).dial,
 	})
 	f := &feed.Follower{
 		Endpoint: e, Hello: feed.NewHello(feed.RoleGateway, identity, "", "", nil, nil), Seeds: c.seeds,
-		Held: func() uint64 { return math.MaxUint64 }, Take: func(string, feed.Update) {},
-		Weights: func() []feed.Weights { return known }, Logger: log.NewNopLogger(),
+		Held: func() uint64 { return math.MaxUint64 }, Take: func(string, feed.Update) {}, Logger: log.NewNopLogger(),
 	}
+	change(f)
 	ctx, cancel := context.WithCancel(context.Background())
 	c.t.Cleanup(func() {
 		cancel()
 		e.Close()
 	})
 	go func() { _ = f.Run(ctx) }()
+	return f
 }
--- /dev/null
+++ b/pkg/control/quarantine_test.go
@@ -0,0 +1,141 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/quarantine"
+)
+
+const endingRequest = quarantine.Fingerprint("0123456789abcdef")
+
+// recordOf is a record of servers that ended under a request, each in a failure domain of
+// its own, a while ago.
+func recordOf(ago time.Duration, servers ...string) quarantine.Record {
+	var ends []quarantine.End
+	for _, name := range servers {
+		ends = append(ends, quarantine.NewEnd(name, 1, "hall-"+name, "v1/0", 0, ago))
+	}
+	return quarantine.NewRecord(endingRequest, ends, nil, 0, "")
+}
+
+// gatewayTable is what a gateway knows of requests, with its follower.
+type gatewayTable struct {
+	*quarantine.Table
+	follower *feed.Follower
+}
+
+func (c *cluster) gateway(name string) gatewayTable {
+	table := quarantine.NewTable(nil)
+	f := c.followAs(name, func(f *feed.Follower) {
+		f.Records = table.Records
+		f.Take = func(_ string, u feed.Update) { table.Merge(u.Records()) }
+	})
+	return gatewayTable{table, f}
+}
+
+// learn has a gateway learn of ends and tell of them.
+func (g gatewayTable) learn(r quarantine.Record) {
+	changed, _ := g.Merge([]quarantine.Record{r})
+	g.follower.TellRecords(changed)
+}
+
+// awaitBarred waits until a table keeps the request away.
+func (c *cluster) awaitBarred(name string, table *quarantine.Table) {
+	c.t.Helper()
+	c.eventually("barred at "+name, func() error {
+		if v, _ := table.Begin(endingRequest); v != quarantine.Barred {
+			return fmt.Errorf("%s, %d ends", v, table.Ends(endingRequest))
+		}
+		return nil
+	})
+}
+
+// Each gateway sees one end, and all learn of the three; so do those that start later,
+// and nodes that have started anew learn it from gateways.
+func TestGatewaysLearnFromEachOther(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitVoters(c.nodes...)
+	all := map[string]gatewayTable{}
+	for _, name := range []string{"a", "b", "c"} {
+		all[name] = c.gateway(name)
+		all[name].learn(recordOf(0, name))
+	}
+	for name, g := range all {
+		c.awaitBarred(name, g.Table)
+	}
+	c.awaitBarred("a gateway that starts later", c.gateway("d").Table)
+	for _, n := range c.nodes {
+		c.stop(n)
+		n.disk.Crash(0)
+		n.bootstrap = false
+	}
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	for _, n := range c.nodes {
+		c.awaitBarred(n.name, n.node.service.quarantine)
+	}
+}
+
+// One whole run anywhere clears it everywhere.
+func TestAWholeRunClearsItEverywhere(t *testing.T) {
+	c := newCluster(t, 3)
+	a, b := c.gateway("a"), c.gateway("b")
+	a.learn(recordOf(0, "a", "b", "c"))
+	c.awaitBarred("b", b.Table)
+	r, tell := b.Ran(endingRequest, "v1/0")
+	if !tell {
+		t.Fatal("a whole run of a barred request is not told")
+	}
+	b.follower.TellRecords([]quarantine.Record{r})
+	for name, table := range map[string]*quarantine.Table{"a": a.Table, "control-2": c.nodes[2].node.service.quarantine} {
+		c.eventually("cleared at "+name, func() error {
+			if v, _ := table.Begin(endingRequest); v != quarantine.Clear {
+				return errors.New(string(v))
+			}
+			return nil
+		})
+	}
+}
+
+// All gateways ask to try it at one moment, at different nodes: one of them may.
+func TestOneGatewayMakesTheTrial(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitVoters(c.nodes...)
+	testers := map[string]gatewayTable{}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		testers[name] = c.gateway(name)
+	}
+	testers["a"].learn(recordOf(time.Minute, "a", "b", "c"))
+	for name, g := range testers {
+		c.awaitBarred(name, g.Table)
+	}
+	granted := map[string]bool{}
+	c.eventually("trial", func() error {
+		for name, g := range testers {
+			switch g.BeginTrial(endingRequest, quarantine.Tester(g.follower.Hello.Self())) {
+			case quarantine.MayAsk:
+				g.follower.AskTrial(endingRequest)
+			case quarantine.Granted:
+				granted[name] = true
+			}
+		}
+		if len(granted) == 0 {
+			return errors.New("no gateway may try it")
+		}
+		return nil
+	})
+	c.put(c.nodes[0], 1) // what was asked before is decided by then
+	for name, g := range testers {
+		if g.BeginTrial(endingRequest, quarantine.Tester(g.follower.Hello.Self())) == quarantine.Granted {
+			granted[name] = true
+		}
+	}
+	if len(granted) != 1 {
+		t.Errorf("the gateways %v may try it", granted)
+	}
+}
