Ages count the time in which the VM was suspended

The steady clock stands still in a suspended VM. Then the ages of versions (gateways, stagers, control nodes) and of told loads count it, callers' deadlines end by their own clock, and a control node forgets that it heard of a quorum's leader before: it would have taken the word that a server leaves while cut off. Left as they are: silences, since a process that stood still did not listen, and windows of budgets, which are the stricter for it.

--- a/pkg/control/member.go
+++ b/pkg/control/member.go
@@ -200,6 +200,9 @@
 	return at != 0 && time.Since(m.started)-time.Duration(at) < confirmedFor
 }
 
+// suspended forgets that a leader was heard of: that was longer ago than the clock says.
+func (m *member) suspended(time.Duration) { m.heardLeader.Store(0) }
+
 // nodes returns the link addresses of all members.
 func (m *member) nodes() []string {
 	var addresses []string
--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -26,6 +26,7 @@
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/settings"
 	"github.com/tidepost/tidepost/pkg/staging"
+	"github.com/tidepost/tidepost/pkg/suspension"
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
@@ -58,14 +59,15 @@
 
 // Node is one control node.
 type Node struct {
-	settings settings.Control
-	seeds    *daemon.Reloaded[[]string]
-	process  *daemon.Process
-	protocol Protocol
-	member   *member
-	service  *Service
-	others   *feed.Follower // follows the other control nodes
-	cache    *staging.Cache // nil where the settings ask for none
+	settings   settings.Control
+	seeds      *daemon.Reloaded[[]string]
+	process    *daemon.Process
+	protocol   Protocol
+	member     *member
+	service    *Service
+	others     *feed.Follower // follows the other control nodes
+	suspension *suspension.Watch
+	cache      *staging.Cache // nil where the settings ask for none
 }
 
 // weightsFolder is the folder of the weights cache in the data folder.
@@ -80,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{settings: s, process: process, protocol: protocol}
+	n := &Node{settings: s, process: process, protocol: protocol, suspension: suspension.New()}
 	n.seeds = daemon.NewSeeds(path, s, settings.LoadControl, process.Logger)
 	n.service = &Service{
 		registry: registry.NewTable(nil), quarantine: quarantine.NewTable(nil), endpoint: process.Endpoint, logger: process.Logger,
@@ -106,6 +108,9 @@
 	n.member = newMember(n.memberConfig(seams))
 	n.service.member = n.member
 	n.others = n.newOthers()
+	n.suspension.OnResume(n.service.state.suspended)
+	n.suspension.OnResume(n.member.suspended)
+	n.suspension.OnResume(process.LogSuspension)
 	process.Endpoint.Handle(link.KindControlLog, n.member.serveMessages)
 	process.Endpoint.Handle(link.KindJoin, n.member.serveJoin)
 	process.Endpoint.Handle(link.KindControlCall, n.service.serveCall)
@@ -175,6 +180,7 @@
 		add(n.cache.Run)
 	}
 	add(n.others.Run)
+	add(n.suspension.Run)
 	add(n.sweep)
 	add(n.retell)
 	add(n.seeds.Run)
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -188,6 +188,12 @@
 	return nil
 }
 
+// suspended makes the ages of versions count how long the VM was suspended.
+func (s *State) suspended(by time.Duration) {
+	s.named.Suspended(by)
+	s.told.Suspended(by)
+}
+
 // Configuration returns the newest one; nil when there is none.
 func (s *State) Configuration() *Configuration {
 	s.mu.RLock()
--- a/pkg/daemon/lifecycle.go
+++ b/pkg/daemon/lifecycle.go
@@ -10,6 +10,7 @@
 	"context"
 	stdlog "log"
 	"os"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -24,6 +25,11 @@
 	_ = level.Info(p.Logger).Log("msg", "started", "address", id.Address(), "failure_domain", id.Domain(), "region", id.Region())
 }
 
+// LogSuspension notes that the VM goes on after it was suspended.
+func (p *Process) LogSuspension(suspended time.Duration) {
+	_ = level.Warn(p.Logger).Log("msg", "the VM was suspended", "suspended_ms", suspended.Milliseconds())
+}
+
 // LogStop notes that the process ends.
 func (p *Process) LogStop(err error) {
 	p.Recorder.Record(event.ProcessStopped, string(p.Identity.ID()), "")
--- a/pkg/feed/versions.go
+++ b/pkg/feed/versions.go
@@ -111,6 +111,18 @@
 	return moves
 }
 
+// Suspended makes all versions older by how long the VM was suspended: the clock by which
+// their ages are counted stood still.
+func (t *Versions) Suspended(by time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, named := range t.models {
+		for i := range named {
+			named[i].since = named[i].since.Add(-by)
+		}
+	}
+}
+
 // Weights returns the versions that somebody may still wait for, by model and
 // oldest first, with their ages.
 func (t *Versions) Weights(now time.Time) (all []Weights) {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -111,7 +111,7 @@
 	x.started = time.Now()
 	x.watch = newWatchdog(x)
 	defer x.watch.stop()
-	answer, err := x.conn.Exchange(q.ctx, x.outgoing(), q.deadline)
+	answer, err := x.conn.Exchange(q.ctx, x.outgoing(), q.due())
 	if err != nil {
 		return x.broken("no answer", err)
 	}
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -115,6 +115,13 @@
 	b.unanswered = 0
 }
 
+// suspended makes the told load older by how long the VM was suspended.
+func (b *backend) suspended(by time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.told.at = b.told.at.Add(-by)
+}
+
 func (b *backend) load(now time.Time) load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/tidepost/tidepost/pkg/reservation"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 	"github.com/tidepost/tidepost/pkg/settings"
+	"github.com/tidepost/tidepost/pkg/suspension"
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
@@ -76,8 +77,9 @@
 	// second, by failure domain.
 	heardDemands func() map[string]float64
 	// askStager asks the stager at a link address for a place.
-	askStager func(ctx context.Context, address string, a reservation.Ask) (reservation.Answer, error)
-	metrics   *metrics
+	askStager  func(ctx context.Context, address string, a reservation.Ask) (reservation.Answer, error)
+	metrics    *metrics
+	suspension *suspension.Watch
 
 	index       serviceconfig.Current
 	draining    atomic.Bool
@@ -100,6 +102,7 @@
 	g := &Gateway{
 		settings: s, process: process, protocol: protocol, running: context.Background(),
 		backends: newBackends(), versions: feed.NewVersions(), waiting: newWaitingSet(),
+		suspension: suspension.New(),
 		budget:     newBudget(s.RetryRatio(), s.RetryReserve(), s.RetryWindow()),
 		metrics:    newMetrics(process.Registry),
 		quarantine: quarantine.NewTable(nil), mayTell: rate.NewLimiter(endsTold, endsToldAtOnce),
@@ -118,6 +121,8 @@
 		Logger:   process.Logger,
 	}
 	g.tellRecords, g.askTrial = g.follower.TellRecords, g.follower.AskTrial
+	g.suspension.OnResume(g.resumed)
+	g.suspension.OnResume(process.LogSuspension)
 	g.heardDemands = g.follower.Demands
 	g.askStager = g.callStager
 	return g, nil
@@ -144,6 +149,14 @@
 	_ = level.Info(g.process.Logger).Log("msg", "configuration in force", "number", d.Number(), "routes", len(d.Routes()), "from", address)
 }
 
+// resumed makes what is known count how long the VM was suspended: ages of versions, and
+// loads that were told before. Attempts that wait look at once whether they still may.
+func (g *Gateway) resumed(suspended time.Duration) {
+	g.versions.Suspended(suspended)
+	g.backends.each(func(b *backend, _ string) { b.suspended(suspended) })
+	g.waiting.lookNow()
+}
+
 // gateways returns how many gateways share what is shared.
 func (g *Gateway) gateways() int {
 	if n := g.fleet.count(g.follower.Gateways(), time.Now(), g.settings.RetryWindow()); n > 0 {
@@ -176,6 +189,7 @@
 	add(g.sweep)
 	add(g.tellDemand)
 	add(g.seeds.Run)
+	add(g.suspension.Run)
 	add(func(ctx context.Context) error { return g.waitStop(ctx, signals) })
 	err := group.Run()
 	g.process.LogStop(err)
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -48,7 +48,7 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{writer: w, incoming: r, started: time.Now()}
+	q := &request{writer: w, incoming: r, started: time.Now(), suspension: g.suspension, suspendedBefore: g.suspension.Total()}
 	defer g.endPanic(q)
 	defer g.endWithStop(q)()
 	if err := g.read(q); err != nil {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
+	"github.com/tidepost/tidepost/pkg/suspension"
 )
 
 // request is one caller's request.
@@ -34,11 +35,13 @@
 
 	cameBack bool // the caller was refused before
 
-	started  time.Time
-	deadline time.Time     // of the answer: the caller's or the route's
-	work     time.Duration // what it takes of an engine's time
-	prefill  time.Duration
-	run      time.Duration // from its first turn at an engine to its last event, at the most
+	started         time.Time
+	deadline        time.Time         // of the answer: the caller's or the route's, if the VM is not suspended
+	suspension      *suspension.Watch // nil where nobody looks
+	suspendedBefore time.Duration     // by when it started
+	work            time.Duration     // what it takes of an engine's time
+	prefill         time.Duration
+	run             time.Duration // from its first turn at an engine to its last event, at the most
 
 	tried map[*backend]bool
 	sent  int // attempts that reached a backend server
@@ -65,8 +68,17 @@
 	lapse       lapse         // of the version at the last backend server, as known when it was sent there
 }
 
+// due is the deadline by the clock here, which stands still while the VM is suspended and
+// the caller's does not.
+func (q *request) due() time.Time {
+	if q.suspension == nil {
+		return q.deadline
+	}
+	return q.deadline.Add(q.suspendedBefore - q.suspension.Total())
+}
+
 // remaining is how much of the time is left.
-func (q *request) remaining() time.Duration { return time.Until(q.deadline) }
+func (q *request) remaining() time.Duration { return time.Until(q.due()) }
 
 // repeatable tells whether the request may be sent once more.
 func (q *request) repeatable() bool { return !q.mayHaveRun || q.route.Idempotent() }
@@ -109,8 +121,8 @@
 // process stood still until long after the deadline.
 func (q *request) boundWrite() {
 	bound := time.Now()
-	if q.deadline.After(bound) {
-		bound = q.deadline
+	if due := q.due(); due.After(bound) {
+		bound = due
 	}
 	// A connection that takes no bounds shows in the write.
 	_ = http.NewResponseController(q.writer).SetWriteDeadline(bound.Add(writeGrace))
--- /dev/null
+++ b/pkg/gateway/suspended_test.go
@@ -0,0 +1,50 @@
+// ================================================================
+// A VM may be suspended for seconds. Its steady clock stands still then: what the gateway
+// measures by it is younger than it is.
+// ================================================================
+
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/registry"
+	"github.com/tidepost/tidepost/pkg/suspension"
+)
+
+// suspendable returns a gateway whose VM can be suspended.
+func suspendable(t *testing.T) (g *Gateway, suspend func(time.Duration)) {
+	g = newGateway(t, testSettings)
+	var boot time.Duration
+	g.suspension = suspension.NewOn(func() time.Duration { return 0 }, func() time.Duration { return boot })
+	g.suspension.OnResume(g.resumed)
+	return g, func(d time.Duration) {
+		boot += d
+		g.suspension.Look()
+	}
+}
+
+func TestAgesCountASuspension(t *testing.T) {
+	const suspended = 4 * time.Second
+	g, suspend := suspendable(t)
+	g.versions.Take([]feed.Weights{feed.NewWeights("menu", 2, time.Second)}, time.Now())
+	g.backends.hear(registry.NewRegistration("i-1", "menu", "127.0.0.1:9", "hall-a", "v1", 4, registry.Ready, 0, nil, 1, 0))
+	g.backends.hearLoad(feed.NewLoad("menu", "127.0.0.1:9", "menu", 2, 1, 0, 1, false, false))
+	q := &request{deadline: time.Now().Add(5 * time.Second), suspension: g.suspension, suspendedBefore: g.suspension.Total()}
+	suspend(suspended)
+	if age := time.Since(g.versions.Newest("menu").Since()); age < suspended+time.Second {
+		t.Errorf("the version is %s old", age)
+	}
+	if left := q.remaining(); left > time.Second {
+		t.Errorf("%s are left of the caller's time", left)
+	}
+	later := &request{deadline: time.Now().Add(5 * time.Second), suspension: g.suspension, suspendedBefore: g.suspension.Total()}
+	if left := later.remaining(); left < 4*time.Second {
+		t.Errorf("%s are left of a request that came afterwards", left)
+	}
+	if g.backends.of("menu")[0].load(time.Now()).fresh {
+		t.Error("a load that was told before counts as fresh")
+	}
+}
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -32,7 +32,7 @@
 // yields tells whether the request takes only a place that nobody else waits for: its lost
 // run may still hold one, and there is time enough to run it afterwards.
 func (q *request) yields(now time.Time) bool {
-	return !q.lostAt.IsZero() && now.Sub(q.lostAt) < min(q.run, mostYield) && q.deadline.Sub(now) > q.run
+	return !q.lostAt.IsZero() && now.Sub(q.lostAt) < min(q.run, mostYield) && q.due().Sub(now) > q.run
 }
 
 // awaitPlace chooses a place; while the request yields only one that nobody waits for.
@@ -81,7 +81,7 @@
 // caller has part of it, and a refusal can no longer be written. Engines that cut it for an
 // order or were full take it some 100 ms later.
 func (q *request) waitsForPlace(now time.Time) bool {
-	return q.begun && q.ctx.Err() == nil && now.Sub(q.eventAt) < mostYield && q.deadline.Sub(now) > leastTime
+	return q.begun && q.ctx.Err() == nil && now.Sub(q.eventAt) < mostYield && q.due().Sub(now) > leastTime
 }
 
 // choosePlaceInTime chooses a place where the request is over before the version there
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -22,6 +22,7 @@
 	"github.com/tidepost/tidepost/pkg/reservation"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 	"github.com/tidepost/tidepost/pkg/settings"
+	"github.com/tidepost/tidepost/pkg/suspension"
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
@@ -53,8 +54,9 @@
 	outranked outranking // the last order that was refused for its token
 	// withdrawn says that the engine takes nothing new although it has no order
 	// yet, and tell has its load told at once.
-	withdrawn atomic.Bool
-	tell      chan struct{}
+	withdrawn  atomic.Bool
+	tell       chan struct{}
+	suspension *suspension.Watch
 	// lookout and book answer gateways that ask for places.
 	lookout lookout
 	book    reservation.Book
@@ -68,12 +70,14 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Stager{settings: c, tell: make(chan struct{}, 1)}
+	s := &Stager{settings: c, tell: make(chan struct{}, 1), suspension: suspension.New()}
 	s.seeds = daemon.NewSeeds(path, c, settings.LoadStaging, process.Logger)
 	hello := feed.NewHello(feed.RoleStager, process.Identity, c.Service(), c.Engine(), nil, nil)
 	seeds := func() []string { return link.WithPortOf(s.seeds.Get(), process.Identity.Address()) }
 	s.Member = newMember(process, protocol, hello, seeds, stagerUploads)
 	s.within = c.Within()
+	s.suspension.OnResume(s.versions.Suspended)
+	s.suspension.OnResume(process.LogSuspension)
 	process.Endpoint.Handle(link.KindReserve, s.serveReservation)
 	s.beside = beside{
 		address: c.Engine(),
@@ -102,6 +106,7 @@
 	add(s.process.ServeObserve)
 	add(s.follower.Run)
 	add(s.seeds.Run)
+	add(s.suspension.Run)
 	add(s.loop)
 	add(s.tellLoads)
 	add(func(ctx context.Context) error { return daemon.WaitSignal(ctx, signals) })
