Barred requests outlive a loss of power of all machines; one try at a time from the second end on

With one end only nothing is held up any more: a rack that fails would do that to what many ask. First ends told by a gateway are bounded to 16 a second.

--- a/pkg/control/member.go
+++ b/pkg/control/member.go
@@ -66,8 +66,11 @@
 
 // memberConfig says how a node takes part in the log.
 type memberConfig struct {
-	identity  func(incarnation uint64) vm.Identity
-	open      func() (*disk.Folder, error)
+	identity func(incarnation uint64) vm.Identity
+	open     func() (*disk.Folder, error)
+	// opened gets each data folder that was opened, and closing is called before it closes.
+	opened    func(*disk.Folder)
+	closing   func()
 	endpoint  *link.Endpoint
 	machine   controllog.StateMachine
 	record    func(kind event.Kind, subject, detail string)
@@ -126,6 +129,8 @@
 		return err
 	}
 	defer func() { _ = folder.Close() }()
+	m.config.opened(folder)
+	defer m.config.closing()
 	incarnation, err := controllog.Identity(folder)
 	if err != nil {
 		return err
--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -67,6 +67,7 @@
 	service    *Service
 	others     *feed.Follower // follows the other control nodes
 	suspension *suspension.Watch
+	keeper     *keeper
 	cache      *staging.Cache // nil where the settings ask for none
 }
 
@@ -105,6 +106,8 @@
 		Nodes:         func() []string { return n.member.nodes() },
 		Confirmed:     func() bool { return n.member.confirmed() },
 	})
+	n.keeper = &keeper{table: n.service.quarantine, learn: n.service.learnRecords, logger: process.Logger}
+	n.service.barredChanged = n.keeper.note
 	n.member = newMember(n.memberConfig(seams))
 	n.service.member = n.member
 	n.others = n.newOthers()
@@ -138,7 +141,7 @@
 		identity: func(incarnation uint64) vm.Identity {
 			return vm.NewIdentity(own.ID(), incarnation, own.Region(), own.Domain(), own.Address())
 		},
-		open: open, endpoint: n.process.Endpoint, machine: n.service.state.StateMachine(),
+		open: open, opened: n.keeper.use, closing: n.keeper.leave, endpoint: n.process.Endpoint, machine: n.service.state.StateMachine(),
 		record: n.record, logger: n.process.Logger,
 		seeds:     n.seedLinks,
 		bootstrap: n.settings.Bootstrap(), tolerate: n.settings.Tolerate(),
@@ -181,6 +184,7 @@
 	}
 	add(n.others.Run)
 	add(n.suspension.Run)
+	add(n.keeper.run)
 	add(n.sweep)
 	add(n.retell)
 	add(n.seeds.Run)
--- a/pkg/control/quarantine_test.go
+++ b/pkg/control/quarantine_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
+	"github.com/tidepost/tidepost/pkg/disk"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 )
@@ -139,3 +142,48 @@
 		t.Errorf("the gateways %v may try it", granted)
 	}
 }
+
+// All machines lose power at one moment, gateways too: the control nodes' disks remember.
+func TestBarredOutlivesALossOfPower(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitVoters(c.nodes...)
+	c.nodes[0].node.service.learnRecords([]quarantine.Record{recordOf(0, "a", "b", "c")})
+	for _, n := range c.nodes {
+		c.eventually("kept at "+n.name, func() error {
+			if _, err := n.disk.Folder().Read(keptFile); err != nil {
+				return err
+			}
+			return nil
+		})
+	}
+	for _, n := range c.nodes {
+		c.stop(n)
+		n.disk.Crash(0)
+		n.bootstrap = false
+	}
+	c.start(c.nodes[1])
+	c.awaitBarred("one node alone", c.nodes[1].node.service.quarantine)
+	c.awaitBarred("a gateway that starts anew", c.gateway("e").Table)
+}
+
+// A disk that fails, or holds something else, keeps nothing and stops nothing.
+func TestKeeperGoesOnWithoutADisk(t *testing.T) {
+	table := quarantine.NewTable(nil)
+	k := &keeper{table: table, learn: func(r []quarantine.Record) { table.Merge(r) }, logger: log.NewNopLogger()}
+	table.Merge([]quarantine.Record{recordOf(0, "a", "b", "c")})
+	k.note(table.Records())
+	if err := k.keep(); err != nil {
+		t.Errorf("without a disk: %v", err)
+	}
+	memory := disk.NewMemory()
+	if err := memory.Folder().Replace(keptFile, []byte("\xc1 no record")); err != nil {
+		t.Fatal(err)
+	}
+	k.use(memory.Folder())
+	if err := k.keep(); err != nil {
+		t.Errorf("after an unreadable file: %v", err)
+	}
+	if records, err := readKept(memory.Folder()); err != nil || len(records) != 1 {
+		t.Errorf("%d records, %v", len(records), err)
+	}
+}
--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -58,10 +58,12 @@
 	registry *registry.Table
 	// quarantine is what gateways told of requests under which servers ended.
 	quarantine *quarantine.Table
-	publisher  *feed.Publisher
-	endpoint   *link.Endpoint
-	logger     log.Logger
-	metrics    *metrics
+	// barredChanged gets the records that changed.
+	barredChanged func(changed []quarantine.Record)
+	publisher     *feed.Publisher
+	endpoint      *link.Endpoint
+	logger        log.Logger
+	metrics       *metrics
 }
 
 // PutConfiguration has a configuration agreed on. One whose number is not
@@ -146,6 +148,7 @@
 func (s *Service) learnRecords(records []quarantine.Record) {
 	changed, _ := s.quarantine.Merge(records)
 	s.publisher.Recorded(changed)
+	s.barredChanged(changed)
 	quarantine.LogBarred(s.logger, changed)
 }
 
@@ -166,6 +169,7 @@
 		return
 	}
 	s.publisher.Recorded([]quarantine.Record{r})
+	s.barredChanged([]quarantine.Record{r})
 	_ = level.Info(s.logger).Log("msg", "trial of a request", "fingerprint", f, "tester", tester, "trials", r.Trials())
 }
 
--- a/pkg/feed/records.go
+++ b/pkg/feed/records.go
@@ -17,9 +17,9 @@
 	"github.com/tidepost/tidepost/pkg/quarantine"
 )
 
-// maxRecordsAtOnce bounds the records of one Update, some 150 bytes each: 32 in 80 ms to
-// a gateway and in 400 ms to another node, at the most.
-const maxRecordsAtOnce = 32
+// maxRecordsAtOnce bounds the records of one Update, some 150 bytes each: 16 in 80 ms to
+// a gateway and in 400 ms to another node, but for those that are urgent.
+const maxRecordsAtOnce = 16
 
 // Recorded queues records for the followers that need them.
 func (p *Publisher) Recorded(records []quarantine.Record) {
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -23,11 +23,11 @@
 )
 
 const (
-	// endsTold bounds the ends told a second, and endsToldAtOnce those of one moment, some
-	// 80 bytes each: a server ends with tens of requests. What goes untold is found again
-	// with the next end.
-	endsTold       = 64
-	endsToldAtOnce = 256
+	// endsTold bounds the first ends of requests that are told a second, and endsToldAtOnce
+	// those of one moment, some 80 bytes each: a server ends with tens of requests, nearly
+	// all innocent. What goes untold is told with the second end.
+	endsTold       = 16
+	endsToldAtOnce = 64
 	// besideSuspect is when a request may come back that is under way here already, and
 	// under which servers ended before.
 	besideSuspect = time.Second
@@ -113,7 +113,7 @@
 		return
 	}
 	quarantine.LogBarred(g.process.Logger, []quarantine.Record{r})
-	if r.IsBarred() || g.mayTell.Allow() {
+	if len(r.Ends()) > 1 || g.mayTell.Allow() {
 		g.tellRecords([]quarantine.Record{r})
 	}
 }
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -28,6 +28,9 @@
 	// innocent request of some eight under way at each end would be kept away as well;
 	// after three one in fifty, at 20 servers.
 	EndsToBar = 3
+	// endsToSuspect has one try of a request at a time at each gateway. After one end that
+	// would hold up what many ask whenever a rack fails.
+	endsToSuspect = 2
 	// maxEnds and maxBuilds bound a record: some 40 bytes an end.
 	maxEnds   = 6
 	maxBuilds = 4
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -21,8 +21,8 @@
 	shardCount = 16
 	// maxRecords of a shard bound the table: 1,024 in all, some 300 bytes each.
 	maxRecords = 64
-	// maxWhole of a shard bounds what ran whole, twice: 4,096 to 8,192 requests in all.
-	maxWhole = 256
+	// maxWhole of a shard bounds what ran whole, twice: 2,048 to 4,096 requests in all.
+	maxWhole = 128
 	// suspectLife is how long a request with too few ends to bar it is remembered, and
 	// barredLife the same for one that is barred, from when it last came.
 	suspectLife = time.Hour
@@ -37,9 +37,9 @@
 
 // The verdicts.
 const (
-	// Clear is a request that nothing is held against.
+	// Clear is a request that little or nothing is held against.
 	Clear Verdict = "clear"
-	// Suspect is one under which servers ended: one try of it at a time.
+	// Suspect is one that may end servers: one try of it at a time.
 	Suspect Verdict = "suspect"
 	// Busy is a suspect with a try under way here.
 	Busy Verdict = "busy"
@@ -124,7 +124,7 @@
 		return Limited
 	case ends >= EndsToBar:
 		return Barred
-	case ends == 0:
+	case ends < endsToSuspect:
 		return Clear
 	case e.under > 0:
 		return Busy
