An end is noted also where the dial after it is slow; trials only on builds that may be mended

On a link full of chunks the dial after a break takes longer than the next attempt can wait: it goes on for 1.5 s beside it. A dial that was answered no longer holds for attempts that break after it. A server that starts anew and serves earlier weights than those under which others ended is no mended build: no trial goes there.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -14,9 +14,9 @@
 	"fmt"
 	"maps"
 	"net/http"
-	"slices"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/upstream"
 )
 
@@ -49,7 +49,7 @@
 	q.lapse.bounds = q.lapse.lapses() && q.lapse.left() > q.longestRun(&g.silences, time.Now())
 	q.knownEnds = g.quarantine.Ends(q.fingerprint)
 	q.build = b.build(q.modelAndLayers())
-	if !g.mayRun(q) || slices.Contains(q.avoid, q.build) || q.allowed() < leastTime || q.lapse.isOver() {
+	if !g.mayRun(q) || !quarantine.MayBeMended(q.build, q.avoid) || q.allowed() < leastTime || q.lapse.isOver() {
 		conn.Close()
 		return false
 	}
@@ -160,10 +160,7 @@
 	q := x.request
 	q.mayHaveRun = true
 	q.runs++
-	q.sign = x.backend.signAfter(cause)
-	if q.sign == signEnded {
-		x.sawEnd()
-	}
+	q.sign = x.signAfter(cause)
 	switch {
 	case q.ctx.Err() != nil:
 	case x.watch.lapsed.Load() || q.hasLapsed():
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -42,7 +42,7 @@
 	heardAt moment      // of the last bytes from it
 	dialing atomic.Bool // somebody finds out whether it can be reached
 	reached reached     // by dials
-	ended   endLook     // by the dial after a break
+	ends    endLooks    // dials after breaks
 
 	mu           sync.Mutex
 	registration registry.Registration
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -12,9 +12,9 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
@@ -171,7 +171,7 @@
 }
 
 func (w wanted) allows(b *backend, now time.Time) bool {
-	if len(w.avoid) > 0 && slices.Contains(w.avoid, b.build(w.model, w.layers)) {
+	if len(w.avoid) > 0 && !quarantine.MayBeMended(b.build(w.model, w.layers), w.avoid) {
 		return false
 	}
 	if w.layers == 0 {
--- a/pkg/gateway/ended.go
+++ b/pkg/gateway/ended.go
@@ -4,6 +4,9 @@
 // is dialed at once: where it ended, its port is closed and the dial is refused, within
 // one round trip. All attempts that broke at one moment share a dial.
 //
+// On a link that is full of chunks a round trip takes longer than the next attempt can
+// wait. Then that goes on, and the end is noted when the dial is refused.
+//
 // A server that is dark or cut off answers no dial: what ended there, if anything, is
 // not known, and nothing is held against the request.
 // ================================================================
@@ -28,35 +31,59 @@
 	signNone sign = "none"
 	// signEnded is a dial that was refused: nobody has the port any more.
 	signEnded sign = "ended"
-	// signLives is a dial that was not refused, or not answered.
+	// signLives is a dial that was answered, or by nobody.
 	signLives sign = "lives"
+	// signLate is a dial that is under way yet.
+	signLate sign = "late"
 )
 
 const (
-	// endDialTimeout bounds the dial after a break. It holds the next attempt up, and a
-	// connection that was closed in order shows that the way there works.
-	endDialTimeout = 150 * time.Millisecond
-	// endLookLife is for how long the outcome of such a dial holds for other attempts: those
-	// of one end break within milliseconds.
+	// endDialTimeout bounds the dial after a break: the first packet of one may be lost,
+	// and goes out again after a second.
+	endDialTimeout = 1500 * time.Millisecond
+	// endWait is how long the dial may hold the next attempt up.
+	endWait = 150 * time.Millisecond
+	// endLookLife is for how long a dial that was refused holds for other attempts: those of
+	// one end break within milliseconds.
 	endLookLife = 200 * time.Millisecond
 )
 
-// endLook is the last dial after a break. The zero value is none.
+// endLook is a dial after a break.
 type endLook struct {
-	mu      sync.Mutex
-	at      time.Time
-	refused bool
+	began   time.Time
+	done    chan struct{}
+	refused bool // once it is done
+}
+
+// endLooks is the last dial after a break. The zero value is none.
+type endLooks struct {
+	mu   sync.Mutex
+	last *endLook
 }
 
-// signAfter looks what became of a backend server after an attempt there broke by an error.
-func (b *backend) signAfter(cause error) sign {
+// signAfter looks what became of the backend server after the attempt broke by an error,
+// and notes it where it ended.
+func (x *exchange) signAfter(cause error) sign {
 	if !closedByPeer(cause) {
 		return signNone
 	}
-	if b.refusesDials(time.Now()) {
-		return signEnded
+	look, end := x.backend.lookForEnd(time.Now()), x.end()
+	select {
+	case <-look.done:
+	case <-time.After(endWait):
+		go func() {
+			<-look.done
+			if look.refused {
+				x.sawEnd(end)
+			}
+		}()
+		return signLate
+	}
+	if !look.refused {
+		return signLives
 	}
-	return signLives
+	x.sawEnd(end)
+	return signEnded
 }
 
 // closedByPeer tells whether the other side closed or reset a connection.
@@ -69,15 +96,30 @@
 	return false
 }
 
-// refusesDials tells whether a dial is refused now, or was a moment ago.
-func (b *backend) refusesDials(now time.Time) bool {
-	b.ended.mu.Lock()
-	defer b.ended.mu.Unlock()
-	if now.Sub(b.ended.at) < endLookLife {
-		return b.ended.refused
+// holds tells whether the dial tells of an attempt that broke now: it is under way, or was
+// refused a moment ago. One that was answered says nothing of what has ended since.
+func (l *endLook) holds(now time.Time) bool {
+	select {
+	case <-l.done:
+		return l.refused && now.Sub(l.began) < endLookLife
+	default:
+		return true
+	}
+}
+
+// lookForEnd dials the backend server, or returns a dial of a moment ago.
+func (b *backend) lookForEnd(now time.Time) *endLook {
+	b.ends.mu.Lock()
+	defer b.ends.mu.Unlock()
+	if last := b.ends.last; last != nil && last.holds(now) {
+		return last
 	}
-	// The caller may leave meanwhile, and the others that wait here still want to know.
-	b.ended.refused = b.pool.Refuses(context.Background(), endDialTimeout)
-	b.ended.at = time.Now()
-	return b.ended.refused
+	look := &endLook{began: now, done: make(chan struct{})}
+	b.ends.last = look
+	go func() {
+		defer close(look.done)
+		// The caller may leave meanwhile, and the others that wait here still want to know.
+		look.refused = b.pool.Refuses(context.Background(), endDialTimeout)
+	}()
+	return look
 }
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -93,9 +93,7 @@
 	}
 	if err != nil {
 		x.conn.Abort()
-		if q.sign = x.backend.signAfter(rest.err); q.sign == signEnded {
-			x.sawEnd()
-		}
+		q.sign = x.signAfter(rest.err)
 		x.gateway.end(q, outcomeBroken, err.Error())
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -12,9 +12,7 @@
 package gateway
 
 import (
-	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/failure"
@@ -54,24 +52,28 @@
 // those of another build, and else why not.
 func (g *Gateway) admitBarred(q *request) (done func(), f *failure.Failure) {
 	g.askedForBarred(q)
-	if g.hasOtherBuild(q) {
-		switch g.quarantine.BeginTrial(q.fingerprint, g.tester) {
-		case quarantine.Granted:
+	switch g.quarantine.BeginTrial(q.fingerprint, g.tester) {
+	case quarantine.Granted:
+		if g.hasMendedBuild(q) {
 			q.isTrial = true
 			return func() { g.quarantine.EndTrial(q.fingerprint, q.sent > 0) }, nil
-		case quarantine.MayAsk:
-			if g.mayAskTrial.Allow() {
-				g.askTrial(q.fingerprint)
-			}
+		}
+		g.quarantine.EndTrial(q.fingerprint, false)
+	case quarantine.MayAsk:
+		if g.hasMendedBuild(q) && g.mayAskTrial.Allow() {
+			g.askTrial(q.fingerprint)
 		}
 	}
 	return nil, endsServers(q, g.quarantine.Ends(q.fingerprint))
 }
 
-// hasOtherBuild tells whether a server serves of a build that the request need not avoid.
-func (g *Gateway) hasOtherBuild(q *request) bool {
+// hasMendedBuild tells whether a server serves that may be mended.
+func (g *Gateway) hasMendedBuild(q *request) bool {
+	model, layers := q.modelAndLayers()
 	for _, b := range g.backends.of(q.service.Name()) {
-		if l := b.load(time.Now()); l.serves() && l.state == registry.Ready && !slices.Contains(q.avoid, b.build(q.modelAndLayers())) {
+		l := b.load(time.Now())
+		holds := model == "" || b.servedVersion(model, layers) > 0
+		if l.serves() && l.state == registry.Ready && holds && quarantine.MayBeMended(b.build(model, layers), q.avoid) {
 			return true
 		}
 	}
@@ -102,13 +104,17 @@
 	}
 }
 
+// end is what is told of the backend server if it ended under the attempt.
+func (x *exchange) end() quarantine.End {
+	word := x.backend.word()
+	return quarantine.NewEnd(word.Incarnation(), word.Born(), word.Domain(), x.request.build, x.request.knownEnds, 0)
+}
+
 // sawEnd notes that the backend server ended while it had the request.
-func (x *exchange) sawEnd() {
-	g, q := x.gateway, x.request
+func (x *exchange) sawEnd(end quarantine.End) {
+	g := x.gateway
 	g.metrics.ends.Inc()
-	word := x.backend.word()
-	end := quarantine.NewEnd(word.Incarnation(), word.Born(), word.Domain(), q.build, q.knownEnds, 0)
-	r, tell := g.quarantine.Ended(q.fingerprint, end)
+	r, tell := g.quarantine.Ended(x.request.fingerprint, end)
 	if !tell {
 		return
 	}
@@ -149,7 +155,7 @@
 	if model != "" {
 		version = b.servedVersion(model, layers)
 	}
-	return fmt.Sprintf("%s/%d", b.word().Software(), version)
+	return quarantine.Build(b.word().Software(), version)
 }
 
 // modelAndLayers are the model that a request needs, empty for plain services, and its layers.
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -302,3 +302,15 @@
 		t.Errorf("%d after it was sent", got)
 	}
 }
+
+func TestWhichBuildsMayBeMended(t *testing.T) {
+	ended := []string{Build("v1", 2), Build("v1", 3)}
+	for build, want := range map[string]bool{
+		Build("v1", 1): false, Build("v1", 2): false, Build("v1", 3): false, Build("v1", 4): true,
+		Build("v2", 0): true, Build("v2", 2): true, Build("a/b", 1): true, "odd": true,
+	} {
+		if got := MayBeMended(build, ended); got != want {
+			t.Errorf("%s: %t", build, got)
+		}
+	}
+}
