--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -143,36 +143,6 @@
 	return failure.New(failure.NoQuorum, "this node hears no quorum; another one may")
 }
 
-// learnRecords takes what a gateway or another node tells of requests under which servers
-// ended, and has what is new told to all others.
-func (s *Service) learnRecords(records []quarantine.Record) {
-	changed, _ := s.quarantine.Merge(records)
-	s.publisher.Recorded(changed)
-	s.barredChanged(changed)
-	quarantine.LogBarred(s.logger, changed)
-}
-
-// askTrial has the leader decide whether a gateway may try a barred request once more: one
-// node decides, so that not each gateway tries it.
-func (s *Service) askTrial(f quarantine.Fingerprint, tester string) {
-	if _, err := s.call(context.Background(), request{trial: f, tester: tester}); err != nil {
-		// The gateway asks again while the request comes.
-		_ = level.Info(s.logger).Log("msg", "no trial of a request", "fingerprint", f, "tester", tester, "err", err)
-	}
-}
-
-// grantTrial lets a gateway try a barred request once more, if it is time. The caller is
-// the leader, and a quorum has just confirmed that.
-func (s *Service) grantTrial(f quarantine.Fingerprint, tester string) {
-	r, granted := s.quarantine.Grant(f, tester)
-	if !granted {
-		return
-	}
-	s.publisher.Recorded([]quarantine.Record{r})
-	s.barredChanged([]quarantine.Record{r})
-	_ = level.Info(s.logger).Log("msg", "trial of a request", "fingerprint", f, "tester", tester, "trials", r.Trials())
-}
-
 // ----------------------------------------------------------------
 // Agreement
 
