--- a/pkg/control/others_test.go
+++ b/pkg/control/others_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/tidepost/tidepost/internal/loopback"
 	"github.com/tidepost/tidepost/pkg/disk"
+	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/registry"
 )
 
@@ -69,3 +70,31 @@
 	_ = first.node.service.Hear(heartbeat(registry.Draining, 2))
 	c.awaitState(last, registry.Draining)
 }
+
+// Another program writes an entry of a service that nobody has configured under the
+// incarnation of a backend server: that one holds. An entry of its own may stay, since the
+// service may be configured yet.
+func TestWordOfAnUnknownServiceTakesNobodysPlace(t *testing.T) {
+	c := newCluster(t, 3)
+	n := c.nodes[0]
+	c.put(n, 1)
+	c.eventually("heartbeat", func() error { return n.node.service.Hear(heartbeat(registry.Ready, 1)) })
+	c.eventually("configuration", func() error {
+		if n.node.service.state.Number() == 0 {
+			return fmt.Errorf("not applied here yet")
+		}
+		return nil
+	})
+	odd := func(incarnation string) registry.Registration {
+		return registry.NewRegistration(incarnation, "nowhere", "10.0.0.9:80", "north", "v1", 4, registry.Ready, 0, nil, 9, 5)
+	}
+	if err := n.node.service.Hear(odd("i-1")); !failure.Is(err, failure.BadRequest) {
+		t.Errorf("it was taken: %v", err)
+	}
+	if r, _ := n.node.service.registry.Get("i-1"); r.Service() != "menu" {
+		t.Errorf("the backend server is of service %s", r.Service())
+	}
+	if err := n.node.service.Hear(odd("i-9")); err != nil {
+		t.Errorf("an entry of its own: %v", err)
+	}
+}
--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -114,6 +114,9 @@
 // taken by a node that hears a quorum: followers of a node that is cut off
 // would not learn of it.
 func (s *Service) Hear(r registry.Registration) error {
+	if err := s.checkService(r); err != nil {
+		return err
+	}
 	changed := s.registry.Hear(r)
 	if changed {
 		s.publisher.Registered(r)
@@ -126,6 +129,18 @@
 	return nil
 }
 
+// checkService refuses a word of a service that nobody has configured where its incarnation
+// is known as one of a service that is: another program wrote it, and what it names must not
+// take the place of a backend server. Before it is configured a service may have servers.
+func (s *Service) checkService(r registry.Registration) error {
+	held, known := s.registry.Get(r.Incarnation())
+	d := s.state.Document()
+	if !known || d == nil || held.Service() == r.Service() || d.HasService(r.Service()) || !d.HasService(held.Service()) {
+		return nil
+	}
+	return failure.New(failure.BadRequest, "incarnation %q is one of service %q, and no service %q is configured", r.Incarnation(), held.Service(), r.Service())
+}
+
 // Leave takes the word that a backend server is gone.
 func (s *Service) Leave(incarnation string) error {
 	r, changed := s.registry.Leave(incarnation)
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -429,4 +429,3 @@
 	}
 	return false
 }
-
--- a/pkg/serviceconfig/document.go
+++ b/pkg/serviceconfig/document.go
@@ -171,6 +171,11 @@
 	idleTimeout time.Duration
 }
 
+// HasService tells whether a service is configured.
+func (d Document) HasService(name string) bool {
+	return slices.ContainsFunc(d.services, func(s Service) bool { return s.name == name })
+}
+
 // ForEngines returns the part of the document that whoever serves engines
 // needs: the services, and what of their routes matters there, without routes and
 // organisations.
