Records of one end go to control nodes only

At the largest size, 120 engines that end at one moment have some 1,440 requests; told to each gateway over two streams they come to 55 MB by count. Control nodes put ends together, and gateways hear from the second on.

--- a/pkg/feed/herd_test.go
+++ b/pkg/feed/herd_test.go
@@ -81,6 +81,13 @@
 
 // startNode starts a control node of a failure domain of its own.
 func (h *herd) startNode(domain string) *Publisher {
+	p, _ := h.startNodeWith(domain, func(*Source) {}, func(Update) {})
+	return p
+}
+
+// startNodeWith starts one after a change of what it tells, which takes what other nodes
+// tell.
+func (h *herd) startNodeWith(domain string, change func(*Source), take func(Update)) (*Publisher, *Follower) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		h.t.Fatal(err)
@@ -88,10 +95,12 @@
 	identity := vm.NewIdentity(vm.ID("node-"+domain), 1, domain, domain, l.Addr().String())
 	e := h.endpoint(identity)
 	table := registry.NewTable(nil)
-	p := NewPublisher(Source{
+	source := Source{
 		Self: identity, Number: func() uint64 { return 0 }, Weights: func() []Weights { return nil },
 		Registrations: table.All, Nodes: h.nodes, Confirmed: func() bool { return true },
-	})
+	}
+	change(&source)
+	p := NewPublisher(source)
 	e.Handle(link.KindFeed, p.Serve)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.t.Cleanup(func() { cancel(); _ = l.Close() })
@@ -99,8 +108,11 @@
 	h.mu.Lock()
 	h.addrs = append(h.addrs, l.Addr().String())
 	h.mu.Unlock()
-	h.follow(e, NewHello(RoleNode, identity, "", "", nil, nil), p.Relayed)
-	return p
+	f := h.follow(e, NewHello(RoleNode, identity, "", "", nil, nil), func(node string, u Update) {
+		take(u)
+		p.Relayed(node, u)
+	})
+	return p, f
 }
 
 // follow starts a follower.
--- a/pkg/feed/records.go
+++ b/pkg/feed/records.go
@@ -4,8 +4,10 @@
 // learns something new tells all gateways and nodes that it serves.
 //
 // It must not fill links either. A server that ends takes tens of requests with it, and
-// nearly all of them are innocent: records of one end wait for others, and what is told
-// at a time is bounded.
+// nearly all of them are innocent: records of one end go to the nodes only, which put them
+// together, and what is told at a time is bounded. Told to 149 gateways over two streams
+// each, 1,440 requests of 120 servers that end at one moment come to 1,440 x 298 x 130 B,
+// or 55 MB; this way all gateways know of the one that matters after 0.5 MB.
 // ================================================================
 
 package feed
@@ -47,15 +49,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range records {
-		s.records[r.Fingerprint()] = r
+		if s.hello.role == RoleNode || isUrgent(r) {
+			s.records[r.Fingerprint()] = r
+		}
 	}
-	if slices.ContainsFunc(records, isUrgent) {
+	switch {
+	case len(s.records) == 0:
+	case slices.ContainsFunc(records, isUrgent):
 		daemon.Wake(s.wake)
-	} else {
+	default:
 		daemon.Wake(s.soon)
 	}
 }
 
+// isUrgent tells whether a record may soon keep its request away, or clears one.
 func isUrgent(r quarantine.Record) bool { return len(r.Ends()) > 1 || len(r.Whole()) > 0 }
 
 // takeRecords takes the most urgent records off the queue. The caller holds the lock.
