A planned stop begins no request that may run longer than it lasts

Such a request is refused at once (503, not run), and its caller goes to another gateway. Only after the notice, and only where an engine may be at work longer than is left, by the size of the request and by how long those of late ran.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -83,6 +83,7 @@
 
 	index       serviceconfig.Current
 	draining    atomic.Bool
+	stopsAt     moment // when a planned stop that takes no callers any more is over; never where there is none
 	connections connections
 	callers     atomic.Pointer[callersListener] // nil until it listens
 	running     context.Context                 // ends with Run
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -63,6 +63,10 @@
 		g.end(q, outcomeGone, "body not sent: "+err.Error())
 		panic(http.ErrAbortHandler)
 	}
+	if f := g.endsBeforeStop(q); f != nil {
+		g.refuse(q, f)
+		return
+	}
 	q.fingerprint = quarantine.Of(q.content())
 	done, f := g.admit(q)
 	if f != nil {
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -25,6 +25,8 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
+
+	"github.com/tidepost/tidepost/pkg/failure"
 )
 
 const (
@@ -58,6 +60,7 @@
 		return nil
 	case <-time.After(g.settings.DrainNotice()):
 	}
+	g.stopsAt.set(limit)
 	if l := g.callers.Load(); l != nil {
 		l.stop()
 	}
@@ -69,6 +72,20 @@
 	return nil
 }
 
+// endsBeforeStop tells why a request is not begun in a planned stop; nil where it is. It
+// comes over a connection that was not told of its end, and where an engine might still be
+// at work on it when the time is over, it is better off elsewhere than cut midway.
+func (g *Gateway) endsBeforeStop(q *request) *failure.Failure {
+	stops := g.stopsAt.time()
+	if stops.IsZero() || q.service.Engine().Slots() == 0 {
+		return nil
+	}
+	if run := q.longestRun(&g.silences, time.Now()); time.Until(stops) < run {
+		return failure.New(failure.Draining, "the gateway stops before a request that may run for %s would end", run.Round(time.Millisecond))
+	}
+	return nil
+}
+
 // ----------------------------------------------------------------
 // Callers' connections
 
