--- a/pkg/control/quarantine_test.go
+++ b/pkg/control/quarantine_test.go
@@ -22,7 +22,7 @@
 	for _, name := range servers {
 		ends = append(ends, quarantine.NewEnd(name, 1, "hall-"+name, "v1/0", 0, ago))
 	}
-	return quarantine.NewRecord(endingRequest, ends, nil, 0, "")
+	return quarantine.NewRecord(endingRequest, ends, nil, 0, "", 0)
 }
 
 // gatewayTable is what a gateway knows of requests, with its follower.
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -74,6 +74,9 @@
 	// tester who that was last.
 	trials int
 	tester string
+	// idle is how long ago anything was learnt of it, or it came while it was barred, as far
+	// as the teller knows.
+	idle time.Duration
 }
 
 // seenEnd is an end and when it was, by the clock here.
@@ -95,7 +98,7 @@
 
 // record returns what is told of an entry.
 func (e *entry) record(f Fingerprint, now time.Time) Record {
-	r := Record{fingerprint: f, whole: slices.Clone(e.whole), trials: e.trials, tester: e.tester}
+	r := Record{fingerprint: f, whole: slices.Clone(e.whole), trials: e.trials, tester: e.tester, idle: now.Sub(e.heard)}
 	for _, one := range e.ends {
 		one.age = now.Sub(one.at)
 		r.ends = append(r.ends, one.End)
@@ -144,6 +147,18 @@
 	return true
 }
 
+// addHeard takes how long ago others heard of the request, and tells whether the others here
+// are to know that too, so that they go on remembering it.
+func (e *entry) addHeard(idle time.Duration, now time.Time) (changed bool) {
+	at := now.Add(-idle)
+	if !at.After(e.heard) {
+		return false
+	}
+	changed = at.Sub(e.heard) >= askedEvery
+	e.heard = at
+	return changed
+}
+
 // endedOn returns the builds on which servers ended under the request, and it never ran
 // whole.
 func (e *entry) endedOn() (builds []string) {
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -213,8 +213,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := t.now()
-	e := s.entry(r.fingerprint, now)
-	changed = e.addTrial(r.trials, r.tester)
+	e := s.entry(r.fingerprint, now.Add(-r.idle))
+	changed = e.addHeard(r.idle, now)
+	changed = e.addTrial(r.trials, r.tester) || changed
 	for _, build := range r.whole {
 		changed = e.addWhole(build) || changed
 	}
@@ -224,7 +225,7 @@
 			cleared = e.addWhole(one.build) || cleared
 		}
 	}
-	if changed || cleared {
+	if cleared {
 		e.heard = now
 	}
 	return e.record(r.fingerprint, now), changed || cleared, cleared
@@ -293,15 +294,15 @@
 // ----------------------------------------------------------------
 // A shard, for whoever holds its lock
 
-// entry returns the entry of a request, a new one where there is none.
-func (s *shard) entry(f Fingerprint, now time.Time) *entry {
+// entry returns the entry of a request, a new one of a time where there is none.
+func (s *shard) entry(f Fingerprint, heard time.Time) *entry {
 	if e := s.entries[f]; e != nil {
 		return e
 	}
 	if len(s.entries) >= maxRecords {
 		s.forgetLeast()
 	}
-	e := &entry{heard: now}
+	e := &entry{heard: heard}
 	s.entries[f] = e
 	return e
 }
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -197,15 +197,27 @@
 	for _, name := range []string{"a", "b", "c"} {
 		table.Ended(request, endOf(name, name, "v1/0", 0))
 	}
+	others := []*Table{NewTable(now.read), NewTable(now.read)}
+	others[0].Merge(table.Records())
 	for range 10 {
 		now.advance(barredLife - time.Minute)
-		if _, tell := table.Asked(request); !tell {
+		r, tell := table.Asked(request)
+		if !tell {
 			t.Error("others are not told that it comes")
 		}
-		table.Sweep()
+		changed, _ := others[0].Merge([]Record{r})
+		if again, _ := others[0].Merge([]Record{r}); len(again) > 0 {
+			t.Error("it is told on twice")
+		}
+		others[1].Merge(changed)
+		for _, one := range append(others, table) {
+			one.Sweep()
+		}
 	}
-	if got, _ := table.Begin(request); got != Barred {
-		t.Errorf("while it comes it is %s", got)
+	for i, one := range append(others, table) {
+		if got, _ := one.Begin(request); got != Barred {
+			t.Errorf("while it comes it is %s at table %d", got, i)
+		}
 	}
 	now.advance(barredLife + time.Minute)
 	table.Sweep()
--- a/pkg/quarantine/wire_generated.go
+++ b/pkg/quarantine/wire_generated.go
@@ -60,8 +60,8 @@
 }
 
 // NewRecord returns a Record with the given fields.
-func NewRecord(fingerprint Fingerprint, ends []End, whole []string, trials int, tester string) Record {
-	return Record{fingerprint: fingerprint, ends: ends, whole: whole, trials: trials, tester: tester}
+func NewRecord(fingerprint Fingerprint, ends []End, whole []string, trials int, tester string, idle time.Duration) Record {
+	return Record{fingerprint: fingerprint, ends: ends, whole: whole, trials: trials, tester: tester, idle: idle}
 }
 
 // Fingerprint is the request's.
@@ -80,12 +80,16 @@
 // Tester returns the field of that name.
 func (r Record) Tester() string { return r.tester }
 
+// Idle is how long ago anything was learnt of it, or it came while it was barred, as far
+// as the teller knows.
+func (r Record) Idle() time.Duration { return r.idle }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (r Record) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(5); err != nil {
+	if err := enc.EncodeArrayLen(6); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(r.fingerprint, r.ends, r.whole, r.trials, r.tester)
+	return enc.EncodeMulti(r.fingerprint, r.ends, r.whole, r.trials, r.tester, r.idle)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -94,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&r.fingerprint, &r.ends, &r.whole, &r.trials, &r.tester}
+	fields := []any{&r.fingerprint, &r.ends, &r.whole, &r.trials, &r.tester, &r.idle}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
