--- a/soak/ends_size_test.go
+++ b/soak/ends_size_test.go
@@ -6,8 +6,9 @@
 // some that run once and one that everybody asks. By hand: make ends SEED=1.
 //
 //	KIND is safe or unsafe, SAME=1 has servers start again under their instance,
-//	RACKS=1 fails a rack of servers four times, RESTARTS=1 restarts gateways and kills
-//	control nodes, ENDING=0 leaves the request out
+//	RACKS=1 fails a rack of servers four times, RESTARTS=1 restarts gateways, kills
+//	control nodes, has programs reload and stand still and changes the configuration,
+//	ENDING=0 leaves the request out
 // ================================================================
 
 package soak
@@ -98,6 +99,7 @@
 	l.send(ctx, "safe", safePerSecond, standin.Ask{Kind: standin.Safe, Within: within}, draws())
 	l.send(ctx, "once", oncePerSecond, standin.Ask{Kind: standin.Unsafe, Within: within}, draws())
 	l.send(ctx, "popular", popularPerSecond, standin.Ask{Kind: standin.Safe, Within: within, Body: popularBody}, draws())
+	s := &series{world: w, random: draws(), done: map[string]int{}}
 	kind := standin.Safe
 	if os.Getenv("TIDEPOST_KIND") == string(standin.Unsafe) {
 		kind = standin.Unsafe
@@ -111,8 +113,12 @@
 	if os.Getenv("TIDEPOST_RESTARTS") == "1" {
 		l.under.Go(func() { restart(ctx, w, "gateway", w.size.gateways, syscall.SIGTERM, draws()) })
 		l.under.Go(func() { restart(ctx, w, "control", w.size.control, syscall.SIGKILL, draws()) })
+		l.under.Go(func() { pausePrograms(ctx, w, draws()) })
+		s.hangUp(ctx)
+		s.change(ctx)
 	}
 	l.under.Wait()
+	s.under.Wait()
 	l.judge(t, kind)
 }
 
@@ -144,6 +150,20 @@
 	}
 }
 
+// pausePrograms has any program stand still for a while, one after the other. One that is
+// being restarted may be gone.
+func pausePrograms(ctx context.Context, w *world, random *rand.Rand) {
+	const pause, mostStill = 500 * time.Millisecond, 800 * time.Millisecond
+	for ctx.Err() == nil {
+		names := w.programs.names()
+		process := w.programs.named(names[random.IntN(len(names))]).cmd.Process
+		_ = process.Signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(random.Float64() * float64(mostStill)))
+		_ = process.Signal(syscall.SIGCONT)
+		time.Sleep(pause)
+	}
+}
+
 // judge prints what was served and checks how often the request reached servers.
 func (l *openLoad) judge(t *testing.T, kind standin.Kind) {
 	var ends []time.Time
