--- a/soak/ends_servers_test.go
+++ b/soak/ends_servers_test.go
@@ -61,10 +61,16 @@
 func (r *endingRun) try(t *testing.T, gateway int) bool {
 	r.tries++
 	c := standin.Caller{Gateway: func(int) string { return r.world.at(gatewayVMs, gateway, callersPort) }}
-	a := c.Once(t.Context(), standin.Ask{ID: fmt.Sprintf("ending-%d", r.tries), Kind: r.kind, Body: endingBody, Within: longWithin}, r.tries)
+	a := c.Once(t.Context(), sized(standin.Ask{ID: fmt.Sprintf("ending-%d", r.tries), Kind: r.kind, Body: endingBody, Within: longWithin}), r.tries)
 	return strings.Contains(a.Tries[0].Why, keptAway)
 }
 
+// sized fills in the size of a request, which engines go by.
+func sized(a standin.Ask) standin.Ask {
+	a.Prompt, a.Tokens, a.Stride = leastPrompt, leastTokens, figures.Stride
+	return a
+}
+
 // beside sends requests of a kind and body one after the other until the context ends.
 // Those that were begun by then are waited for.
 func (r *endingRun) beside(ctx context.Context, name string, kind standin.Kind, body string, within time.Duration, random *rand.Rand) {
@@ -74,7 +80,8 @@
 			c := standin.Caller{Gateway: func(try int) string {
 				return r.world.at(gatewayVMs, (first+try)%r.world.size.gateways, callersPort)
 			}}
-			a := c.Do(context.WithoutCancel(ctx), standin.Ask{ID: fmt.Sprintf("%s-%d-%d", name, random.Uint32(), n), Kind: kind, Body: body, Within: within})
+			ask := sized(standin.Ask{ID: fmt.Sprintf("%s-%d-%d", name, random.Uint32(), n), Kind: kind, Body: body, Within: within})
+			a := c.Do(context.WithoutCancel(ctx), ask)
 			r.mu.Lock()
 			r.done[name]++
 			if a.Whole && a.Wrong == "" {
@@ -115,6 +122,49 @@
 	}
 }
 
+// Engines end too, and start again without weights: their stagers have them go on. Streams
+// beside go on elsewhere, behind the last event that their callers have.
+func TestRequestThatEndsEngines(t *testing.T) {
+	for _, same := range []bool{false, true} {
+		t.Run(fmt.Sprintf("same instance %t", same), func(t *testing.T) {
+			w := startWorld(t, size{
+				control: 3, gateways: 3, plain: 1, plainTakes: mortal.plainTakes, endingEngines: 9, within: longWithin, sameInstance: same,
+			}, logFolder(t))
+			r := newEndingRun(w, standin.Stream, seed(t))
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			for i := range 3 {
+				r.beside(ctx, "stream", standin.Stream, "", longWithin, rand.New(rand.NewPCG(seed(t), uint64(i))))
+			}
+			r.untilAllKeepItAway(t)
+			if n := w.ends(); n < 3 || n > mostEnds {
+				t.Errorf("one request ended %d engines in %d tries; %d may end", n, r.tries, mostEnds)
+			}
+			cancel()
+			r.under.Wait()
+			if r.done["stream"] == 0 || r.whole["stream"] < r.done["stream"] {
+				t.Errorf("%d of %d streams were answered whole", r.whole["stream"], r.done["stream"])
+			}
+			w.awaitWeights()
+		})
+	}
+}
+
+// awaitWeights waits until all engines that end serve the weights.
+func (w *world) awaitWeights() {
+	w.t.Helper()
+	const look = 20 * time.Millisecond
+	for _, s := range w.ending {
+		for s.Served() != standin.FirstVersion {
+			select {
+			case <-w.t.Context().Done():
+				w.t.Fatal("an engine that started again serves nothing")
+			case <-time.After(look):
+			}
+		}
+	}
+}
+
 func testRequestThatEndsServers(t *testing.T, w *world) {
 	r := newEndingRun(w, standin.Safe, seed(t))
 	ctx, cancel := context.WithCancel(t.Context())
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -7,6 +7,7 @@
 //	127.n.3.i  engine and stager i  links 7700 (proxy) to 7701, engine 9000 (proxy) to 9001
 //	127.n.4.i  plain server i       9000 (proxy) to 9001; the origin 9100 on the first
 //	127.n.5.i  ending server i      9001, without a proxy: its port closes when it ends
+//	127.n.6.i  ending engine i      9001 as above, and its stager with links 7700 (proxy) to 7701
 //
 // Links go to one port on every VM, so a stager is found at its engine's host: the
 // proxies have that port, and the programs listen beside it and tell the proxy's
@@ -49,6 +50,7 @@
 	engineVMs
 	plainVMs
 	endingVMs
+	endingEngineVMs
 )
 
 // size says how many of each there are, how long a plain server takes, and within
@@ -62,6 +64,8 @@
 	// them start again under the instance that they had.
 	ending       int
 	sameInstance bool
+	// endingEngines is how many engines end when they run it.
+	endingEngines int
 	// tolerate is how many control nodes may be lost at one moment.
 	tolerate int
 }
@@ -93,7 +97,7 @@
 	origin   *standin.Origin
 	// engines are in the order of their addresses.
 	engines  []*standin.Engine
-	ending   []*standin.EndingServer
+	ending   []*standin.EndingServer // plain ones first, then engines
 	operator standin.Operator
 	// named are the versions named so far, with when that was acknowledged.
 	named map[uint64]time.Time
@@ -182,6 +186,9 @@
 	for i := range w.size.plain {
 		w.proxy(w.servers, plainVMs, i, serverPort, ownServer, labelRequest)
 	}
+	for i := range w.size.endingEngines {
+		w.proxy(w.links, endingEngineVMs, i, linkPort, ownLinkPort, labelLink)
+	}
 }
 
 func (w *world) proxy(all map[int][]*faultproxy.Proxy, kind, index, port, target int, label func([]byte) string) {
@@ -242,21 +249,28 @@
 // startEnding starts the servers that end.
 func (w *world) startEnding(ctx context.Context) {
 	for i := range w.size.ending {
-		s := &standin.EndingServer{
-			Beats: standin.Beats{
-				Instance: fmt.Sprintf("x-%d", i+1), Service: standin.PlainService, Address: w.at(endingVMs, i, ownServer),
-				Zone: zone(i), Slots: figures.Slots, Every: beatEvery, Nodes: w.controlCalls(),
-			},
-			Takes: w.size.plainTakes, Ledger: w.ledger, Body: endingBody, After: endsAfter, Down: endedFor,
-			SameInstance: w.size.sameInstance,
-		}
-		w.ending = append(w.ending, s)
-		go func() {
-			if err := s.Run(ctx); err != nil {
-				w.t.Error(err)
-			}
-		}()
+		w.startOneEnding(ctx, fmt.Sprintf("x-%d", i+1), standin.PlainService, endingVMs, i, nil)
+	}
+	for i := range w.size.endingEngines {
+		w.startOneEnding(ctx, fmt.Sprintf("y-%d", i+1), standin.EngineService, endingEngineVMs, i, &figures)
+	}
+}
+
+func (w *world) startOneEnding(ctx context.Context, instance, service string, kind, index int, f *standin.Figures) {
+	s := &standin.EndingServer{
+		Beats: standin.Beats{
+			Instance: instance, Service: service, Address: w.at(kind, index, ownServer),
+			Zone: zone(index), Slots: figures.Slots, Every: beatEvery, Nodes: w.controlCalls(),
+		},
+		Takes: w.size.plainTakes, Ledger: w.ledger, Body: endingBody, After: endsAfter, Down: endedFor,
+		SameInstance: w.size.sameInstance, Figures: f,
 	}
+	w.ending = append(w.ending, s)
+	go func() {
+		if err := s.Run(ctx); err != nil {
+			w.t.Error(err)
+		}
+	}()
 }
 
 func (w *world) beat(ctx context.Context, instance, service string, kind, index int, engine *standin.Engine) {
@@ -281,12 +295,10 @@
 		w.startControl(i, true)
 	}
 	for i := range w.size.engines {
-		name := nameOf("stager", i)
-		p.start("tidepost-stager", name, w.common(name, engineVMs, i, true)+fmt.Sprintf(`
-control: {%s}
-engine: {address: %q, service: %s}
-weights: {within: %s}
-`, seeds, w.at(engineVMs, i, serverPort), standin.EngineService, w.size.within))
+		w.startStager(nameOf("stager", i), engineVMs, i, serverPort)
+	}
+	for i := range w.size.endingEngines {
+		w.startStager(nameOf("stager", w.size.engines+i), endingEngineVMs, i, ownServer)
 	}
 	for i := range w.size.gateways {
 		name := nameOf("gateway", i)
@@ -300,6 +312,15 @@
 	}
 }
 
+// startStager starts the stager beside an engine that takes calls at a port.
+func (w *world) startStager(name string, kind, index, port int) {
+	w.programs.start("tidepost-stager", name, w.common(name, kind, index, true)+fmt.Sprintf(`
+control: {%s}
+engine: {address: %q, service: %s}
+weights: {within: %s}
+`, w.seeds(), w.at(kind, index, port), standin.EngineService, w.size.within))
+}
+
 // seeds is the setting that names the control nodes.
 func (w *world) seeds() string {
 	return fmt.Sprintf(`seeds: ["%s"]`, strings.Join(w.controlCalls(), `", "`))
