--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -291,9 +291,7 @@
 	if f.Weights != nil {
 		hello.weights = f.Weights()
 	}
-	if f.Records != nil {
-		hello.records = firstOf(quarantine.Sorted(f.Records()), maxHelloRecords)
-	}
+	hello.records = f.knownRecords()
 	if err := stream.Send(hello); err != nil {
 		return err
 	}
@@ -311,7 +309,10 @@
 		}
 		late.Reset(lateBeat)
 		stream.SetDeadline(time.Now().Add(silence))
-		f.note(address, stream, u)
+		if f.note(address, stream, u) {
+			// What was learnt since the Hello was not told here: the node was not heard yet.
+			f.tellKnownRecords(stream)
+		}
 		f.Take(address, u)
 		if u.number > f.Held() {
 			f.askSoon(stream, u.number)
@@ -328,16 +329,18 @@
 	return s != nil && s.stream != nil && s.stream.Peer() != stream.Peer()
 }
 
-// note notes what a node told of itself and of the other followers.
-func (f *Follower) note(address string, stream *link.Stream, u Update) {
+// note notes what a node told of itself and of the other followers, and tells whether it is
+// heard over this stream for the first time.
+func (f *Follower) note(address string, stream *link.Stream, u Update) (first bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.streams[address]
 	if s == nil {
-		return
+		return false
 	}
 	now := time.Now()
-	if s.stream != stream {
+	first = s.stream != stream
+	if first {
 		if s.stream == nil {
 			s.since = now
 		} else if s.stream == f.primary {
@@ -358,6 +361,7 @@
 		// A node that was the primary just now may still tell its census.
 		f.census.take(address, u)
 	}
+	return first
 }
 
 // lost forgets the stream to a node. Its list of nodes stays: it is the way to
--- a/pkg/feed/follower_tell.go
+++ b/pkg/feed/follower_tell.go
@@ -23,6 +23,22 @@
 // it may, a record says so.
 func (f *Follower) AskTrial(request quarantine.Fingerprint) { f.tellPrimary(Word{trial: request}) }
 
+// knownRecords are the records that are told to a node when its stream begins.
+func (f *Follower) knownRecords() []quarantine.Record {
+	if f.Records == nil {
+		return nil
+	}
+	return firstOf(quarantine.Sorted(f.Records()), maxHelloRecords)
+}
+
+// tellKnownRecords tells them, if there are any.
+func (f *Follower) tellKnownRecords(stream *link.Stream) {
+	if known := f.knownRecords(); len(known) > 0 {
+		// A failure shows in the reading.
+		_ = stream.Send(Word{records: known})
+	}
+}
+
 // TellRecords tells all nodes that are heard what was learnt of requests under which
 // servers ended: with one of them lost, the others still hear of it.
 func (f *Follower) TellRecords(records []quarantine.Record) {
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -193,13 +193,14 @@
 	p.learn(hello.records)
 	s := newSubscriber(hello)
 	s.queueWords(p.source.Registrations())
-	if p.source.Records != nil {
-		s.queueRecords(p.source.Records())
-	}
 	if !p.add(s) {
 		return failure.New(failure.Overloaded, "%d followers are served already", maxFollowers)
 	}
 	defer p.remove(s)
+	if p.source.Records != nil {
+		// Once it is told of new ones, so that none comes between.
+		s.queueRecords(p.source.Records())
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go p.takeWords(stream, s, cancel)
