--- a/pkg/gateway/ended.go
+++ b/pkg/gateway/ended.go
@@ -70,7 +70,7 @@
 	if !closedByPeer(cause) {
 		return signNone
 	}
-	look, end := x.backend.lookForEnd(time.Now()), x.end()
+	look, end := x.backend.lookForEnd(time.Now()), x.endOfServer()
 	select {
 	case <-look.done:
 	case <-time.After(x.gateway.waitForEnd(x.request.knownEnds)):
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -39,7 +39,7 @@
 	verdict, q.avoid = g.quarantine.Begin(q.fingerprint)
 	switch verdict {
 	case quarantine.Suspect:
-		return func() { g.quarantine.End(q.fingerprint) }, nil
+		return func() { g.quarantine.Done(q.fingerprint) }, nil
 	case quarantine.Barred:
 		return g.admitBarred(q)
 	case quarantine.Busy:
@@ -56,9 +56,9 @@
 	case quarantine.Granted:
 		if g.hasMendedBuild(q) {
 			q.isTrial = true
-			return func() { g.quarantine.EndTrial(q.fingerprint, q.sent > 0) }, nil
+			return func() { g.quarantine.TrialDone(q.fingerprint, q.sent > 0) }, nil
 		}
-		g.quarantine.EndTrial(q.fingerprint, false)
+		g.quarantine.TrialDone(q.fingerprint, false)
 	case quarantine.MayAsk:
 		if g.hasMendedBuild(q) && g.mayAskTrial.Allow() {
 			g.askTrial(q.fingerprint)
@@ -104,8 +104,8 @@
 	}
 }
 
-// end is what is told of the backend server if it ended under the attempt.
-func (x *exchange) end() quarantine.End {
+// endOfServer is what is told of the backend server if it ended under the attempt.
+func (x *exchange) endOfServer() quarantine.End {
 	word := x.backend.word()
 	return quarantine.NewEnd(word.Incarnation(), word.Born(), word.Domain(), x.request.build, x.request.knownEnds, 0)
 }
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -79,6 +79,22 @@
 	idle time.Duration
 }
 
+// IsBarred tells whether a record, as it is, keeps its request away from servers.
+func (r Record) IsBarred() bool {
+	e := entry{whole: r.whole}
+	for _, one := range r.ends {
+		e.addEnd(one, time.Time{})
+	}
+	return e.verdict() == Barred
+}
+
+// Sorted returns records with those first that have more ends: of what is told in parts,
+// they are the most urgent.
+func Sorted(records []Record) []Record {
+	slices.SortStableFunc(records, func(a, b Record) int { return len(b.ends) - len(a.ends) })
+	return records
+}
+
 // seenEnd is an end and when it was, by the clock here.
 type seenEnd struct {
 	End
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -10,7 +10,6 @@
 package quarantine
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -90,7 +89,7 @@
 // Before and while a request runs
 
 // Begin asks whether a request may be tried, and which builds are to be avoided. After
-// Suspect, End must follow.
+// Suspect, Done must follow.
 func (t *Table) Begin(f Fingerprint) (v Verdict, avoid []string) {
 	s := t.shard(f)
 	s.mu.Lock()
@@ -109,8 +108,8 @@
 	return v, avoid
 }
 
-// End notes that a try of a suspect is over.
-func (t *Table) End(f Fingerprint) {
+// Done notes that a try of a suspect is over.
+func (t *Table) Done(f Fingerprint) {
 	s := t.shard(f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -261,15 +260,6 @@
 	return count
 }
 
-// IsBarred tells whether a record, as it is, keeps its request away from servers.
-func (r Record) IsBarred() bool {
-	e := entry{whole: r.whole}
-	for _, one := range r.ends {
-		e.addEnd(one, time.Time{})
-	}
-	return e.verdict() == Barred
-}
-
 // Sweep forgets what is old.
 func (t *Table) Sweep() {
 	now := t.now()
@@ -335,10 +325,3 @@
 	}
 	s.whole[r] = true
 }
-
-// Sorted returns records with those first that have more ends: of what is told in parts,
-// they are the most urgent.
-func Sorted(records []Record) []Record {
-	slices.SortStableFunc(records, func(a, b Record) int { return len(b.ends) - len(a.ends) })
-	return records
-}
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -84,7 +84,7 @@
 			t.Errorf("%s, not %s", got, want)
 		}
 	}
-	table.End(request)
+	table.Done(request)
 	if got, _ := table.Begin(request); got != Suspect {
 		t.Errorf("%s after the try", got)
 	}
@@ -284,7 +284,7 @@
 		if tester.BeginTrial(request, "g1") == Granted {
 			made++
 			tester.Ended(request, endOf(fmt.Sprint("d", made), "x", fmt.Sprint("v", made+1, "/0"), EndsToBar))
-			tester.EndTrial(request, true)
+			tester.TrialDone(request, true)
 		}
 		share()
 	}
@@ -308,7 +308,7 @@
 		if got := table.BeginTrial(request, "g1"); got != Granted {
 			t.Fatalf("%d", got)
 		}
-		table.EndTrial(request, wasSent)
+		table.TrialDone(request, wasSent)
 	}
 	if got := table.BeginTrial(request, "g1"); got != NoTrial {
 		t.Errorf("%d after it was sent", got)
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -55,7 +55,7 @@
 	NoTrial Trial = iota
 	// MayAsk is that one may be asked for.
 	MayAsk
-	// Granted is that this gateway is to make it; EndTrial must follow.
+	// Granted is that this gateway is to make it; TrialDone must follow.
 	Granted
 )
 
@@ -78,9 +78,9 @@
 	return NoTrial
 }
 
-// EndTrial notes that a trial is over. One that was not sent to a server is still to come.
-func (t *Table) EndTrial(f Fingerprint, wasSent bool) {
-	t.End(f)
+// TrialDone notes that a trial is over. One that was not sent to a server is still to come.
+func (t *Table) TrialDone(f Fingerprint, wasSent bool) {
+	t.Done(f)
 	s := t.shard(f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
