A departure is noted before the backend servers are looked at, as it was

Found by reading the diff: with starts told apart it had come to be noted last, and a heartbeat that was heard between would have brought the backend server back.

--- a/pkg/gateway/backends.go
+++ b/pkg/gateway/backends.go
@@ -119,22 +119,30 @@
 }
 
 // depart notes that the starts of an incarnation up to one are gone, whatever their
-// service; with 0 all that are known.
+// service; with 0 all that are known. That is noted before the backend servers are looked
+// at: a word that comes meanwhile looks there last.
 func (t *backends) depart(incarnation string, born uint64) {
+	if born == 0 {
+		born = t.latestStart(incarnation)
+	}
+	t.departedLock.Lock()
+	t.departed[incarnation] = departure{max(born, t.departed[incarnation].born), time.Now()}
+	t.departedLock.Unlock()
 	t.each(func(b *backend, id string) {
-		if id != incarnation {
-			return
-		}
-		if born == 0 {
-			born = b.word().Born()
-		}
-		if b.word().Born() <= born {
+		if id == incarnation && b.word().Born() <= born {
 			b.isGone()
 		}
 	})
-	t.departedLock.Lock()
-	defer t.departedLock.Unlock()
-	t.departed[incarnation] = departure{max(born, t.departed[incarnation].born), time.Now()}
+}
+
+// latestStart returns the latest start of an incarnation that is known; 0 where none is.
+func (t *backends) latestStart(incarnation string) (born uint64) {
+	t.each(func(b *backend, id string) {
+		if id == incarnation {
+			born = max(born, b.word().Born())
+		}
+	})
+	return born
 }
 
 // hasDeparted tells whether a word is of a start that is gone.
