A leave that is told again does not seem heard of anew

Found by reading the diff: two nodes that both took a leave told each other of it each 30 s, and neither would ever have forgotten it. TestGoneIsForgottenWhereNodesRetellIt failed before.

--- a/pkg/registry/registration.go
+++ b/pkg/registry/registration.go
@@ -110,6 +110,9 @@
 // start.
 func (r Registration) Follows(old Registration) bool {
 	switch {
+	case r.state == Gone && old.state == Gone:
+		// Nodes tell each other again: what is known by then must not seem heard of anew.
+		return r.born > old.born
 	case r.state == Gone:
 		return r.born == 0 || r.born >= old.born
 	case r.born != old.born:
--- a/pkg/registry/table_test.go
+++ b/pkg/registry/table_test.go
@@ -170,3 +170,32 @@
 		t.Errorf("it is %s", r.State())
 	}
 }
+
+// Two nodes that both took the leave tell each other of it again and again: it is forgotten
+// all the same.
+func TestGoneIsForgottenWhereNodesRetellIt(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	clock := func() time.Time { return now }
+	nodes := []*Table{NewTable(clock), NewTable(clock)}
+	for _, n := range nodes {
+		n.Hear(start(900_000, 4, Ready))
+		n.Leave("i-1")
+	}
+	patience := Patience{Direct: time.Hour, Relayed: time.Hour, Forget: 2 * time.Minute}
+	for range 6 {
+		now = now.Add(30 * time.Second)
+		for i, n := range nodes {
+			for _, r := range n.Direct() {
+				if _, tell := nodes[1-i].HearRelayed(r); tell {
+					t.Error("what is known is told on")
+				}
+			}
+			n.Sweep(patience)
+		}
+	}
+	for i, n := range nodes {
+		if _, known := n.Get("i-1"); known {
+			t.Errorf("node %d still knows of it", i)
+		}
+	}
+}
