Test: an end of a stand-in is counted before it comes

Traced: the stand-in closed its port and connections first and counted afterwards; the gateway had seen the third end and refused all further tries within 10 ms, before the stand-in's goroutine went on. With 50 ms put between the two the same check fails each time (0 servers counted). Ruled out: a try that is not over yet (50 ms put before its end: passes, the next one comes over the same connection).

--- a/pkg/gateway/ends_servers_test.go
+++ b/pkg/gateway/ends_servers_test.go
@@ -84,11 +84,12 @@
 	return next
 }
 
+// end counts an end and has it come: whoever sees it finds it counted.
 func (m *mortals) end(one *mortal) {
-	one.end()
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.ended++
+	m.mu.Unlock()
+	one.end()
 }
 
 func (m *mortals) count() int {
