Records are told to a node at one place, and the ends of a request are counted once for each decision

A node learnt of a follower's records twice, from its Hello and from the Word right after the node's first Update, which had been added for what is learnt between the two. No behaviour changed; tests as they were.

--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -44,9 +44,9 @@
 	// aloneAfter is how long a node may be without word of a quorum's leader
 	// before another one is followed beside it: an election takes a second.
 	aloneAfter = 2 * time.Second
-	// maxHelloRecords bounds what a Hello says of requests under which servers ended, those
-	// with the most ends first: some 10 KB.
-	maxHelloRecords = 64
+	// maxKnownRecords bounds what a node is told at first of requests under which servers
+	// ended, those with the most ends first: some 10 KB.
+	maxKnownRecords = 64
 	// settleFor is how long a node is heard before it takes the place of a primary
 	// that works. One that has just started counts few of the others, and gateways
 	// that take its count for all send engines more than they have places for.
@@ -291,7 +291,6 @@
 	if f.Weights != nil {
 		hello.weights = f.Weights()
 	}
-	hello.records = f.knownRecords()
 	if err := stream.Send(hello); err != nil {
 		return err
 	}
@@ -310,7 +309,7 @@
 		late.Reset(lateBeat)
 		stream.SetDeadline(time.Now().Add(silence))
 		if f.note(address, stream, u) {
-			// What was learnt since the Hello was not told here: the node was not heard yet.
+			// From now on it is told what is learnt, so that nothing comes between.
 			f.tellKnownRecords(stream)
 		}
 		f.Take(address, u)
--- a/pkg/feed/follower_tell.go
+++ b/pkg/feed/follower_tell.go
@@ -23,17 +23,13 @@
 // it may, a record says so.
 func (f *Follower) AskTrial(request quarantine.Fingerprint) { f.tellPrimary(Word{trial: request}) }
 
-// knownRecords are the records that are told to a node when its stream begins.
-func (f *Follower) knownRecords() []quarantine.Record {
+// tellKnownRecords tells a node that is heard for the first time what is known of requests
+// under which servers ended.
+func (f *Follower) tellKnownRecords(stream *link.Stream) {
 	if f.Records == nil {
-		return nil
+		return
 	}
-	return firstOf(quarantine.Sorted(f.Records()), maxHelloRecords)
-}
-
-// tellKnownRecords tells them, if there are any.
-func (f *Follower) tellKnownRecords(stream *link.Stream) {
-	if known := f.knownRecords(); len(known) > 0 {
+	if known := firstOf(quarantine.Sorted(f.Records()), maxKnownRecords); len(known) > 0 {
 		// A failure shows in the reading.
 		_ = stream.Send(Word{records: known})
 	}
@@ -51,7 +47,7 @@
 	}
 	f.mu.Unlock()
 	for _, stream := range heard {
-		// A failure shows in the reading, and the next Hello has it again.
+		// A failure shows in the reading, and the next stream begins with it.
 		_ = stream.Send(Word{records: records})
 	}
 }
--- a/pkg/feed/messages.go
+++ b/pkg/feed/messages.go
@@ -74,9 +74,6 @@
 	// weights are the named versions that the follower knows of. A node that has
 	// started anew takes their ages from it; what is named the log alone decides.
 	weights []Weights
-	// records are what the follower knows of requests under which servers ended: a node
-	// that has started anew learns them so.
-	records []quarantine.Record
 }
 
 // Word is what a follower tells a node after its Hello.
@@ -92,7 +89,8 @@
 	demand float64
 	// subscription changes what the follower wants to be told.
 	subscription Subscription
-	// records are what a gateway has learnt of requests under which servers ended.
+	// records are what the follower has learnt of requests under which servers ended, and
+	// in its first Word all that it knows: a node that has started anew learns them so.
 	records []quarantine.Record
 	// trial is a barred request that a gateway asks to try once more; else empty.
 	trial quarantine.Fingerprint
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -190,7 +190,6 @@
 	if p.source.Known != nil {
 		p.source.Known(hello)
 	}
-	p.learn(hello.records)
 	s := newSubscriber(hello)
 	s.queueWords(p.source.Registrations())
 	if !p.add(s) {
--- a/pkg/feed/wire_generated.go
+++ b/pkg/feed/wire_generated.go
@@ -53,8 +53,8 @@
 }
 
 // NewHello returns a Hello with the given fields.
-func NewHello(role Role, self vm.Identity, service string, engine string, weights []Weights, records []quarantine.Record) Hello {
-	return Hello{role: role, self: self, service: service, engine: engine, weights: weights, records: records}
+func NewHello(role Role, self vm.Identity, service string, engine string, weights []Weights) Hello {
+	return Hello{role: role, self: self, service: service, engine: engine, weights: weights}
 }
 
 // Role is what the follower is.
@@ -73,16 +73,12 @@
 // started anew takes their ages from it; what is named the log alone decides.
 func (h Hello) Weights() []Weights { return h.weights }
 
-// Records are what the follower knows of requests under which servers ended: a node
-// that has started anew learns them so.
-func (h Hello) Records() []quarantine.Record { return h.records }
-
 // EncodeMsgpack writes the fields in order, as one array.
 func (h Hello) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(6); err != nil {
+	if err := enc.EncodeArrayLen(5); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(h.role, h.self, h.service, h.engine, h.weights, h.records)
+	return enc.EncodeMulti(h.role, h.self, h.service, h.engine, h.weights)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -91,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&h.role, &h.self, &h.service, &h.engine, &h.weights, &h.records}
+	fields := []any{&h.role, &h.self, &h.service, &h.engine, &h.weights}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -390,7 +386,8 @@
 // Subscription changes what the follower wants to be told.
 func (w Word) Subscription() Subscription { return w.subscription }
 
-// Records are what a gateway has learnt of requests under which servers ended.
+// Records are what the follower has learnt of requests under which servers ended, and
+// in its first Word all that it knows: a node that has started anew learns them so.
 func (w Word) Records() []quarantine.Record { return w.records }
 
 // Trial is a barred request that a gateway asks to try once more; else empty.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -49,7 +49,7 @@
 	q.lapse.bounds = q.lapse.lapses() && q.lapse.left() > q.longestRun(&g.silences, time.Now())
 	q.knownEnds = g.quarantine.Ends(q.fingerprint)
 	q.build = b.build(q.modelAndLayers())
-	if !g.mayRun(q) || !quarantine.MayBeMended(q.build, q.avoid) || q.allowed() < leastTime || q.lapse.isOver() {
+	if !q.mayRun(q.knownEnds) || !quarantine.MayBeMended(q.build, q.avoid) || q.allowed() < leastTime || q.lapse.isOver() {
 		conn.Close()
 		return false
 	}
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -224,7 +224,7 @@
 func (g *Gateway) mayTry(q *request, dials int) *failure.Failure {
 	ends := g.quarantine.Ends(q.fingerprint)
 	switch {
-	case !g.mayRun(q):
+	case !q.mayRun(ends):
 		return endsServers(q, ends)
 	case q.sign == signEnded && ends > 1:
 		return q.exhausted("%d backend servers ended under this request; last: %s", ends, q.last)
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -80,16 +80,16 @@
 	return false
 }
 
-// mayRun tells whether the ends held against a request let it be sent to a server now. A
+// mayRun tells whether so many ends held against a request let it be sent to a server. A
 // trial is sent once.
-func (g *Gateway) mayRun(q *request) bool {
+func (q *request) mayRun(ends int) bool {
 	switch {
 	case q.isTrial:
 		return q.sent == 0
 	case len(q.avoid) > 0:
 		return true
 	}
-	return g.quarantine.Ends(q.fingerprint) < quarantine.EndsToBar
+	return ends < quarantine.EndsToBar
 }
 
 // endsServers is the failure of a request that is kept away from servers.
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -1,6 +1,7 @@
 // ================================================================
 // The table of the requests that servers ended under, in shards by fingerprint, each
-// under its own lock: every request of a gateway looks here twice.
+// under its own lock: every request of a gateway looks here before it is admitted, before
+// each decision on an attempt and its sending, and after it ran whole.
 //
 // It is bounded whatever callers send. Requests whose servers never ended have no record;
 // of the others the ones with the fewest ends are forgotten first. What ran whole is
@@ -114,10 +115,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.entries[f]; e != nil {
-		e.under = max(e.under-1, 0)
+		e.done()
 	}
 }
 
+// done takes a try off. Its entry may be another one than it began with, where that was
+// forgotten meanwhile.
+func (e *entry) done() { e.under = max(e.under-1, 0) }
+
 func (e *entry) verdict() Verdict {
 	switch ends := e.separateEnds(); {
 	case ends >= EndsToBar && len(e.whole) > 0:
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -80,11 +80,15 @@
 
 // TrialDone notes that a trial is over. One that was not sent to a server is still to come.
 func (t *Table) TrialDone(f Fingerprint, wasSent bool) {
-	t.Done(f)
 	s := t.shard(f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e := s.entries[f]; e != nil && !wasSent {
+	e := s.entries[f]
+	if e == nil {
+		return
+	}
+	e.done()
+	if !wasSent {
 		e.used = e.trials - 1
 	}
 }
