--- /dev/null
+++ b/pkg/gateway/callers.go
@@ -0,0 +1,139 @@
+// ================================================================
+// Callers' connections and their listener: who is there, who rests, and how both end in
+// a planned stop without a connection that closes under a request.
+// ================================================================
+
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// restAtStop is how long a connection may rest in a stop: a caller that goes on with
+	// its connection does so within some 100 ms of the answer before.
+	restAtStop = time.Second
+	// lookAtStop lies between two looks at what still goes on.
+	lookAtStop = 20 * time.Millisecond
+	// acceptQuiet is for how long nobody may come before the listener closes, and
+	// acceptMost how long that may take in all.
+	acceptQuiet = 20 * time.Millisecond
+	acceptMost  = 300 * time.Millisecond
+)
+
+// connections are those of callers. The zero value has none. It is safe for concurrent
+// use.
+type connections struct {
+	mu   sync.Mutex
+	open int
+	// resting are those on which no request is, with since when.
+	resting map[net.Conn]time.Time
+}
+
+// changed follows a connection; it is the server's ConnState.
+func (c *connections) changed(conn net.Conn, s http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.resting == nil {
+		c.resting = map[net.Conn]time.Time{}
+	}
+	delete(c.resting, conn)
+	switch s {
+	case http.StateNew:
+		c.open++
+		c.resting[conn] = time.Now()
+	case http.StateIdle:
+		c.resting[conn] = time.Now()
+	case http.StateClosed, http.StateHijacked:
+		c.open--
+	}
+}
+
+// awaitNone ends connections that rest too long until none is left, or the context ends.
+// It returns how many are in use then.
+func (c *connections) awaitNone(ctx context.Context) (inUse int) {
+	ticker := time.NewTicker(lookAtStop)
+	defer ticker.Stop()
+	for c.endResting(time.Now()) > 0 {
+		select {
+		case <-ctx.Done():
+			return c.inUse()
+		case <-ticker.C:
+		}
+	}
+	return 0
+}
+
+// endResting ends the connections that rest too long, and returns how many are open. The
+// end of its time for reading ends a connection from its own goroutine: one on which a
+// request has just come goes on with it.
+func (c *connections) endResting(now time.Time) (open int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, since := range c.resting {
+		if now.Sub(since) < restAtStop {
+			continue
+		}
+		if err := conn.SetReadDeadline(now); err != nil {
+			_ = conn.Close() // it is broken
+		}
+		delete(c.resting, conn)
+	}
+	return c.open
+}
+
+// inUse returns how many connections have a request on them.
+func (c *connections) inUse() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open - len(c.resting)
+}
+
+// ----------------------------------------------------------------
+// Their listener
+
+// callersListener takes callers until it is told to stop, and then those that the kernel
+// has accepted already: to close it resets them.
+type callersListener struct {
+	net.Listener
+	stopping atomic.Bool
+}
+
+// bounded is a listener whose Accept can be bounded.
+type bounded interface{ SetDeadline(time.Time) error }
+
+// Accept returns the next connection; net.ErrClosed once it has stopped.
+func (l *callersListener) Accept() (net.Conn, error) {
+	if l.stopping.Load() {
+		l.bound()
+	}
+	conn, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		_ = l.Close()
+		return nil, net.ErrClosed
+	}
+	return conn, err
+}
+
+// stop has Accept end when nobody comes any more.
+func (l *callersListener) stop() {
+	l.stopping.Store(true)
+	l.bound()
+	time.AfterFunc(acceptMost, func() { _ = l.Close() })
+}
+
+// bound bounds Accept. A listener that cannot be bounded closes.
+func (l *callersListener) bound() {
+	b, can := l.Listener.(bounded)
+	if !can || b.SetDeadline(time.Now().Add(acceptQuiet)) != nil {
+		_ = l.Close()
+	}
+}
