A stream that an order cut goes on where no order is to come

Cause: the order for weights that cut it at one engine is followed by those of the others; the choice took any engine with a place. Repeats now go to engines that have the newest version, as long as one has a place. Test: TestStreamThatAnOrderCutGoesOnWhereNoneComes failed before.

A control node that is stopped answers the calls under way before it closes: TestStopAnswersCallsUnderWay, which failed before with a closed connection; up to 2 s.

--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -38,6 +38,9 @@
 	idleTimeout    = 30 * time.Second
 	maxHeader      = 16 << 10
 	maxConnections = 1024
+	// callsAtStop is how long a planned stop waits for calls: a change is agreed within some
+	// 100 ms, and one that finds no quorum is not worth more of the time of the stop.
+	callsAtStop = 2 * time.Second
 	// goMemoryShare of the process's memory is the collector's limit.
 	goMemoryShare = 0.7
 )
@@ -68,6 +71,7 @@
 	others     *feed.Follower // follows the other control nodes
 	suspension *suspension.Watch
 	keeper     *keeper
+	calls      *http.Server
 	cache      *staging.Cache // nil where the settings ask for none
 }
 
@@ -106,6 +110,7 @@
 		Nodes:         func() []string { return n.member.nodes() },
 		Confirmed:     func() bool { return n.member.confirmed() },
 	})
+	n.calls = n.newCalls()
 	n.keeper = &keeper{table: n.service.quarantine, learn: n.service.learnRecords, logger: process.Logger}
 	n.service.barredChanged = n.keeper.note
 	n.member = newMember(n.memberConfig(seams))
@@ -188,23 +193,48 @@
 	add(n.sweep)
 	add(n.retell)
 	add(n.seeds.Run)
-	add(func(ctx context.Context) error { return daemon.WaitSignal(ctx, signals) })
+	add(func(ctx context.Context) error { return n.waitStop(ctx, signals) })
 	err := group.Run()
 	n.process.LogStop(err)
 	return err
 }
 
+// newCalls returns the server of the calls of operators and backend servers.
+func (n *Node) newCalls() *http.Server {
+	router := chi.NewRouter()
+	n.protocol.Mount(router, n.service)
+	return &http.Server{
+		Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: daemon.HTTPLog(n.process.Logger),
+	}
+}
+
+// serveCalls serves calls, and returns when the node ends: a planned stop ends the serving
+// before that.
 func (n *Node) serveCalls(ctx context.Context) error {
 	l, err := n.process.Listen(n.settings.Listen())
 	if err != nil {
 		return err
 	}
-	router := chi.NewRouter()
-	n.protocol.Mount(router, n.service)
-	return daemon.ServeHTTP(ctx, &http.Server{
-		Handler: router, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: daemon.HTTPLog(n.process.Logger),
-	}, netutil.LimitListener(l, maxConnections))
+	if err := daemon.ServeHTTP(ctx, n.calls, netutil.LimitListener(l, maxConnections)); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// waitStop waits for a signal, and then for the calls under way: an operator whose change
+// was read, and may be in force, hears of it.
+func (n *Node) waitStop(ctx context.Context, signals <-chan os.Signal) error {
+	if err := daemon.WaitSignal(ctx, signals); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callsAtStop)
+	defer cancel()
+	if err := n.calls.Shutdown(ctx); err != nil {
+		_ = level.Warn(n.process.Logger).Log("msg", "the stop closes calls under way", "err", err)
+	}
+	return nil
 }
 
 // Called returns the protocol's name.
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -85,8 +85,16 @@
 }
 
 // choosePlaceInTime chooses a place where the request is over before the version there
-// lapses, else one where it may run on.
+// lapses, else one where it may run on. A repeat goes first where no order for weights is to
+// come: one that is cut again has no attempt left.
 func (g *Gateway) choosePlaceInTime(q *request, w wanted) (b *backend, loaded bool) {
+	if next := g.versions.Next(q.model, q.lapse.served); q.sent > 0 && next.Version() > 0 {
+		newest := w
+		newest.least = func(time.Duration) uint64 { return g.versions.Due(q.model, 0, time.Now()) }
+		if b, loaded = g.choosePlace(q, newest); b != nil {
+			return b, loaded
+		}
+	}
 	if b, loaded = g.choosePlace(q, w); b != nil || !g.mayRunOn(q) {
 		return b, loaded
 	}
