--- a/pkg/control/stop_test.go
+++ b/pkg/control/stop_test.go
@@ -23,9 +23,13 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	if _, err := io.WriteString(conn, "PUT /v1/weights/menu/3 HTTP/1.1\r\nHost: control\r\nContent-Length: 2\r\n\r\n{"); err != nil {
+	reader := bufio.NewReader(conn)
+	if _, err := io.WriteString(conn, "PUT /v1/weights/menu/3 HTTP/1.1\r\nHost: control\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n{"); err != nil {
 		t.Fatal(err)
 	}
+	if goOn, err := http.ReadResponse(reader, nil); err != nil || goOn.StatusCode != http.StatusContinue {
+		t.Fatalf("it is not read: %v", err)
+	}
 	n.signals <- os.Interrupt
 	for {
 		later, err := net.Dial("tcp", n.calls)
@@ -37,7 +41,7 @@
 	if _, err := io.WriteString(conn, "}"); err != nil {
 		t.Fatal(err)
 	}
-	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	answer, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
 	}
