--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -66,7 +66,7 @@
 	began := b.begin(work, takeBack)
 	defer b.end(work)
 	defer b.begun(began, false)
-	x := &exchange{gateway: g, request: q, backend: b, conn: conn, began: began, isLast: q.runs+1 >= q.route.Attempts(), goesOn: q.begun}
+	x := &exchange{gateway: g, request: q, backend: b, conn: conn, began: began, isLast: q.isLastAt(b), goesOn: q.begun}
 	x.listening = g.listen(x, takeBack)
 	defer g.silences.end(x.listening)
 	stop := context.AfterFunc(q.ctx, conn.Abort)
@@ -164,7 +164,7 @@
 	x.conn.Abort()
 	q := x.request
 	q.mayHaveRun = true
-	q.runs++
+	q.ranAt[x.backend] = true
 	q.sign = x.signAfter(cause)
 	switch {
 	case q.ctx.Err() != nil:
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -61,8 +61,9 @@
 	wait time.Duration
 	// avoid are the builds under which servers ended with the request.
 	avoid []string
-	// tried are those that the request was sent to.
-	tried map[*backend]bool
+	// tried are those that the request may not be sent to again, and only those that it may
+	// be sent to; nil is all.
+	tried, only map[*backend]bool
 }
 
 // choose returns the best backend server; nil when none may take the request,
@@ -79,7 +80,7 @@
 	for _, c := range all {
 		b, l := c.backend, c.load
 		switch {
-		case w.tried[b]:
+		case w.tried[b] || w.only != nil && !w.only[b]:
 		case l.full || w.takesNothing(l):
 			full = true
 		case l.resting:
--- a/pkg/gateway/cut_by_order_test.go
+++ b/pkg/gateway/cut_by_order_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
@@ -69,3 +70,33 @@
 		t.Fatalf("%d %q %v", status, body, err)
 	}
 }
+
+// The order that cut a stream at its engine is carried out while the stream is cut by that
+// of the next engine, too. It goes back: a route bounds the servers that a request is sent
+// to, and not how often.
+func TestStreamThatTwoOrdersCutGoesBack(t *testing.T) {
+	var f *fixture
+	var old, next *standIn
+	tell := func(s *standIn, version uint64, busy bool) {
+		f.gateway.backends.hearLoad(feed.NewLoad("menu", s.listener.Addr().String(), "menu", version, 1, 0, 1, busy, false))
+	}
+	old = newStandIn(t, "i-old", func(w *bufio.Writer, r *http.Request) bool {
+		if len(old.requests()) > 1 {
+			return streamBehind(2)(w, r)
+		}
+		tell(old, 1, true)
+		writeEvents(w, r, 1, 1)
+		return false
+	})
+	next = newStandIn(t, "i-next", func(w *bufio.Writer, r *http.Request) bool {
+		tell(old, 2, false)
+		tell(next, 1, true)
+		writeEvents(w, r, 2, 2)
+		return false
+	})
+	f = newLapsingOf(t, old, next)
+	status, _, body, err := f.do(t, f.draft(t))
+	if status != http.StatusOK || body != events(1, 3) || err != nil {
+		t.Fatalf("%d %q %v", status, body, err)
+	}
+}
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -104,7 +104,7 @@
 	}
 	q.deadline = now.Add(hold)
 	q.header = upstream.PassedOn(r.Header)
-	q.tried = map[*backend]bool{}
+	q.tried, q.ranAt = map[*backend]bool{}, map[*backend]bool{}
 	q.estimate()
 	if service.Engine().Slots() > 0 {
 		q.model = modelOf(q.call, service.Engine())
@@ -236,7 +236,7 @@
 		return failure.New(failure.Overloaded, "%d backend servers could not be reached", dials).WithRetryAfter(comeBackSoon)
 	case !q.repeatable():
 		return failure.New(failure.OutcomeUnknown, "the request may have run: %s", q.last)
-	case q.runs >= q.route.Attempts() || dials >= maxDials:
+	case q.isSpent() || dials >= maxDials:
 		return q.exhausted("all %d attempts are used up; last: %s", q.route.Attempts(), q.last)
 	case !q.repeatTaken.Swap(false) && !g.awaitRepeat(q):
 		return q.exhausted("the budget of repeats is used up; last: %s", q.last)
@@ -256,6 +256,9 @@
 // would begin in time is refused at once: it is worth more when it comes back.
 func (g *Gateway) pick(q *request) (*backend, *failure.Failure) {
 	w := wanted{service: q.service.Name(), work: q.work, tried: q.tried, engine: q.service.Engine(), avoid: q.avoid}
+	if len(q.ranAt) >= q.route.Attempts() {
+		w.only = q.ranAt
+	}
 	if q.model != "" {
 		w.model, w.layers = q.model, max(w.engine.Layers(), 1)
 		w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, q.run) }
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -41,9 +41,7 @@
 	}
 	x.conn.Finish(answer)
 	x.sawWhole(answer)
-	if q := x.request; q.run == 0 {
-		q.sawRun(&x.gateway.silences, time.Now(), time.Since(x.started))
-	}
+	x.sawPlainRun()
 	held := &heldAnswer{answer.StatusCode, answer.Header, body}
 	if x.request.begun {
 		return x.broken("a stream went on as "+answer.Status, nil)
@@ -56,12 +54,20 @@
 	return true
 }
 
+// sawPlainRun learns how long a request ran at a backend server that is no engine: what an
+// engine answers without a stream is no run of its usual length.
+func (x *exchange) sawPlainRun() {
+	if q := x.request; q.run == 0 {
+		q.sawRun(&x.gateway.silences, time.Now(), time.Since(x.started))
+	}
+}
+
 // failedAnswer keeps a backend server's own failure; it is passed on if no
 // other attempt may be made.
 func (x *exchange) failedAnswer(held *heldAnswer) bool {
 	q := x.request
 	q.mayHaveRun = true
-	q.runs++
+	q.ranAt[x.backend] = true
 	q.fallback = held
 	if q.hasLapsed() {
 		x.gateway.note(q, attemptLapsed, strconv.Itoa(held.status))
@@ -105,6 +111,7 @@
 	x.conn.Finish(answer)
 	x.backend.answered()
 	x.sawWhole(answer)
+	x.sawPlainRun()
 	x.gateway.end(q, outcomeServed, answer.Status)
 	return true
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -44,9 +44,9 @@
 	prefill         time.Duration
 	run             time.Duration // from its first turn at an engine to its last event, at the most
 
-	tried map[*backend]bool
-	sent  int // attempts that reached a backend server
-	runs  int // those of them that may have run
+	tried map[*backend]bool // not to be sent to again
+	sent  int               // attempts that reached a backend server
+	ranAt map[*backend]bool // where those of them were that may have run
 	// repeatTaken says that the repeat of the next attempt is out of the budget already.
 	repeatTaken atomic.Bool
 	knownEnds   int      // of servers under this request, when it was sent last
@@ -84,6 +84,30 @@
 // repeatable tells whether the request may be sent once more.
 func (q *request) repeatable() bool { return !q.mayHaveRun || q.route.Idempotent() }
 
+// isSpent tells whether no backend server is left to send the request to: it may have run at
+// as many as its route allows, and may not go back to any of them.
+func (q *request) isSpent() bool {
+	if len(q.ranAt) < q.route.Attempts() {
+		return false
+	}
+	for b := range q.ranAt {
+		if !q.tried[b] {
+			return false
+		}
+	}
+	return true
+}
+
+// isLastAt tells whether an attempt at a backend server is the last one that the route
+// allows, but for going back.
+func (q *request) isLastAt(b *backend) bool {
+	servers := len(q.ranAt)
+	if !q.ranAt[b] {
+		servers++
+	}
+	return servers >= q.route.Attempts()
+}
+
 // busyPace is what a request takes at a full engine, which reads the prompts of others
 // between its words, over what it takes by itself.
 const busyPace = 1.5
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -372,7 +372,7 @@
 	service, _ := f.gateway.index.Load().Service("menu")
 	// One repeat for this gateway, after what is kept for safety.
 	f.gateway.budget = newBudget(0, 1.5*float64(f.gateway.gateways()), time.Hour)
-	q := &request{route: route, service: service, sent: 1, runs: 1}
+	q := &request{route: route, service: service, sent: 1, ranAt: map[*backend]bool{{}: true}}
 	last := &exchange{gateway: f.gateway, request: q, isLast: true}
 	if last.mayBreakOff() {
 		t.Error("the last attempt is broken off")
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -92,7 +92,8 @@
 	if run <= left && (isEarly || run > 0 && !mayBeCut) {
 		return nil
 	}
-	return failure.New(failure.Draining, "the gateway stops in %s, and the request may run for longer", left.Round(time.Millisecond))
+	f := failure.New(failure.Draining, "the gateway stops in %s, and the request may run for longer", left.Round(time.Millisecond))
+	return f.WithRetryAfter(comeBackSoon) // others serve, unless all stop at one moment
 }
 
 // lateInStop is from when on a planned stop begins nothing that it may cut.
