--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -24,6 +24,10 @@
 // outside of planned stops.
 const mostUnanswered = 3
 
+// siteTokens and sitePrompt are how long the users' answers and prompts are: 0.4 to 4.5 s at
+// an engine, and up to 0.2 s before.
+var siteTokens, sitePrompt = bounds{40, 480}, bounds{100, 3880}
+
 // number is what a variable says.
 func number(t *testing.T, variable string, standard float64) float64 {
 	text := os.Getenv(variable)
--- a/soak/stop_of_all_test.go
+++ b/soak/stop_of_all_test.go
@@ -25,10 +25,6 @@
 // siteNotice is how long the users' gateways take callers after the signal.
 const siteNotice = 3 * time.Second
 
-// siteTokens and sitePrompt are how long the users' answers and prompts are: 0.4 to 4.5 s at
-// an engine, and up to 0.2 s before.
-var siteTokens, sitePrompt = bounds{40, 480}, bounds{100, 3880}
-
 // TestStopOfAllCutsNothing stops all gateways at one moment, tells all programs to reload,
 // puts a configuration, names a version and sends the signal once more, all within the stop.
 func TestStopOfAllCutsNothing(t *testing.T) {
