--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -39,11 +39,11 @@
 	done  map[string]int // by what
 	// pace is how many times as long engines take while gateways are stopped together.
 	pace float64
-	// stopping are the gateways that are being stopped or started again.
+	// stopping are the programs that are being stopped or started again.
 	stopping map[string]bool
 }
 
-// take tells whether a gateway may be stopped now; it is then to be given back.
+// take tells whether a program may be stopped now; it is then to be given back.
 func (s *series) take(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -164,6 +164,10 @@
 	for _, v := range victims {
 		s.loop(ctx, "kill "+v.kind, v.pause, func(r *rand.Rand) {
 			name := nameOf(v.kind, r.IntN(v.count))
+			if !s.take(name) {
+				return
+			}
+			defer s.giveBack(name)
 			s.world.programs.stop(name, syscall.SIGKILL)
 			s.startLater(r, name)
 		})
