An entry that drains tells each caller that its connection closes

Same cause in the older half: callers that keep their connections were never told of a stop, and sent requests as the entry went. TestEntryThatDrainsTellsItsCallers failed before. Left, not looked at: an entry's time for a stop (2 min by default) is not asked before a request is begun.

--- a/pkg/entry/callers.go
+++ b/pkg/entry/callers.go
@@ -69,6 +69,7 @@
 // Handler returns the callers' routes.
 func (e *Entry) Handler() http.Handler {
 	router := chi.NewRouter()
+	router.Use(e.tellDraining)
 	router.Get("/healthz", daemon.Healthy)
 	router.Get("/readyz", e.serveReady)
 	router.Post("/v1/chat/completions", e.serveChat)
@@ -80,6 +81,17 @@
 	return router
 }
 
+// tellDraining has each answer of an entry that drains say that its connection closes: a
+// caller that kept it would send a request as the entry goes.
+func (e *Entry) tellDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // serveReady tells the balancer whether to send requests here.
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	switch {
