--- a/pkg/gateway/ending.go
+++ b/pkg/gateway/ending.go
@@ -47,8 +47,8 @@
 func (g *Gateway) endWithStop(q *request) (end func()) {
 	ctx, cancel := context.WithCancelCause(q.incoming.Context())
 	q.ctx = ctx
-	q.outliveStop = context.AfterFunc(g.ending, func() { cancel(errStopping) })
-	runOn := context.AfterFunc(g.stopOver, func() { cancel(errStopOver) })
+	q.outliveStop = context.AfterFunc(g.stop.answering, func() { cancel(errStopping) })
+	runOn := context.AfterFunc(g.stop.running, func() { cancel(errStopOver) })
 	return func() {
 		q.outliveStop()
 		runOn()
@@ -60,7 +60,7 @@
 // them a moment to say so. It returns how many there were.
 func (g *Gateway) cutRunning() (requests int64) {
 	requests = g.serving.Load()
-	g.cutRest()
+	g.stop.cutAll()
 	for until := time.Now().Add(cutWithin); g.serving.Load() > 0 && time.Now().Before(until); {
 		time.Sleep(time.Millisecond)
 	}
@@ -70,7 +70,7 @@
 // cutOr is how a request ends whose answer is not whole: cut by this gateway where the time
 // for its stop is over, which breaks connections to both sides, and else as it seems.
 func (g *Gateway) cutOr(o outcome, why string) (outcome, string) {
-	if g.stopOver.Err() != nil {
+	if g.stop.isOver() {
 		return outcomeCut, errStopOver.Error()
 	}
 	return o, why
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -84,19 +84,11 @@
 	suspension *suspension.Watch
 
 	index       serviceconfig.Current
-	draining    atomic.Bool
-	signalled   moment // when a planned stop began; never where there is none
-	stopsAt     moment // when it is over; never where there is none
+	stop        *plannedStop
 	connections connections
 	callers     atomic.Pointer[callersListener] // nil until it listens
 	running     context.Context                 // ends with Run
-	// ending ends when a planned stop has no time left for requests without a head.
-	ending     context.Context
-	endWaiting context.CancelFunc
-	// stopOver ends when a planned stop has no time left at all: cutRest cuts what runs.
-	stopOver context.Context
-	cutRest  context.CancelFunc
-	serving  atomic.Int64 // requests that callers wait for
+	serving     atomic.Int64                    // requests that callers wait for
 }
 
 // New returns a gateway that is not running yet. path is its settings file,
@@ -110,14 +102,12 @@
 	g := &Gateway{
 		settings: s, process: process, protocol: protocol, running: context.Background(),
 		backends: newBackends(), versions: feed.NewVersions(), waiting: newWaitingSet(),
-		suspension: suspension.New(),
+		suspension: suspension.New(), stop: newPlannedStop(),
 		budget:     newBudget(s.RetryRatio(), s.RetryReserve(), s.RetryWindow()),
 		metrics:    newMetrics(process.Registry),
 		quarantine: quarantine.NewTable(nil), mayTell: rate.NewLimiter(endsTold, endsToldAtOnce),
 		tester: quarantine.Tester(process.Identity), mayAskTrial: rate.NewLimiter(trialsAsked, 1),
 	}
-	g.ending, g.endWaiting = context.WithCancel(context.Background())
-	g.stopOver, g.cutRest = context.WithCancel(context.Background())
 	g.seeds = daemon.NewSeeds(path, s, settings.LoadGateway, process.Logger)
 	g.follower = &feed.Follower{
 		Endpoint: process.Endpoint,
@@ -241,7 +231,7 @@
 	}
 	router := chi.NewRouter()
 	router.Get(g.protocol.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
-		if g.draining.Load() || g.index.Load() == nil {
+		if g.stop.isDraining() || g.index.Load() == nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -69,17 +69,7 @@
 		"configuration", q.number, "organisation", q.organisation, "backend", q.backend, "sent", q.sent,
 		"sent_ms", q.sentAfter.Milliseconds(), "came_back", q.cameBack, "forecast_ms", q.forecast.Milliseconds(), "first_ms", q.firstByte.Milliseconds(), "pause_ms", q.pause.Milliseconds(),
 		"objective_ms", objective.Milliseconds(), "pause_objective_ms", pauseObjective.Milliseconds(), "allowed_ms", q.call.Deadline.Milliseconds(), "ms", time.Since(q.started).Milliseconds(),
-		"version", q.lapse.served, "lapses_ms", q.untilLapse(), "stopping_ms", g.stoppingFor(q.started), "why", why)
-}
-
-// stoppingFor is for how long, in milliseconds, the gateway was being stopped at a moment;
-// nil where it was not.
-func (g *Gateway) stoppingFor(at time.Time) any {
-	since := g.signalled.time()
-	if since.IsZero() || at.Before(since) {
-		return nil
-	}
-	return at.Sub(since).Milliseconds()
+		"version", q.lapse.served, "lapses_ms", q.untilLapse(), "stopping_ms", g.stop.lasts(q.started), "why", why)
 }
 
 // untilLapse is for how long yet, in milliseconds, the version where the request went
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -21,6 +21,7 @@
 import (
 	"context"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -37,6 +38,50 @@
 	signalLate = 300 * time.Millisecond
 )
 
+// plannedStop is how far the planned stop of a gateway has come.
+type plannedStop struct {
+	draining  atomic.Bool
+	signalled moment // when the signal was taken; never before
+	limit     moment // when the time for it is over; never before the signal
+	// answering ends when all that have no head yet have to be answered, and running when
+	// what still runs is cut.
+	answering, running context.Context
+	answerAll, cutAll  context.CancelFunc
+}
+
+// newPlannedStop returns one that has not begun.
+func newPlannedStop() *plannedStop {
+	s := &plannedStop{}
+	s.answering, s.answerAll = context.WithCancel(context.Background())
+	s.running, s.cutAll = context.WithCancel(context.Background())
+	return s
+}
+
+// begin begins the stop, and returns when its time is over.
+func (s *plannedStop) begin(now time.Time, lasts time.Duration) (limit time.Time) {
+	limit = now.Add(lasts)
+	s.signalled.set(now)
+	s.limit.set(limit)
+	s.draining.Store(true)
+	return limit
+}
+
+// isDraining tells whether the stop has begun.
+func (s *plannedStop) isDraining() bool { return s.draining.Load() }
+
+// isOver tells whether what still ran was cut.
+func (s *plannedStop) isOver() bool { return s.running.Err() != nil }
+
+// lasts is for how long, in milliseconds, the stop had gone on at a moment; nil where it had
+// not begun.
+func (s *plannedStop) lasts(at time.Time) any {
+	since := s.signalled.time()
+	if since.IsZero() || at.Before(since) {
+		return nil
+	}
+	return at.Sub(since).Milliseconds()
+}
+
 // waitStop waits for a signal, turns readiness, takes callers for a while
 // longer, and then waits for what is in flight.
 func (g *Gateway) waitStop(ctx context.Context, signals <-chan os.Signal) error {
@@ -45,11 +90,8 @@
 		return nil
 	case <-signals:
 	}
-	g.signalled.set(time.Now())
-	limit := time.Now().Add(g.settings.DrainLimit() - stopMargin)
-	g.stopsAt.set(limit)
-	defer time.AfterFunc(time.Until(limit.Add(-lastAnswers)), g.endWaiting).Stop()
-	g.draining.Store(true)
+	limit := g.stop.begin(time.Now(), g.settings.DrainLimit()-stopMargin)
+	defer time.AfterFunc(time.Until(limit.Add(-lastAnswers)), g.stop.answerAll).Stop()
 	_ = level.Info(g.process.Logger).Log("msg", "stopping", "limit", g.settings.DrainLimit().String())
 	select {
 	case <-ctx.Done():
@@ -79,11 +121,11 @@
 // Early in the stop all callers still come, since no other gateway may be ready, and only
 // what would be cut by the estimate is refused.
 func (g *Gateway) mayOutliveStop(q *request) *failure.Failure {
-	stops := g.stopsAt.time()
-	if stops.IsZero() || q.begun {
+	limit := g.stop.limit.time()
+	if limit.IsZero() || q.begun {
 		return nil
 	}
-	left := time.Until(stops) - lastAnswers
+	left := time.Until(limit) - lastAnswers
 	if q.remaining() <= left {
 		return nil
 	}
@@ -98,5 +140,5 @@
 
 // lateInStop is from when on a planned stop begins nothing that it may cut.
 func (g *Gateway) lateInStop() time.Time {
-	return g.signalled.time().Add(g.settings.DrainNotice() - signalLate)
+	return g.stop.signalled.time().Add(g.settings.DrainNotice() - signalLate)
 }
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -27,9 +27,7 @@
 // stopping has the fixture's gateway be in a planned stop that began some time ago and has
 // so much left.
 func (f *fixture) stopping(since, left time.Duration) {
-	f.gateway.draining.Store(true)
-	f.gateway.signalled.set(time.Now().Add(-since))
-	f.gateway.stopsAt.set(time.Now().Add(left))
+	f.gateway.stop.begin(time.Now().Add(-since), since+left)
 }
 
 func TestRequestThatMayOutliveTheStopGoesElsewhere(t *testing.T) {
