--- a/soak/kept_test.go
+++ b/soak/kept_test.go
@@ -1,23 +1,15 @@
 // ================================================================
-// Callers that keep their connections, and the verdict on how their requests
-// ended: a request that was read is answered, whatever is done to the programs in
-// order. What a planned stop may cut is said by stopAllows.
+// Callers that keep their connections, and send one request after the other until they
+// are told that it closes.
 // ================================================================
 
 package soak
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -28,15 +20,6 @@
 	// streamWithin and plainWithin are how long callers wait for an answer.
 	streamWithin = 6 * time.Second
 	plainWithin  = 1200 * time.Millisecond
-	// nearDeadline is how early before a deadline an end counts as due to it.
-	nearDeadline = 100 * time.Millisecond
-	// lossSlack is for how long a request may lie read and not passed on when its
-	// connection closes.
-	lossSlack = 200 * time.Millisecond
-	// soonAfterSignal is how soon after it a request is sent that may be cut if a server
-	// works on it until the last sixth of the time for the stop.
-	soonAfterSignal = 3 * time.Second
-	lastSixth       = stopLimit * 5 / 6
 )
 
 // keptLoad are the callers that keep their connections.
@@ -107,108 +90,3 @@
 	}
 	return a
 }
-
-// ----------------------------------------------------------------
-// The verdict
-
-// span is a time in which something was done to a gateway.
-type span struct {
-	gateway  string // its address for callers
-	from, to time.Time
-}
-
-// covers tells whether a request was under way within the span or soon after it.
-func (s span) covers(k standin.KeptRequest) bool {
-	return s.gateway == k.Gateway && k.Ended.After(s.from) && k.Sent.Before(s.to.Add(time.Second))
-}
-
-// cut is a request over a kept connection that ended without a whole answer.
-type cut struct {
-	standin.KeptRequest
-	ran  int   // how often it ran at a server
-	stop *span // the planned stop that it met; nil for none
-	// cutByPlan says that it counts as cut by planned work, and leftAlone that it counts as
-	// left without an answer, whatever was done.
-	cutByPlan, leftAlone bool
-	told                 []string // the gateways' log lines of it
-}
-
-// verdict is what became of all requests.
-type verdict struct {
-	ends map[standin.End]int
-	cuts []cut
-	// wrong are answers that seemed whole and were not those of their requests.
-	wrong []standin.KeptRequest
-}
-
-// judge looks at all requests that are over.
-func (w *world) judge(ended []standin.KeptRequest, stops []span) verdict {
-	v := verdict{ends: map[standin.End]int{}}
-	told := w.requestLines()
-	for _, k := range ended {
-		v.ends[k.End]++
-		if k.End == standin.Answered && k.Why != "" {
-			v.wrong = append(v.wrong, k)
-		}
-		if k.End != standin.Unanswered && k.End != standin.Midway && k.End != standin.Silent {
-			continue
-		}
-		c := cut{KeptRequest: k, ran: w.ledger.Runs(k.ID), told: told[k.ID]}
-		if i := slices.IndexFunc(stops, func(s span) bool { return s.covers(k) }); i >= 0 {
-			c.stop = &stops[i]
-		}
-		c.cutByPlan = c.stop != nil && !c.stopAllows()
-		c.leftAlone = k.Before > 0 && c.ran > 0 && k.End != standin.Midway && !c.isLate()
-		v.cuts = append(v.cuts, c)
-	}
-	return v
-}
-
-// isLate tells whether the request ended at its deadline or later.
-func (c cut) isLate() bool { return !c.Ended.Before(c.Sent.Add(c.Within - nearDeadline)) }
-
-// stopAllows tells whether a planned stop may cut the request: nobody has read it, its
-// time was over, or it was sent early enough and a server was at work on it until late.
-func (c cut) stopAllows() bool {
-	if c.ran == 0 && c.Ended.Sub(c.Sent) <= lossSlack {
-		return true
-	}
-	soon := c.Sent.Before(c.stop.from.Add(soonAfterSignal))
-	return c.isLate() || soon && c.ran > 0 && c.Ended.After(c.stop.from.Add(lastSixth))
-}
-
-// requestLines returns what the gateways' logs say of each request.
-func (w *world) requestLines() map[string][]string {
-	all := map[string][]string{}
-	for i := range w.size.gateways {
-		raw, err := os.ReadFile(filepath.Join(w.programs.folder, nameOf("gateway", i)+".log"))
-		if err != nil {
-			w.t.Error(err)
-			continue
-		}
-		lines := bufio.NewScanner(bytes.NewReader(raw))
-		lines.Buffer(nil, 1<<20)
-		for lines.Scan() {
-			var told struct{ Msg, Request, Outcome, End, Why string }
-			if json.Unmarshal(lines.Bytes(), &told) == nil && told.Request != "" {
-				all[told.Request] = append(all[told.Request], told.Msg+" "+told.Outcome+told.End+": "+told.Why)
-			}
-		}
-	}
-	return all
-}
-
-// line is one cut request for a report.
-func (c cut) line() string {
-	at := ""
-	if c.stop != nil {
-		at = fmt.Sprintf(", sent %+.2f s from the signal, gone at %.2f", c.Sent.Sub(c.stop.from).Seconds(), c.stop.to.Sub(c.stop.from).Seconds())
-	}
-	return fmt.Sprintf("%s %s (%s, %d before): %s after %.2f s, ran %d, reset %t, cut by plan %t, left alone %t%s; %s; log %q",
-		c.Ended.Format("05.000"), c.ID, c.Kind, c.Before, c.End, c.Ended.Sub(c.Sent).Seconds(), c.ran, c.Reset, c.cutByPlan, c.leftAlone, at, c.Why, c.told)
-}
-
-// namesTheCut tells whether a gateway's line of a request says who cut it.
-func namesTheCut(line string) bool {
-	return !strings.Contains(line, "the caller left") && strings.HasPrefix(line, "request ")
-}
