Whoever is answered after the signal is told that the connection closes, also where the request came before

Streams that had no event yet and all plain requests under way were concerned. TestAnswerAfterTheSignalTellsThatItsConnectionCloses failed before.

--- a/pkg/gateway/answered_test.go
+++ b/pkg/gateway/answered_test.go
@@ -209,6 +209,35 @@
 	}
 }
 
+// A request that came before the signal, and is answered after it, is told that its
+// connection closes: what its caller sends over it next comes late in the stop.
+func TestAnswerAfterTheSignalTellsThatItsConnectionCloses(t *testing.T) {
+	for _, kind := range []serviceconfig.Kind{serviceconfig.Once, serviceconfig.Stream} {
+		came, goOn := make(chan struct{}), make(chan struct{})
+		f := newFixture(t, kind, false, newStandIn(t, "i-1", func(w *bufio.Writer, r *http.Request) bool {
+			came <- struct{}{}
+			<-goOn
+			if kind == serviceconfig.Stream {
+				return wholeStream(w, r)
+			}
+			return answerWith("200 OK", "whole")(w, r)
+		}))
+		go func() {
+			<-came
+			f.gateway.stop.begin(time.Now(), time.Minute)
+			close(goOn)
+		}()
+		answer, err := http.DefaultTransport.RoundTrip(f.request(t, http.MethodPost, "a", "order"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = answer.Body.Close()
+		if !answer.Close {
+			t.Errorf("%s: its caller keeps the connection", kind)
+		}
+	}
+}
+
 // awaitRefusal waits until nobody listens at an address any more.
 func (f *fixture) awaitRefusal(address string) {
 	for {
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -47,10 +47,7 @@
 	defer g.metrics.inFlight.Dec()
 	g.serving.Add(1)
 	defer g.serving.Add(-1)
-	if g.stop.isDraining() {
-		w.Header().Set("Connection", "close")
-	}
-	q := &request{writer: w, incoming: r, started: time.Now(), suspension: g.suspension, suspendedBefore: g.suspension.Total()}
+	q := &request{writer: w, incoming: r, started: time.Now(), stop: g.stop, suspension: g.suspension, suspendedBefore: g.suspension.Total()}
 	defer g.endPanic(q)
 	defer g.endWithStop(q)()
 	if err := g.read(q); err != nil {
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -117,6 +117,7 @@
 	if after := f.RetryAfter(); after > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
+	q.stop.tell(header)
 	q.writer.WriteHeader(q.refusalStatus(f))
 	return q.write(body)
 }
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -160,6 +160,7 @@
 	}
 	q.begun = true
 	q.outliveStop()
+	q.stop.tell(own)
 	q.writer.WriteHeader(status)
 }
 
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -35,6 +35,7 @@
 
 	cameBack bool // the caller was refused before
 
+	stop            *plannedStop // of the gateway
 	started         time.Time
 	read            time.Time         // its last byte
 	deadline        time.Time         // of the answer: the caller's or the route's, if the VM is not suspended
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -82,6 +83,13 @@
 	return at.Sub(since).Milliseconds()
 }
 
+// tell has the head of an answer that is written next say that its connection closes.
+func (s *plannedStop) tell(header http.Header) {
+	if s.isDraining() {
+		header.Set("Connection", "close")
+	}
+}
+
 // waitStop waits for a signal, turns readiness, takes callers for a while
 // longer, and then waits for what is in flight.
 func (g *Gateway) waitStop(ctx context.Context, signals <-chan os.Signal) error {
