--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -31,6 +31,7 @@
 	ratio   float64
 	reserve float64
 	slot    time.Duration
+	now     func() time.Time
 	started time.Time
 
 	mu       sync.Mutex
@@ -41,7 +42,7 @@
 func newBudget(ratioPercent int, reserve float64, window time.Duration) *budget {
 	return &budget{
 		ratio: float64(ratioPercent) / 100, reserve: reserve, slot: window / budgetSlots,
-		started: time.Now(), services: map[string]*spending{},
+		now: time.Now, started: time.Now(), services: map[string]*spending{},
 	}
 }
 
@@ -94,7 +95,7 @@
 
 // advance empties the slots that time has gone past.
 func (b *budget) advance() {
-	now := int64(time.Since(b.started) / b.slot)
+	now := int64(b.now().Sub(b.started) / b.slot)
 	for steps := 0; b.current < now && steps < budgetSlots; steps++ {
 		b.current++
 		for _, s := range b.services {
