The budget of repeats holds over starts of gateways, and for whole windows

Cause: a gateway that starts had a whole share anew while what the one before it spent still counted, and the local window was 9 to 10 s of the users' 10. For its first window a gateway now spends what safety leaves (a quarter of its part for requests, and of the reserve a part by age); repeats count for 10 to 11 s. Ruled out: nothing for a window (streams that break off after a start would be lost); telling spent repeats through control nodes (needs them at the very moment at which all start). Tests that need repeats right away use a budget that has run for a window; they are about other things.

--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -5,6 +5,13 @@
 // The share is local: each gateway stays below it for its own requests, and so
 // does the sum. The reserve that a quiet service may use is divided by the
 // number of gateways that the control nodes count.
+//
+// A gateway that starts may follow one that has just spent its whole share, which counts
+// for a window yet. For so long it spends what safety leaves: its part for requests, and of
+// the reserve a part that grows with its age, so that several starts in a row sum up to no
+// more. Gateways killed three times within 6 s, while engines shed 60%, sent 582 repeats
+// in 10 s where 538 were allowed. Rejected: nothing for a window. Streams that break off
+// just after a start would be lost.
 // ================================================================
 
 package gateway
@@ -14,12 +21,18 @@
 	"time"
 )
 
-// budgetSlots divide the window; a count is dropped a slot at a time.
-const budgetSlots = 10
-
-// safety keeps the sum below the bound although windows slide and the number
-// of gateways is known late.
-const safety = 0.75
+const (
+	// slotsInWindow divide the window; a count is dropped a slot at a time. Repeats count
+	// for one slot more, and so never for less than a window, and requests for no more.
+	slotsInWindow = 10
+	budgetSlots   = slotsInWindow + 1
+	// safety keeps the sum below the bound although windows slide and the number of
+	// gateways is known late.
+	safety = 0.75
+	// youngest is the least age, as a share of the window, that counts for the reserve:
+	// without it there is no repeat at all just after a start.
+	youngest = 0.25
+)
 
 // spending is what one service got in the window.
 type spending struct {
@@ -41,7 +54,7 @@
 
 func newBudget(ratioPercent int, reserve float64, window time.Duration) *budget {
 	return &budget{
-		ratio: float64(ratioPercent) / 100, reserve: reserve, slot: window / budgetSlots,
+		ratio: float64(ratioPercent) / 100, reserve: reserve, slot: window / slotsInWindow,
 		now: time.Now, started: time.Now(), services: map[string]*spending{},
 	}
 }
@@ -62,18 +75,31 @@
 	b.advance()
 	s := b.of(service)
 	requests, repeats := 0, 0
-	for i := range budgetSlots {
-		requests += s.requests[i]
+	oldest := (b.current + 1) % budgetSlots
+	for i := range int64(budgetSlots) {
 		repeats += s.repeats[i]
+		if i != oldest {
+			requests += s.requests[i]
+		}
 	}
-	allowed := safety * (b.ratio*float64(requests) + b.reserve/float64(max(gateways, 1)))
-	if float64(repeats+1) > allowed {
+	if float64(repeats+1) > b.allowed(requests, gateways) {
 		return false
 	}
 	s.repeats[b.current%budgetSlots]++
 	return true
 }
 
+// allowed is how many repeats so many requests of a window allow.
+func (b *budget) allowed(requests, gateways int) float64 {
+	forRequests := b.ratio * float64(requests)
+	share := b.reserve / float64(max(gateways, 1))
+	age := float64(b.now().Sub(b.started)) / float64(slotsInWindow*b.slot)
+	if age < 1 {
+		return (1 - safety) * (forRequests + max(age, youngest)*share)
+	}
+	return safety * (forRequests + share)
+}
+
 // unspent puts back a repeat that was taken and not sent. One that was taken in a part of
 // the window that is over stays taken.
 func (b *budget) unspent(service string) {
--- a/pkg/gateway/budget_test.go
+++ b/pkg/gateway/budget_test.go
@@ -7,7 +7,7 @@
 
 // A repeat for which no place was found is not spent: others may have it.
 func TestRepeatThatWasNotSentIsPutBack(t *testing.T) {
-	b := newBudget(0, 4, time.Hour)
+	b := settledBudget(0, 4, time.Hour)
 	const service = "menu"
 	taken := 0
 	for b.repeat(service, 1) {
@@ -21,3 +21,10 @@
 		t.Error("one repeat put back is not one repeat")
 	}
 }
+
+// settledBudget is the budget of a gateway that has run for a window.
+func settledBudget(ratioPercent int, reserve float64, window time.Duration) *budget {
+	b := newBudget(ratioPercent, reserve, window)
+	b.started = b.started.Add(-window)
+	return b
+}
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -345,7 +345,7 @@
 	f := newFixture(t, serviceconfig.Stream, true)
 	route, _ := f.gateway.index.Load().Route("menus.example", "/draft/x")
 	service, _ := f.gateway.index.Load().Service("menu")
-	f.gateway.budget = newBudget(0, 1.5*float64(f.gateway.gateways()), time.Hour)
+	f.gateway.budget = settledBudget(0, 1.5*float64(f.gateway.gateways()), time.Hour)
 	if !f.gateway.budget.repeat("menu", f.gateway.gateways()) {
 		t.Fatal("there is no repeat to spend")
 	}
@@ -371,7 +371,7 @@
 	route, _ := f.gateway.index.Load().Route("menus.example", "/draft/x")
 	service, _ := f.gateway.index.Load().Service("menu")
 	// One repeat for this gateway, after what is kept for safety.
-	f.gateway.budget = newBudget(0, 1.5*float64(f.gateway.gateways()), time.Hour)
+	f.gateway.budget = settledBudget(0, 1.5*float64(f.gateway.gateways()), time.Hour)
 	q := &request{route: route, service: service, sent: 1, ranAt: map[*backend]bool{{}: true}}
 	last := &exchange{gateway: f.gateway, request: q, isLast: true}
 	if last.mayBreakOff() {
--- a/pkg/gateway/stand_in_test.go
+++ b/pkg/gateway/stand_in_test.go
@@ -166,6 +166,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// What a gateway does just after its start is for the tests of the budget.
+	g.budget = settledBudget(s.RetryRatio(), s.RetryReserve(), s.RetryWindow())
 	return g
 }
 
