--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -85,7 +85,7 @@
 	began   *waiting
 	// listening is how it shows when its connection falls silent.
 	listening *listening
-	isLast    bool // no attempt may follow it
+	isLast    bool // it may go to no other backend server afterwards
 	goesOn    bool // its caller has part of the stream already
 }
 
