--- a/pkg/explain/causes.go
+++ b/pkg/explain/causes.go
@@ -30,6 +30,7 @@
 var causes = []cause{
 	{"refused", "the gateway refused it", hasOutcome("refused")},
 	{"broken", "its stream broke off and could not go on", hasOutcome("broken")},
+	{"stopped", "its gateway cut it: the time for its planned stop was over", hasOutcome("stopped")},
 	{"unwritten", "its answer was ready and could not be written", hasOutcome("unwritten")},
 	{"failed", "its backend server failed it", hasOutcome("failed")},
 	{gone, "the caller left", hasOutcome("gone")},
--- a/pkg/gateway/ending.go
+++ b/pkg/gateway/ending.go
@@ -71,7 +71,7 @@
 // for its stop is over, which breaks connections to both sides, and else as it seems.
 func (g *Gateway) cutOr(o outcome, why string) (outcome, string) {
 	if g.stop.isOver() {
-		return outcomeCut, errStopOver.Error()
+		return outcomeStopped, errStopOver.Error()
 	}
 	return o, why
 }
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -25,7 +25,7 @@
 	outcomeBroken  outcome = "broken"  // a stream that could not go on
 	outcomeRefused outcome = "refused" // by the gateway
 	outcomeGone    outcome = "gone"    // the caller left
-	outcomeCut     outcome = "cut"     // a planned stop of the gateway was over
+	outcomeStopped outcome = "stopped" // the gateway cut it, as the time for its planned stop was over
 	// outcomeUnwritten is an answer that could not be written: nobody took it.
 	outcomeUnwritten outcome = "unwritten"
 )
