--- a/soak/stop_of_all_test.go
+++ b/soak/stop_of_all_test.go
@@ -68,10 +68,8 @@
 // stopAllGateways stops all gateways while the engines are slow and the programs are told
 // several things more, and starts them again.
 func (w *world) stopAllGateways(t *testing.T, pace float64) (stops []span) {
-	for _, e := range w.engines {
-		e.Slow(pace)
-		defer e.Slow(1)
-	}
+	w.slowEngines(pace)
+	defer w.slowEngines(1)
 	var gone []<-chan struct{}
 	for i := range w.size.gateways {
 		stops = append(stops, span{gateway: w.at(gatewayVMs, i, callersPort), from: time.Now()})
@@ -96,6 +94,13 @@
 	return stops
 }
 
+// slowEngines has all engines take so many times as long as their figures say.
+func (w *world) slowEngines(pace float64) {
+	for _, e := range w.engines {
+		e.Slow(pace)
+	}
+}
+
 // checkStop checks that a stop cut nothing that it may not, and that whatever was cut is
 // told by whom.
 func checkStop(t *testing.T, v verdict) {
--- a/soak/together_test.go
+++ b/soak/together_test.go
@@ -30,26 +30,26 @@
 // signalsWithin, starts them again, and stops some of them once more just after.
 func (s *series) stopTogether(ctx context.Context) {
 	s.loop(ctx, "together", togetherPause, func(r *rand.Rand) {
-		for _, e := range s.world.engines {
-			e.Slow(s.pace)
-		}
-		for gone := s.stopSome(r); len(gone) > 0; {
-			<-gone[0]
-			gone = gone[1:]
-		}
-		for _, e := range s.world.engines {
-			e.Slow(1)
+		s.world.slowEngines(s.pace)
+		defer s.world.slowEngines(1)
+		for _, back := range s.stopSome(r) {
+			<-back
 		}
 	})
 }
 
+// scopes tell whether a gateway is stopped together with the first one that was drawn.
+var scopes = []func(gateway, first int) bool{
+	func(gateway, first int) bool { return gateway == first },
+	func(gateway, first int) bool { return zone(gateway) == zone(first) },
+	func(int, int) bool { return true },
+}
+
 // stopSome stops some gateways, and returns what closes when each is back.
 func (s *series) stopSome(r *rand.Rand) (back []<-chan struct{}) {
-	scope, first := r.IntN(3), r.IntN(s.world.size.gateways)
+	stopsWith, first := scopes[r.IntN(len(scopes))], r.IntN(s.world.size.gateways)
 	for i := range s.world.size.gateways {
-		isOne := i == first
-		isDomain := zone(i) == zone(first)
-		if scope == 0 && !isOne || scope == 1 && !isDomain || !s.take(nameOf("gateway", i)) {
+		if !stopsWith(i, first) || !s.take(nameOf("gateway", i)) {
 			continue
 		}
 		one := &stopAndStart{series: s, gateway: i, random: rand.New(rand.NewPCG(r.Uint64(), r.Uint64())), back: make(chan struct{})}
