--- a/soak/series_test.go
+++ b/soak/series_test.go
@@ -118,6 +118,16 @@
 	}
 }
 
+// stopOne ends a program by a signal and starts it again, unless another series has it.
+func (s *series) stopOne(r *rand.Rand, name string, by syscall.Signal) {
+	if !s.take(name) {
+		return
+	}
+	defer s.giveBack(name)
+	s.world.programs.stop(name, by)
+	s.startLater(r, name)
+}
+
 // startLater starts a program that was ended, after a while.
 func (s *series) startLater(r *rand.Rand, name string) {
 	time.Sleep(time.Duration(r.Float64() * float64(longestDown)))
@@ -163,13 +173,7 @@
 	}{{"control", s.world.size.control, controlPause}, {"stager", s.world.size.engines, stagerPause}}
 	for _, v := range victims {
 		s.loop(ctx, "kill "+v.kind, v.pause, func(r *rand.Rand) {
-			name := nameOf(v.kind, r.IntN(v.count))
-			if !s.take(name) {
-				return
-			}
-			defer s.giveBack(name)
-			s.world.programs.stop(name, syscall.SIGKILL)
-			s.startLater(r, name)
+			s.stopOne(r, nameOf(v.kind, r.IntN(v.count)), syscall.SIGKILL)
 		})
 	}
 }
--- a/soak/together_test.go
+++ b/soak/together_test.go
@@ -112,13 +112,7 @@
 		count int
 	}{{"control", s.world.size.control}, {"stager", s.world.size.engines}} {
 		s.loop(ctx, "stop "+kind.name, othersPause, func(r *rand.Rand) {
-			name := nameOf(kind.name, r.IntN(kind.count))
-			if !s.take(name) {
-				return
-			}
-			defer s.giveBack(name)
-			s.world.programs.stop(name, syscall.SIGTERM)
-			s.startLater(r, name)
+			s.stopOne(r, nameOf(kind.name, r.IntN(kind.count)), syscall.SIGTERM)
 		})
 	}
 }
