--- /dev/null
+++ b/soak/limits_test.go
@@ -0,0 +1,73 @@
+// ================================================================
+// What was seen: backend servers that named a limit of 1 and 1.9 requests a second got 18
+// and 23 in 4 s from gateways that they had told; 11 and 16 are allowed. How it comes about:
+// a server says its limit in its answers, to whichever gateway it answers. What caused it:
+// gateways passed that on to callers and knew nothing of it; each server got all that it had
+// got before. What proved it: this run of the real programs, engines and plain servers, on
+// the code before the mend (most in 4 s: 33 to 290).
+// ================================================================
+
+package soak
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/tidepost/tidepost/platform/standin"
+)
+
+// needy is a world whose servers name limits, with work for more than these allow.
+var needy = size{control: 3, gateways: 4, engines: 4, plain: 3, plainTakes: plainTakes, within: longWithin}
+
+// Some servers name a limit, another one, something that is none, and then nothing. All
+// gateways together keep what is named; nobody shuts a server out, and what it gets when it
+// names nothing any more is as before.
+func TestServerLimitIsKept(t *testing.T) {
+	w := startWorld(t, needy, logFolder(t))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	l := &keptLoad{world: w, streams: 6, plain: 4, pause: 20 * time.Millisecond}
+	over := make(chan struct{})
+	go func() {
+		defer close(over)
+		l.run(ctx, seed(t))
+	}()
+	l.awaitAnswers(8 * w.size.gateways * (l.streams + l.plain))
+	some := []inNeed{w.engineInNeed(0), w.engineInNeed(1), w.plainInNeed(0)}
+	for _, words := range [][]string{{"1.9", "1", "3"}, {"1", "0", "1"}, {"many", "-1", "1e400"}, {"", "", ""}} {
+		for i, s := range some {
+			s.need.Say(words[i])
+		}
+		time.Sleep(limitWindow + toldFor)
+	}
+	cancel()
+	<-over
+	for _, s := range some {
+		lines, _ := w.breaks(s)
+		for _, line := range lines {
+			t.Error(line)
+		}
+		said := s.need.Sayings()
+		if n := between(s.need, said[0].From.Add(useFrom), said[2].From); n == 0 {
+			t.Errorf("%s got nothing while it named limits", s.name)
+		}
+		last, _ := limitOf(said[1].Text)
+		if n := between(s.need, said[3].From.Add(useFrom), time.Now()); float64(n) <= limitFactor*limitWindow.Seconds()*last+limitSlack {
+			t.Errorf("%s got %d requests once it named none any more: it is still kept to %g a second", s.name, n, last)
+		}
+	}
+	v := w.judge(l.ended, nil)
+	for _, k := range v.wrong {
+		t.Errorf("%s: %s", k.ID, k.Why)
+	}
+	if v.ends[standin.Answered] == 0 {
+		t.Error("nothing was answered")
+	}
+}
+
+func (w *world) engineInNeed(i int) inNeed {
+	return inNeed{w.engines[i].Instance, &w.engines[i].Need}
+}
+
+func (w *world) plainInNeed(i int) inNeed { return inNeed{w.plain[i].Instance, &w.plain[i].Need} }
--- /dev/null
+++ b/soak/limits_verdict_test.go
@@ -0,0 +1,205 @@
+// ================================================================
+// The verdict on backend servers that name a limit of the requests that they take: whether
+// all gateways together kept it, and how much of it they used. It looks at what came to the
+// server and at what its answers said, and knows nothing of how gateways go about it.
+// ================================================================
+
+package soak
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tidepost/tidepost/platform/standin"
+)
+
+const (
+	// limitWindow, limitFactor and limitSlack are the users' rule: in no 4 s more than one and
+	// a half times what the limit allows, and 5 requests.
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	// toldFor is how long a gateway has known of the limit when its requests count.
+	toldFor = 500 * time.Millisecond
+	// mostPerSecond is above any number that a limit is named with.
+	mostPerSecond = 1e6
+	// useFrom its naming on a limit is to be used: by then all gateways have heard of it.
+	useFrom = time.Second
+	// leastUsed is how much of a limit is to be used where there is work for it.
+	leastUsed = 0.8
+)
+
+// inNeed is a backend server that may name a limit.
+type inNeed struct {
+	name string
+	need *standin.Need
+}
+
+// period is a time in which a backend server named one limit.
+type period struct {
+	from, to  time.Time
+	perSecond float64
+}
+
+// periodsOf returns when limits were named that can be read.
+func periodsOf(n *standin.Need) (all []period) {
+	sayings := n.Sayings()
+	for i, s := range sayings {
+		to := time.Now()
+		if i+1 < len(sayings) {
+			to = sayings[i+1].From
+		}
+		if perSecond, ok := limitOf(s.Text); ok {
+			all = append(all, period{s.From, to, perSecond})
+		}
+	}
+	return all
+}
+
+func limitOf(text string) (perSecond float64, ok bool) {
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	ok = err == nil && !math.IsNaN(perSecond) && perSecond >= 0 && perSecond <= mostPerSecond
+	return perSecond, ok
+}
+
+// limitAt returns the limit named at a moment.
+func limitAt(all []period, at time.Time) (p period, ok bool) {
+	for _, p := range all {
+		if !at.Before(p.from) && at.Before(p.to) {
+			return p, true
+		}
+	}
+	return period{}, false
+}
+
+// gatewayOf returns the name of the gateway that a kept caller's request went to.
+func gatewayOf(id string) string {
+	number, _, _ := strings.Cut(strings.TrimLeft(id, "sp"), ".")
+	return "gateway-" + number
+}
+
+// counted returns the arrivals that the rule counts: from gateways that had been told for
+// toldFor, in the process that they are now, that the limit is named.
+func (w *world) counted(s inNeed, all []period) (counted []standin.Arrival) {
+	told := map[string][]time.Time{}
+	for _, a := range s.need.Told() {
+		told[gatewayOf(a.ID)] = append(told[gatewayOf(a.ID)], a.At)
+	}
+	for _, a := range s.need.Arrivals() {
+		gateway := gatewayOf(a.ID)
+		if _, named := limitAt(all, a.At); !named {
+			continue
+		}
+		since := latest(w.programs.startsOf(gateway), a.At)
+		if named := lastUnnamed(all, a.At); named.After(since) {
+			since = named
+		}
+		for _, at := range told[gateway] {
+			if !at.Before(since) && a.At.Sub(at) >= toldFor {
+				counted = append(counted, a)
+				break
+			}
+		}
+	}
+	return counted
+}
+
+// latest returns the last of some moments before one.
+func latest(moments []time.Time, before time.Time) (last time.Time) {
+	for _, m := range moments {
+		if m.Before(before) {
+			last = m
+		}
+	}
+	return last
+}
+
+// lastUnnamed returns since when some limit has been named without a break.
+func lastUnnamed(all []period, at time.Time) (since time.Time) {
+	for _, p := range all {
+		if p.from.After(at) {
+			break
+		}
+		if since.IsZero() || !p.from.Equal(sinceEnd(all, p)) {
+			since = p.from
+		}
+	}
+	return since
+}
+
+// sinceEnd returns the end of the period that a period follows at once; its own end where
+// there is none.
+func sinceEnd(all []period, p period) time.Time {
+	for _, before := range all {
+		if before.to.Equal(p.from) {
+			return before.to
+		}
+	}
+	return p.to
+}
+
+// breaks returns a line for each window of a backend server in which it got too much, the
+// worst one of each period.
+func (w *world) breaks(s inNeed) (lines []string, most int) {
+	all := periodsOf(s.need)
+	counted := w.counted(s, all)
+	worst := map[time.Time]string{}
+	over := map[time.Time]float64{}
+	first := 0
+	for i, a := range counted {
+		for counted[first].At.Before(a.At.Add(-limitWindow)) {
+			first++
+		}
+		got := i - first + 1
+		most = max(most, got)
+		allowed := math.Floor(limitFactor*limitWindow.Seconds()*highest(all, counted[first].At, a.At) + limitSlack)
+		if surplus := float64(got) - allowed; surplus > 0 {
+			p, _ := limitAt(all, a.At)
+			if surplus > over[p.from] {
+				over[p.from] = surplus
+				worst[p.from] = fmt.Sprintf("%s named a limit of %g a second and got %d requests in %s from gateways that it had told; allowed %g", s.name, p.perSecond, got, limitWindow, allowed)
+			}
+		}
+	}
+	for _, p := range all {
+		if line, there := worst[p.from]; there {
+			lines = append(lines, line)
+		}
+	}
+	return lines, most
+}
+
+// highest returns the highest limit that was named at some time between two moments.
+func highest(all []period, from, to time.Time) (perSecond float64) {
+	for _, p := range all {
+		if !p.from.After(to) && p.to.After(from) {
+			perSecond = max(perSecond, p.perSecond)
+		}
+	}
+	return perSecond
+}
+
+// used returns how much of a limit the gateways used, from useFrom after its naming on.
+func used(s inNeed, p period) float64 {
+	from := p.from.Add(useFrom)
+	got := 0
+	for _, a := range s.need.Arrivals() {
+		if !a.At.Before(from) && a.At.Before(p.to) {
+			got++
+		}
+	}
+	return float64(got) / (p.perSecond * p.to.Sub(from).Seconds())
+}
+
+// between returns how many requests came to a backend server between two moments.
+func between(n *standin.Need, from, to time.Time) (count int) {
+	for _, a := range n.Arrivals() {
+		if !a.At.Before(from) && a.At.Before(to) {
+			count++
+		}
+	}
+	return count
+}
--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -30,8 +30,9 @@
 	starts chan func()
 	ending atomic.Bool
 
-	mu  sync.Mutex
-	all map[string]*program // by name
+	mu     sync.Mutex
+	all    map[string]*program    // by name
+	begins map[string][]time.Time // of all processes that had a name, in order
 }
 
 // program is one process. It may be ended and started again under its name.
@@ -43,7 +44,7 @@
 }
 
 func newPrograms(t *testing.T, folder string) *programs {
-	p := &programs{t: t, folder: folder, starts: make(chan func()), all: map[string]*program{}}
+	p := &programs{t: t, folder: folder, starts: make(chan func()), all: map[string]*program{}, begins: map[string][]time.Time{}}
 	go func() {
 		runtime.LockOSThread()
 		for start := range p.starts {
@@ -85,6 +86,7 @@
 	one := &program{kind: kind, name: name, cmd: cmd, over: make(chan struct{})}
 	p.mu.Lock()
 	p.all[name] = one
+	p.begins[name] = append(p.begins[name], time.Now())
 	p.mu.Unlock()
 	go func() {
 		defer close(one.over)
@@ -102,6 +104,13 @@
 	return p.all[name]
 }
 
+// startsOf returns when the processes that had a name began, in order.
+func (p *programs) startsOf(name string) []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.begins[name])
+}
+
 // names are those of all programs, in order.
 func (p *programs) names() []string {
 	p.mu.Lock()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -101,8 +101,9 @@
 	programs *programs
 	ledger   *standin.Ledger
 	origin   *standin.Origin
-	// engines are in the order of their addresses.
+	// engines and plain servers are in the order of their addresses.
 	engines  []*standin.Engine
+	plain    []*standin.Server
 	ending   []*standin.EndingServer // plain ones first, then engines
 	operator standin.Operator
 	// named are the versions named so far, with when that was acknowledged.
@@ -248,6 +249,7 @@
 	}
 	for i := range w.size.plain {
 		s := &standin.Server{Instance: fmt.Sprintf("p-%d", i+1), Takes: w.size.plainTakes, Ledger: w.ledger}
+		w.plain = append(w.plain, s)
 		serve(s.Run, w.at(plainVMs, i, ownServer))
 		w.beat(ctx, s.Instance, standin.PlainService, plainVMs, i, nil)
 	}
