Sight: gateways say which limits backend servers name, and count the servers that do

The hypotheses of the incident could not be told apart from logs: no line and no figure spoke of a limit. A line when one is first heard, changes or ends (64 at once, 2 a second), and a gauge. A value that is no decimal number changes nothing.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -126,6 +126,7 @@
 	if told.ID != "" && told.ID != q.call.ID {
 		return x.broken("an answer to request "+told.ID, nil)
 	}
+	x.hearLimit(told)
 	if told.NotRun {
 		return x.notRun(answer, told)
 	}
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -60,6 +60,7 @@
 	lost         bool      // it can't be reached
 	unaskedUntil time.Time // the stager beside it is not asked for places
 	unanswered   int       // questions in a row
+	limit        heardLimit
 }
 
 // load is what the choice looks at.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -73,6 +73,8 @@
 	askTrial    func(f quarantine.Fingerprint)
 	tester      string
 	mayAskTrial *rate.Limiter
+	// mayLogLimit bounds the log lines on limits of backend servers.
+	mayLogLimit *rate.Limiter
 	returning   returning
 	silences    silences
 	// heardDemands returns the requests for engines that come to all gateways a
@@ -107,6 +109,7 @@
 		metrics:    newMetrics(process.Registry),
 		quarantine: quarantine.NewTable(nil), mayTell: rate.NewLimiter(endsTold, endsToldAtOnce),
 		tester: quarantine.Tester(process.Identity), mayAskTrial: rate.NewLimiter(trialsAsked, 1),
+		mayLogLimit: rate.NewLimiter(limitLines, limitLinesAtOnce),
 	}
 	g.seeds = daemon.NewSeeds(path, s, settings.LoadGateway, process.Logger)
 	g.follower = &feed.Follower{
@@ -218,6 +221,7 @@
 		g.backends.sweep()
 		g.quarantine.Sweep()
 		g.metrics.quarantined.Set(float64(g.quarantine.Barred()))
+		g.metrics.limited.Set(float64(g.limitedBackends()))
 	})
 }
 
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -21,6 +21,7 @@
 	number       prometheus.Gauge
 	ends         prometheus.Counter
 	quarantined  prometheus.Gauge
+	limited      prometheus.Gauge
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -34,7 +35,8 @@
 		number:       metric.NewGauge(metric.GatewayNumber),
 		ends:         metric.NewCounter(metric.GatewayEnds),
 		quarantined:  metric.NewGauge(metric.GatewayQuarantined),
+		limited:      metric.NewGauge(metric.GatewayLimited),
 	}
-	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number, m.ends, m.quarantined)
+	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number, m.ends, m.quarantined, m.limited)
 	return m
 }
--- a/pkg/gateway/own.go
+++ b/pkg/gateway/own.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/tidepost/tidepost/pkg/serverlimit"
 )
 
 // Headers of the gateway's own protocol.
@@ -22,6 +24,7 @@
 	headerUrgency      = "X-Tidepost-Urgency"
 	headerNotRun       = "X-Tidepost-Not-Run"
 	headerLastEvent    = "Last-Event-Id"
+	headerLimit        = "X-Tidepost-Limit" // requests a second
 )
 
 // Own returns the gateway's own protocol.
@@ -63,5 +66,8 @@
 
 func readOwnAnswer(_ int, h http.Header) Answer {
 	version, _ := strconv.ParseUint(h.Get(headerVersion), 10, 64)
-	return Answer{ID: h.Get(headerID), Genuine: true, NotRun: h.Get(headerNotRun) != "", Version: version}
+	return Answer{
+		ID: h.Get(headerID), Genuine: true, NotRun: h.Get(headerNotRun) != "", Version: version,
+		Limit: serverlimit.Read(h.Values(headerLimit)),
+	}
 }
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -11,6 +11,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/tidepost/tidepost/pkg/serverlimit"
 )
 
 // Call is what a request says of itself.
@@ -60,6 +62,8 @@
 	Version uint64
 	// Incarnation is the one that answers; empty when not said.
 	Incarnation string
+	// Limit is what the backend server takes from all gateways together.
+	Limit serverlimit.Saying
 }
 
 // Elsewhere tells whether the answer comes from another incarnation.
