--- a/pkg/gateway/limit_fleet_test.go
+++ b/pkg/gateway/limit_fleet_test.go
@@ -272,6 +272,14 @@
 			f.set(func() { f.cut("hall-a", false) })
 		})
 	}},
+	{"all of the server's failure domain end, and stay listed", 0.4, func(f *limitFleet, _ context.Context) {
+		time.Sleep(useFrom)
+		f.set(func() {
+			for _, m := range f.members {
+				m.down = m.domain == "hall-a"
+			}
+		})
+	}},
 	{"half of the owner's answers are late", 0.2, func(f *limitFleet, _ context.Context) {
 		f.set(func() { f.owner().late = 0.5 })
 	}},
--- a/pkg/gateway/limit_owner.go
+++ b/pkg/gateway/limit_owner.go
@@ -24,13 +24,16 @@
 	// ownerTimeout is how long an owner may take to answer: ways there and back take up to
 	// 12 ms, and a request waits for it.
 	ownerTimeout = 40 * time.Millisecond
-	// ownersAsked bounds the owners that are asked for one permit.
-	ownersAsked = 3
-	// ownerAgain is when one that did not answer is asked again.
+	// ownersAsked bounds the owners that are asked for one permit, and mostSilent those of
+	// them that are passed over though they may live.
+	ownersAsked = 8
+	mostSilent  = 3
+	// ownerAgain is when one that did not answer is asked again, and endedAgain one that has
+	// ended.
 	ownerAgain = 250 * time.Millisecond
-	// takeOverAfter is how long an owner has to be out of reach before the next one grants
-	// in its place: a busy machine answers some questions late, and two that grant at a
-	// time grant twice the limit.
+	endedAgain = time.Second
+	// takeOverAfter is how long an owner has to be silent before the next one grants in its
+	// place: a busy machine answers some questions late.
 	takeOverAfter = 500 * time.Millisecond
 	// untilTakeOver is when whoever asks meanwhile may ask again.
 	untilTakeOver = 100 * time.Millisecond
@@ -59,11 +62,24 @@
 type knownGateway struct {
 	gateway      serverlimit.Gateway
 	listed       time.Time // when it was last
+	ended        bool      // its VM says that nobody listens
 	failingSince time.Time // zero while it answers
-	silent       bool      // it says nothing, not even that it has ended
 	asked        time.Time // without an answer
 }
 
+// isLost tells whether a gateway may be stood in for.
+func (k knownGateway) isLost(now time.Time) bool {
+	return k.ended || !k.failingSince.IsZero() && now.Sub(k.failingSince) >= takeOverAfter
+}
+
+// isDue tells whether a gateway is to be asked: it answers, or it is time to see.
+func (k knownGateway) isDue(now time.Time) bool {
+	if k.ended {
+		return now.Sub(k.asked) >= endedAgain
+	}
+	return k.failingSince.IsZero() || now.Sub(k.asked) >= ownerAgain
+}
+
 func (g *Gateway) newOwners() *owners {
 	id := g.process.Identity.Incarnation()
 	return &owners{
@@ -103,64 +119,87 @@
 	return all
 }
 
-// mayAsk tells whether a gateway is to be asked: it answers, or it is time to see.
-func (o *owners) mayAsk(address string, now time.Time) bool {
+// of returns what is known of a gateway.
+func (o *owners) of(address string) knownGateway {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	k := o.known[address]
-	return k.failingSince.IsZero() || now.Sub(k.asked) >= ownerAgain
+	return o.known[address]
 }
 
-// answered notes whether a gateway that was asked at a moment has answered, and if not
-// whether it was silent.
-func (o *owners) answered(address string, asked time.Time, answered, silent bool) {
+// askEnd is how a question to a gateway ended.
+type askEnd int
+
+const (
+	ownerAnswered askEnd = iota
+	ownerEnded           // nobody listens there
+	ownerSilent
+)
+
+// note notes how a question to a gateway ended.
+func (o *owners) note(address string, at time.Time, end askEnd) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	k, there := o.known[address]
 	switch {
 	case !there:
 		return
-	case answered:
+	case end == ownerAnswered:
 		k.failingSince = time.Time{}
 	case k.failingSince.IsZero():
-		k.failingSince = asked
+		k.failingSince = at
 	}
-	k.asked, k.silent = asked, silent
+	k.asked, k.ended = at, end == ownerEnded
 	o.known[address] = k
 }
 
 // standing returns what this gateway is where some others own a limit before it; false where
-// one of them has not been out of reach for long enough.
+// one of them may still grant.
 func (o *owners) standing(before []serverlimit.Gateway, now time.Time) (s serverlimit.Standing, grants bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, g := range before {
 		k := o.known[g.Address]
-		if k.failingSince.IsZero() || now.Sub(k.failingSince) < takeOverAfter {
+		if !k.isLost(now) {
 			return s, false
 		}
 		s = max(s, serverlimit.StandIn)
-		if k.silent {
+		if !k.ended {
 			s = serverlimit.CutStandIn
 		}
 	}
 	return s, true
 }
 
-// askPermit asks for a permit; false where nobody answers who may grant one.
+// askPermit asks for a permit whoever owns the limit, which may be this gateway; false where
+// nobody answers who may grant one. Those that have ended are passed over, but for one that
+// may be back.
 func (g *Gateway) askPermit(ctx context.Context, a serverlimit.Ask) (answer serverlimit.Answer, answered bool) {
-	self := g.process.Identity.Address()
-	all := serverlimit.Owners(a.Server(), g.owners.gateways(time.Now()))
+	self, now := g.process.Identity.Address(), time.Now()
+	all := serverlimit.Owners(a.Server(), g.owners.gateways(now))
 	if len(all) == 0 {
 		part := a.PerSecond() / float64(g.gateways())
-		return g.owners.alone.Decide(time.Now(), serverlimit.NewAsk(a.Server(), part, a.News()), serverlimit.Owner), true
+		return g.owners.alone.Decide(now, serverlimit.NewAsk(a.Server(), part, a.News()), serverlimit.Owner), true
 	}
-	for i, owner := range all[:min(len(all), ownersAsked)] {
+	asked, passed := 0, 0
+	for i, owner := range all {
 		if owner.Address == self {
 			return g.grant(a, all[:i]), true
 		}
-		if answer, answered = g.askOwner(ctx, owner.Address, a); answered {
-			return answer, true
+		k := g.owners.of(owner.Address)
+		if k.ended && (asked > 0 || !k.isDue(now)) {
+			continue
+		}
+		if k.isDue(now) {
+			asked++
+			if answer, answered = g.askOwner(ctx, owner.Address, a); answered {
+				return answer, true
+			}
+		}
+		if !g.owners.of(owner.Address).ended {
+			passed++
+		}
+		if asked == ownersAsked || passed == mostSilent {
+			break
 		}
 	}
 	return answer, false
@@ -177,17 +216,25 @@
 	return g.owners.limiter.Decide(now, a, standing).By(g.process.Identity.Address())
 }
 
-// askOwner asks another gateway, unless it has just not answered.
+// askOwner asks another gateway. One that refuses is asked once more: a link that breaks
+// looks the same, and the next one finds whether somebody listens.
 func (g *Gateway) askOwner(ctx context.Context, address string, a serverlimit.Ask) (answer serverlimit.Answer, answered bool) {
-	now := time.Now()
-	if !g.owners.mayAsk(address, now) {
-		return answer, false
-	}
+	at := time.Now()
 	within, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	answer, err := g.owners.ask(within, address, a)
-	if ctx.Err() == nil {
-		g.owners.answered(address, now, err == nil, within.Err() != nil)
+	if err != nil && within.Err() == nil {
+		answer, err = g.owners.ask(within, address, a)
+	}
+	switch {
+	case err == nil:
+		g.owners.note(address, at, ownerAnswered)
+	case ctx.Err() != nil:
+		// Whoever asks has left, and nothing is known.
+	case within.Err() != nil:
+		g.owners.note(address, at, ownerSilent)
+	default:
+		g.owners.note(address, at, ownerEnded)
 	}
 	return answer, err == nil
 }
@@ -205,20 +252,11 @@
 // answerPermit answers a question of another gateway. Whoever owns the limit before this
 // gateway is asked first; since all find the same order, no question goes round.
 func (g *Gateway) answerPermit(ctx context.Context, a serverlimit.Ask) serverlimit.Answer {
-	self := g.process.Identity.Address()
-	var before []serverlimit.Gateway
-	for _, owner := range serverlimit.Owners(a.Server(), g.owners.gateways(time.Now())) {
-		if owner.Address == self || len(before) == ownersAsked {
-			break
-		}
-		before = append(before, owner)
-	}
-	for _, owner := range before {
-		if answer, answered := g.askOwner(ctx, owner.Address, a); answered {
-			return answer
-		}
+	answer, answered := g.askPermit(ctx, a)
+	if !answered {
+		return serverlimit.NewAnswer(serverlimit.Permit{}, false, a.PerSecond(), ownerlessRest, "")
 	}
-	return g.grant(a, before)
+	return answer
 }
 
 // report tells the owner of a limit what became of a permit, beside what else happens. One
--- a/pkg/serverlimit/limiter.go
+++ b/pkg/serverlimit/limiter.go
@@ -34,8 +34,8 @@
 	// burst is for how long a bucket saves up, besides one permit: requests do not come
 	// evenly, and what nobody asks for at a moment is not lost at once.
 	burst = 250 * time.Millisecond
-	// standInGap is how long a stand-in for an owner may go without a question and keep
-	// what it saved up.
+	// standInGap is how long a stand-in for an owner may go without a question, beyond the
+	// time between two permits, and keep what it saved up.
 	standInGap = time.Second
 	// idleLife is how long a bucket is kept that nobody asks of.
 	idleLife = time.Minute
@@ -93,7 +93,7 @@
 		b.perSecond = min(b.perSecond, a.perSecond)
 		b.told = b.granted
 	}
-	if s != Owner && now.Sub(b.asked) > standInGap {
+	if s != Owner && now.Sub(b.asked) > standInGap+b.between() {
 		b.tokens, b.filled = 0, now
 	}
 	b.asked = now
@@ -152,6 +152,11 @@
 	return max(share*b.perSecond, leastRate)
 }
 
+// between is the time between two permits.
+func (b *bucket) between() time.Duration {
+	return time.Duration(float64(time.Second) / b.rate())
+}
+
 // capacity is how many permits the bucket saves up at the most.
 func (b *bucket) capacity() float64 { return 1 + burst.Seconds()*b.rate() }
 
@@ -163,5 +168,5 @@
 }
 
 func (b *bucket) untilNext() time.Duration {
-	return max(time.Duration((1-b.tokens)/b.rate()*float64(time.Second)), leastWait)
+	return max(time.Duration((1-b.tokens)*float64(b.between())), leastWait)
 }
--- a/pkg/serverlimit/limiter_test.go
+++ b/pkg/serverlimit/limiter_test.go
@@ -67,6 +67,20 @@
 	}
 }
 
+// A stand-in that is asked just when it said that there is a permit has one, however long
+// that takes.
+func TestAStandInGrantsWhenItSays(t *testing.T) {
+	for _, s := range []Standing{Owner, StandIn, CutStandIn} {
+		for _, perSecond := range []float64{0, 0.5, 1, 20} {
+			l := NewLimiter(1)
+			first := l.Decide(start, ask(perSecond), s)
+			if !l.Decide(start.Add(first.Next()+time.Millisecond), ask(perSecond), s).Permit().IsGranted() {
+				t.Errorf("standing %d, %g a second: no permit after %s", s, perSecond, first.Next())
+			}
+		}
+	}
+}
+
 // Beside an owner that is cut off two stand-ins grant no more than half as much again.
 func TestStandInsForASilentOwnerGrantAPart(t *testing.T) {
 	for _, c := range []struct {
