--- a/pkg/feed/herd_test.go
+++ b/pkg/feed/herd_test.go
@@ -165,6 +165,9 @@
 	h.eventually("every gateway knows how many there are", func() bool {
 		return all(gateways, func(f *Follower) bool { return f.Gateways() == herdGateways })
 	})
+	h.eventually("every gateway knows the others", func() bool {
+		return all(gateways, func(f *Follower) bool { return len(f.Peers()) == herdGateways })
+	})
 	h.eventually("every stager knows the others", func() bool {
 		return all(stagers, func(f *Follower) bool { return len(f.Peers()) == herdStagers })
 	})
