--- a/pkg/gateway/limit_test.go
+++ b/pkg/gateway/limit_test.go
@@ -185,3 +185,19 @@
 		t.Error("the permit is lost")
 	}
 }
+
+// An engine that names a limit counts as what it takes, where that is less than it could do.
+func TestCapacityOfLimitedEngines(t *testing.T) {
+	w := wanted{engine: serviceconfig.NewEngine(16, []string{"menu"}, 1, 96, 24576, 9*time.Millisecond, 0, 20000, 979, 92, 0, 5)}
+	whole := 1 / w.engine.Turn().Seconds()
+	for _, c := range []struct {
+		load load
+		want float64
+	}{
+		{load{}, whole}, {load{limited: true, perSecond: 1}, 1}, {load{limited: true}, 0}, {load{limited: true, perSecond: 1000}, whole},
+	} {
+		if got := w.capacity([]candidate{{load: c.load}})[""]; got != c.want {
+			t.Errorf("limited %t, %g a second: %g, want %g", c.load.limited, c.load.perSecond, got, c.want)
+		}
+	}
+}
