Limits: a caller that leaves holds nothing back, and one request asks for few permits

Found by reading: a question for a permit that ends since its caller has left kept the server from all for 0.25 s; and a request that found only spent limits asked for each, some ms every time. Now four at the most, then servers without a limit or none. Tests for both.

--- a/pkg/feed/census.go
+++ b/pkg/feed/census.go
@@ -88,7 +88,7 @@
 // changeDemand changes what comes to this node's own gateways.
 func (c *census) changeDemand(domain string, by float64) { c.of(here).demands[domain] += by }
 
-// peers returns the stagers and caches of all nodes.
+// peers returns the gateways, stagers and caches of all nodes.
 func (c *census) peers() []Peer {
 	all := map[string]Peer{}
 	for _, s := range c.nodes {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -55,6 +55,7 @@
 	}
 	permit, permitted := q.takePermit(b)
 	if !permitted {
+		// Its limit was heard since the choice: the next one asks for a permit.
 		conn.Close()
 		delete(q.tried, b)
 		return false
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -61,6 +61,8 @@
 	wait time.Duration
 	// avoid are the builds under which servers ended with the request.
 	avoid []string
+	// unlimited passes over those that name a limit.
+	unlimited bool
 	// tried are those that the request may not be sent to again, and only those that it may
 	// be sent to; nil is all.
 	tried, only map[*backend]bool
@@ -81,7 +83,7 @@
 		b, l := c.backend, c.load
 		switch {
 		case w.tried[b] || w.only != nil && !w.only[b]:
-		case l.full || w.takesNothing(l) || l.isHeldBack(now):
+		case l.full || w.takesNothing(l) || l.isHeldBack(now) || w.unlimited && l.limited:
 			full = true
 		case l.resting:
 			resting.offer(b, g.cost(l, w))
--- a/pkg/gateway/limit_permit.go
+++ b/pkg/gateway/limit_permit.go
@@ -22,6 +22,10 @@
 // its limit answers.
 const ownerlessRest = 250 * time.Millisecond
 
+// permitsAsked bounds the servers whose permits are asked for in one choice: each question
+// takes some ms of the caller's time, and others may have a place without one.
+const permitsAsked = 4
+
 // permit is what a request holds to be sent to a limited backend server.
 type permit struct {
 	backend   *backend
@@ -42,15 +46,16 @@
 // choosePermitted chooses a backend server that takes one more request by its own limit, if
 // it names one.
 func (g *Gateway) choosePermitted(q *request, w wanted) (b *backend, loaded bool) {
-	for {
+	for asks := 1; q.ctx.Err() == nil; asks++ {
 		chosen, full := g.choose(w)
 		loaded = loaded || full
 		if chosen == nil || g.isPermitted(q, chosen) {
 			return chosen, loaded
 		}
 		// The next choice passes over it until it has another permit.
-		loaded = true
+		loaded, w.unlimited = true, asks >= permitsAsked
 	}
+	return nil, loaded
 }
 
 // isPermitted tells whether a request may be sent to a backend server, and takes a permit
@@ -66,6 +71,9 @@
 	}
 	a, answered := g.askPermit(q.ctx, ask)
 	switch {
+	case !answered && q.ctx.Err() != nil:
+		// The caller has left; of the owner nothing is known.
+		return false
 	case !answered:
 		b.holdBack(time.Now().Add(ownerlessRest))
 		g.metrics.heldBack.WithLabelValues(string(heldBackNoOwner)).Inc()
--- a/pkg/gateway/limit_test.go
+++ b/pkg/gateway/limit_test.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -169,6 +170,52 @@
 	}
 }
 
+// One request asks for the permits of few servers: its caller waits for each.
+func TestOneRequestAsksForFewPermits(t *testing.T) {
+	var servers []*standIn
+	for i := range 2 * permitsAsked {
+		servers = append(servers, newStandIn(t, fmt.Sprint("s-", i), answerWith("200 OK", "done")))
+	}
+	f := newFixture(t, serviceconfig.Repeatable, false, servers...).ownsAll()
+	for _, b := range f.gateway.backends.of("menu") {
+		b.limit.hear(serverlimit.Read([]string{"0"}), time.Now())
+	}
+	if status, _ := f.get(t, "first"); status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d", status)
+	}
+	asked := 0
+	for _, b := range f.gateway.backends.of("menu") {
+		if b.load(time.Now()).isHeldBack(time.Now()) {
+			asked++
+		}
+	}
+	if asked != permitsAsked {
+		t.Errorf("%d servers' permits were asked for", asked)
+	}
+}
+
+// A caller that leaves while a permit is asked for keeps the server from nobody.
+func TestCallerThatLeavesHoldsNothingBack(t *testing.T) {
+	f := newFixture(t, serviceconfig.Repeatable, false, newStandIn(t, "s-1", answerWith("200 OK", "done")))
+	g := f.gateway
+	g.owners.listed = func() map[string]feed.Peer {
+		return map[string]feed.Peer{"127.0.0.2:1": feed.NewPeer("127.0.0.2:1", "hall-a", "", "", false, true)}
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	g.owners.ask = func(ctx context.Context, _ string, _ serverlimit.Ask) (serverlimit.Answer, error) {
+		leave()
+		return serverlimit.Answer{}, ctx.Err()
+	}
+	b := g.backends.of("menu")[0]
+	b.limit.hear(serverlimit.Read([]string{"1"}), time.Now())
+	if chosen, _ := g.choosePermitted(&request{ctx: ctx}, wanted{service: "menu"}); chosen != nil {
+		t.Error("chosen without a permit")
+	}
+	if b.load(time.Now()).isHeldBack(time.Now()) {
+		t.Error("the server is held back from others")
+	}
+}
+
 // A request that holds a permit and goes elsewhere gives it back.
 func TestUnusedPermitGoesBack(t *testing.T) {
 	limited := newStandIn(t, "s-1", limiting(saying("1"), "200 OK"))
