Limits: a number that rises takes the place of a lower one

Cause: of two numbers whose order it does not know the owner kept the lower one, and it never knew the order of what gateways had heard without a permit; and gateways asked again only when the next permit of the low limit was due, up to 4 s later.

Mend: a question says for how long its gateway has known the number at the most, since it sent the request whose answer named it; one that is newer than what the owner was told last takes its place. A gateway asks again after a second at the latest; callers still hear when the next permit is.

--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -81,6 +81,7 @@
 	toldAge     time.Duration // since told
 	oldest      time.Duration // the longest wait for a first event from here now
 	heldUntil   time.Time     // its own limit keeps it from requests
+	nextPermit  time.Time     // when it takes the next one by its limit
 	limited     bool          // it names a limit
 	perSecond   float64       // the limit
 }
@@ -138,7 +139,7 @@
 		oldest:  b.waits.oldest(now), lost: b.lost,
 		asked: b.isAsked(now), unanswered: now.Before(b.unaskedUntil) && !(b.told.isFresh(now) && b.told.load.Exchanging()),
 		full: now.Before(b.fullUntil), state: r.State(), domain: r.Domain(),
-		heldUntil: b.limit.heldUntil, limited: b.limit.named, perSecond: b.limit.perSecond,
+		heldUntil: b.limit.heldUntil, nextPermit: b.limit.nextAt, limited: b.limit.named, perSecond: b.limit.perSecond,
 	}
 }
 
--- a/pkg/gateway/limit_heard.go
+++ b/pkg/gateway/limit_heard.go
@@ -25,8 +25,10 @@
 	named     bool
 	perSecond float64
 	news      bool      // its owner was not told yet
+	sent      time.Time // the request whose answer named it
 	over      time.Time // when its owner said last that it was
-	heldUntil time.Time // there is no permit before
+	nextAt    time.Time // when there is the next permit, as its owner said last
+	heldUntil time.Time // the owner is not asked before
 }
 
 // hear takes what the answer to a request sent at a moment says, and tells whether that is
@@ -39,7 +41,7 @@
 	if l.named && l.perSecond == s.PerSecond() {
 		return false
 	}
-	l.named, l.perSecond, l.news = true, s.PerSecond(), true
+	l.named, l.perSecond, l.news, l.sent = true, s.PerSecond(), true, sent
 	return true
 }
 
@@ -100,7 +102,7 @@
 	defer b.mu.Unlock()
 	r := b.registration
 	server := serverlimit.NewServer(r.Incarnation(), r.Born(), r.Domain())
-	return serverlimit.NewAsk(server, b.limit.perSecond, b.limit.news), b.limit.named
+	return serverlimit.NewAsk(server, b.limit.perSecond, b.limit.news, time.Since(b.limit.sent)), b.limit.named
 }
 
 // limitOver notes that the owner of the limit says that it is over, and tells whether that
@@ -124,9 +126,13 @@
 	}
 }
 
-// holdBack has the backend server get nothing from here until a moment.
-func (b *backend) holdBack(until time.Time) {
+// longestHold bounds how long an owner is not asked again: the limit may rise or end long
+// before the next permit of a low one.
+const longestHold = time.Second
+
+// holdBack has the backend server get nothing from here until its next permit.
+func (b *backend) holdBack(now time.Time, next time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limit.heldUntil = until
+	b.limit.nextAt, b.limit.heldUntil = now.Add(next), now.Add(min(next, longestHold))
 }
--- a/pkg/gateway/limit_owner.go
+++ b/pkg/gateway/limit_owner.go
@@ -36,7 +36,7 @@
 	all := g.owners.order(a.Server(), now)
 	if len(all) == 0 {
 		part := a.PerSecond() / float64(g.gateways())
-		return g.owners.alone.Decide(now, serverlimit.NewAsk(a.Server(), part, a.News()), serverlimit.Owner), true
+		return g.owners.alone.Decide(now, serverlimit.NewAsk(a.Server(), part, a.News(), a.Ago()), serverlimit.Owner), true
 	}
 	asked, passed := 0, 0
 	for i, owner := range all {
--- a/pkg/gateway/limit_permit.go
+++ b/pkg/gateway/limit_permit.go
@@ -75,7 +75,7 @@
 		// The caller has left; of the owner nothing is known.
 		return false
 	case !answered:
-		b.holdBack(time.Now().Add(ownerlessRest))
+		b.holdBack(time.Now(), ownerlessRest)
 		g.metrics.heldBack.WithLabelValues(string(heldBackNoOwner)).Inc()
 		return false
 	case a.Over():
@@ -86,7 +86,7 @@
 	}
 	b.limitTold(ask)
 	if !a.Permit().IsGranted() {
-		b.holdBack(time.Now().Add(a.Next()))
+		b.holdBack(time.Now(), a.Next())
 		g.metrics.heldBack.WithLabelValues(string(heldBackSpent)).Inc()
 		return false
 	}
@@ -123,8 +123,8 @@
 		case w.tried[c.backend]:
 		case !c.load.isHeldBack(now):
 			return nil
-		case next.IsZero() || c.load.heldUntil.Before(next):
-			next = c.load.heldUntil
+		case next.IsZero() || c.load.nextPermit.Before(next):
+			next = c.load.nextPermit
 		}
 	}
 	if next.IsZero() {
--- a/pkg/serverlimit/limiter.go
+++ b/pkg/serverlimit/limiter.go
@@ -73,6 +73,7 @@
 	asked     time.Time
 	granted   uint64 // how many permits
 	told      uint64 // granted when the limit was told last
+	toldAt    time.Time
 }
 
 // NewLimiter returns a limiter without limits, under an id that no other process has.
@@ -85,13 +86,13 @@
 	b := l.buckets[a.server]
 	switch {
 	case b == nil:
-		b = &bucket{perSecond: a.perSecond, filled: now}
+		b = &bucket{perSecond: a.perSecond, filled: now, toldAt: now}
 		l.buckets[a.server] = b
 	case b.over && a.news:
-		*b = bucket{perSecond: a.perSecond, filled: now, granted: b.granted, told: b.granted}
+		*b = bucket{perSecond: a.perSecond, filled: now, granted: b.granted, told: b.granted, toldAt: now}
 	case a.news:
-		b.perSecond = min(b.perSecond, a.perSecond)
-		b.told = b.granted
+		b.fill(now)
+		b.hear(now, a.perSecond, now.Add(-a.ago).After(b.toldAt))
 	}
 	if s != Owner && now.Sub(b.asked) > standInGap+b.between() {
 		b.tokens, b.filled = 0, now
@@ -124,10 +125,7 @@
 		b.tokens = min(b.tokens+1, b.capacity())
 	case StillNamed:
 		b.fill(now)
-		if r.permit.number > b.told || r.perSecond < b.perSecond {
-			b.perSecond = r.perSecond
-		}
-		b.told = b.granted
+		b.hear(now, r.perSecond, r.permit.number > b.told)
 	case NotNamed:
 		b.over = r.permit.number > b.told
 	}
@@ -144,6 +142,15 @@
 	}
 }
 
+// hear takes a number that a server named. Where it may be older than the one that is kept
+// the lower one goes.
+func (b *bucket) hear(now time.Time, perSecond float64, newer bool) {
+	if newer || perSecond < b.perSecond {
+		b.perSecond = perSecond
+	}
+	b.told, b.toldAt = b.granted, now
+}
+
 // rate is what is granted, in requests a second.
 func (b *bucket) rate() float64 {
 	if b.standing == CutStandIn {
--- a/pkg/serverlimit/limiter_test.go
+++ b/pkg/serverlimit/limiter_test.go
@@ -10,9 +10,9 @@
 	server = NewServer("e-1", 7, "hall-a")
 )
 
-func ask(perSecond float64) Ask { return NewAsk(server, perSecond, false) }
+func ask(perSecond float64) Ask { return NewAsk(server, perSecond, false, 0) }
 
-func news(perSecond float64) Ask { return NewAsk(server, perSecond, true) }
+func news(perSecond float64) Ask { return NewAsk(server, perSecond, true, time.Hour) }
 
 // at returns a moment some milliseconds after the start.
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
@@ -125,7 +125,7 @@
 	if a := l.Decide(at(440), news(2), Owner); a.Over() || a.Permit().IsGranted() || a.PerSecond() != 2 {
 		t.Fatalf("%+v when it is named again", a)
 	}
-	if !l.Decide(at(450), NewAsk(NewServer("e-1", 8, "hall-a"), 0, false), Owner).Permit().IsGranted() {
+	if !l.Decide(at(450), NewAsk(NewServer("e-1", 8, "hall-a"), 0, false, 0), Owner).Permit().IsGranted() {
 		// Another start of the server has a bucket of its own, which is empty as well.
 		return
 	}
@@ -148,6 +148,20 @@
 	}
 }
 
+// A number that was named after the one that is kept takes its place, whoever heard it.
+func TestALaterNumberTakesThePlaceOfALowerOne(t *testing.T) {
+	l := NewLimiter(1)
+	l.Decide(start, news(0), Owner)
+	early := NewAsk(server, 3, true, 2*time.Second)
+	if got := l.Decide(at(1000), early, Owner).PerSecond(); got != 0 {
+		t.Fatalf("%g a second, by an answer that may be older", got)
+	}
+	late := NewAsk(server, 3, true, 500*time.Millisecond)
+	if got := l.Decide(at(5000), late, Owner).PerSecond(); got != 3 {
+		t.Fatalf("%g a second, by an answer that is newer", got)
+	}
+}
+
 func TestAnUnusedPermitIsGrantedAgain(t *testing.T) {
 	l := NewLimiter(1)
 	l.Decide(start, ask(1), Owner)
--- a/pkg/serverlimit/messages.go
+++ b/pkg/serverlimit/messages.go
@@ -26,6 +26,9 @@
 	perSecond float64
 	// news says that it heard it since it asked last.
 	news bool
+	// ago is for how long it has known it at the most: since it sent the request whose answer
+	// named it.
+	ago time.Duration
 }
 
 // Answer answers an Ask.
--- a/pkg/serverlimit/wire_generated.go
+++ b/pkg/serverlimit/wire_generated.go
@@ -58,8 +58,8 @@
 }
 
 // NewAsk returns a Ask with the given fields.
-func NewAsk(server Server, perSecond float64, news bool) Ask {
-	return Ask{server: server, perSecond: perSecond, news: news}
+func NewAsk(server Server, perSecond float64, news bool, ago time.Duration) Ask {
+	return Ask{server: server, perSecond: perSecond, news: news, ago: ago}
 }
 
 // Server is the backend server.
@@ -71,12 +71,16 @@
 // News says that it heard it since it asked last.
 func (a Ask) News() bool { return a.news }
 
+// Ago is for how long it has known it at the most: since it sent the request whose answer
+// named it.
+func (a Ask) Ago() time.Duration { return a.ago }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (a Ask) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(3); err != nil {
+	if err := enc.EncodeArrayLen(4); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(a.server, a.perSecond, a.news)
+	return enc.EncodeMulti(a.server, a.perSecond, a.news, a.ago)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -85,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&a.server, &a.perSecond, &a.news}
+	fields := []any{&a.server, &a.perSecond, &a.news, &a.ago}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
