--- a/pkg/serverlimit/limiter.go
+++ b/pkg/serverlimit/limiter.go
@@ -71,9 +71,9 @@
 	tokens    float64
 	filled    time.Time // when tokens were counted
 	asked     time.Time
-	granted   uint64 // how many permits
-	told      uint64 // granted when the limit was told last
-	toldAt    time.Time
+	granted   uint64    // how many permits
+	told      uint64    // granted when the limit was told last
+	toldAt    time.Time // when it was told last
 }
 
 // NewLimiter returns a limiter without limits, under an id that no other process has.
