--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -179,6 +179,7 @@
 	case q.ctx.Err() != nil:
 	case x.watch.lapsed.Load() || q.hasLapsed():
 		if x.listening.ranWhenLost() {
+			x.gateway.metrics.outrun.Inc()
 			q.sawRun(&x.gateway.silences, time.Now(), time.Since(x.started))
 		}
 		x.gateway.note(q, attemptLapsed, fmt.Sprintf("the version of the weights there lapses; %s; taken back %s late", why, time.Duration(x.watch.lateBy.Load())))
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -23,6 +23,7 @@
 	quarantined  prometheus.Gauge
 	limited      prometheus.Gauge
 	heldBack     *prometheus.CounterVec
+	outrun       prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -38,7 +39,8 @@
 		quarantined:  metric.NewGauge(metric.GatewayQuarantined),
 		limited:      metric.NewGauge(metric.GatewayLimited),
 		heldBack:     metric.NewCounters(metric.GatewayHeldBack, "why"),
+		outrun:       metric.NewCounter(metric.GatewayOutrun),
 	}
-	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number, m.ends, m.quarantined, m.limited, m.heldBack)
+	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number, m.ends, m.quarantined, m.limited, m.heldBack, m.outrun)
 	return m
 }
