A gateway goes on with the budget of repeats of the one that ended in order before it

What callers saw: streams that an order for weights cut ended midway, at gateways that had just started: `attempt cut: the stream broke off: unexpected EOF`, then `the budget of repeats is used up`.

Cause: a gateway that starts has a quarter of its part for requests and a sixteenth of its part of the reserve, since the one before it may have spent all. In a roll, and where gateways are stopped together, nearly all are that young, and a fleet that may send 100 repeats had 6. And requests of which their callers had nothing yet took the last ones from streams under way.

Mend: the last word of a gateway that ends in order is what it had spent, to both nodes that it follows; they tell the next one at its address, once. Other nodes forget the word when they hear of the start. The next one counts it as its own, slot by slot (repeats as later than they were, requests as earlier), and has its whole share. One that was killed says nothing, and the next one is held to what it was. Requests that have not begun leave a quarter of the budget to streams.

Ruled out: a file (gateways' VMs have no disk); what is spent, told all the time (what a killed one spent after its last word would need a bound of its own); lending among gateways (in a roll none is old).

--- a/pkg/feed/follower_tell.go
+++ b/pkg/feed/follower_tell.go
@@ -37,7 +37,14 @@
 
 // TellRecords tells all nodes that are heard what was learnt of requests under which
 // servers ended: with one of them lost, the others still hear of it.
-func (f *Follower) TellRecords(records []quarantine.Record) {
+func (f *Follower) TellRecords(records []quarantine.Record) { f.tellAll(Word{records: records}) }
+
+// TellSpent tells all nodes that are heard what the gateway here had spent; nothing may be
+// sent from here afterwards.
+func (f *Follower) TellSpent(s Spent) { f.tellAll(Word{spent: &s}) }
+
+// tellAll tells all nodes that are heard.
+func (f *Follower) tellAll(w Word) {
 	f.mu.Lock()
 	var heard []*link.Stream
 	for _, s := range f.streams {
@@ -47,8 +54,8 @@
 	}
 	f.mu.Unlock()
 	for _, stream := range heard {
-		// A failure shows in the reading, and the next stream begins with it.
-		_ = stream.Send(Word{records: records})
+		// A failure shows in the reading.
+		_ = stream.Send(w)
 	}
 }
 
--- a/pkg/feed/messages.go
+++ b/pkg/feed/messages.go
@@ -94,6 +94,8 @@
 	records []quarantine.Record
 	// trial is a barred request that a gateway asks to try once more; else empty.
 	trial quarantine.Fingerprint
+	// spent is the last word of a gateway that ends in order; nil in all others.
+	spent *Spent
 }
 
 // Load is the state of an engine, read on its own VM.
@@ -200,6 +202,36 @@
 	// records are what the follower has not heard from this node of requests under which
 	// servers ended: for gateways and nodes.
 	records []quarantine.Record
+	// spent is what the gateway had spent that ended in order at the follower's address; nil
+	// where none did of late, or another has taken its place since.
+	spent *Spent
+}
+
+// Spent is what a gateway had spent of its budget of repeats when it ended in order. It sends
+// nothing afterwards, so the one that starts at its address knows exactly what counts yet.
+//
+//wire:generate
+type Spent struct {
+	// gateways is how many gateways shared the reserve.
+	gateways int
+	// slot is the time that each count is of.
+	slot time.Duration
+	// age is how long ago it ended, as far as the teller knows.
+	age time.Duration
+	// services are the counts by service.
+	services []ServiceSpent
+}
+
+// ServiceSpent is what one service got from a gateway, by slot of time and the last slot
+// first.
+//
+//wire:generate
+type ServiceSpent struct {
+	// service is its name.
+	service string
+	// requests and repeats are what it got in each slot.
+	requests []int
+	repeats  []int
 }
 
 // Demand is how many requests for engines come to gateways, a second.
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -76,7 +76,8 @@
 
 	mu          sync.Mutex
 	subscribers map[*subscriber]bool
-	loads       map[string]toldLoad // the newest told here, by engine
+	loads       map[string]toldLoad  // the newest told here, by engine
+	spent       map[string]toldSpent // by link address of a gateway that ended in order
 	census      *census
 }
 
@@ -92,7 +93,7 @@
 
 // NewPublisher returns a publisher without followers.
 func NewPublisher(s Source) *Publisher {
-	return &Publisher{source: s, subscribers: map[*subscriber]bool{}, loads: map[string]toldLoad{}, census: newCensus()}
+	return &Publisher{source: s, subscribers: map[*subscriber]bool{}, loads: map[string]toldLoad{}, spent: map[string]toldSpent{}, census: newCensus()}
 }
 
 // Registered queues a word for every follower.
@@ -145,6 +146,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	joined, gone := p.census.relay(node, u, time.Now())
+	p.forgetSpent(u.peers)
 	p.tellFollowers(u.loads, joined, gone)
 }
 
@@ -158,6 +160,7 @@
 			delete(p.loads, engine)
 		}
 	}
+	p.forgetOldSpent(now)
 	p.tellFollowers(nil, nil, p.census.forgetSilent(now))
 }
 
@@ -192,6 +195,7 @@
 	}
 	s := newSubscriber(hello)
 	s.queueWords(p.source.Registrations())
+	p.handOnSpent(s)
 	if !p.add(s) {
 		return failure.New(failure.Overloaded, "%d followers are served already", maxFollowers)
 	}
@@ -248,6 +252,9 @@
 		if w.demand > 0 {
 			p.demanded(s, w.demand)
 		}
+		if w.spent != nil {
+			p.keepSpent(s, *w.spent)
+		}
 		if w.ask {
 			s.change(func(s *subscriber) { s.asked = true })
 		}
--- a/pkg/feed/subscriber.go
+++ b/pkg/feed/subscriber.go
@@ -31,6 +31,7 @@
 	nodes      bool             // the control nodes are to be told
 	asked      bool             // the document is to be told
 	demand     float64          // requests for engines a second, of a gateway
+	spent      *toldSpent       // of the gateway before it, to be told
 }
 
 func newSubscriber(hello Hello) *subscriber {
@@ -135,14 +136,15 @@
 	asked         bool
 	primary       bool
 	records       []quarantine.Record
+	spent         *toldSpent
 }
 
 // take empties the queue.
 func (s *subscriber) take() taken {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t := taken{s.pending, s.loads, s.peers, s.wholePeers, s.nodes, s.asked, s.primary, s.takeRecords()}
+	t := taken{s.pending, s.loads, s.peers, s.wholePeers, s.nodes, s.asked, s.primary, s.takeRecords(), s.spent}
 	s.pending, s.loads, s.peers = map[string]registry.Registration{}, map[string]Load{}, map[string]*Peer{}
-	s.wholePeers, s.nodes, s.asked = false, false, false
+	s.wholePeers, s.nodes, s.asked, s.spent = false, false, false, nil
 	return t
 }
--- a/pkg/feed/update.go
+++ b/pkg/feed/update.go
@@ -7,6 +7,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
@@ -15,6 +16,9 @@
 func (p *Publisher) update(s *subscriber) Update {
 	t := s.take()
 	u := Update{number: p.source.Number(), weights: p.source.Weights(), confirmed: p.source.Confirmed(), records: t.records}
+	if t.spent != nil {
+		u.spent = t.spent.now(time.Now())
+	}
 	if t.asked {
 		u.document = p.documentFor(s.hello.role)
 	}
--- a/pkg/feed/wire_generated.go
+++ b/pkg/feed/wire_generated.go
@@ -252,9 +252,96 @@
 	return nil
 }
 
+// NewServiceSpent returns a ServiceSpent with the given fields.
+func NewServiceSpent(service string, requests []int, repeats []int) ServiceSpent {
+	return ServiceSpent{service: service, requests: requests, repeats: repeats}
+}
+
+// Service is its name.
+func (s ServiceSpent) Service() string { return s.service }
+
+// Requests and repeats are what it got in each slot.
+func (s ServiceSpent) Requests() []int { return s.requests }
+
+// Repeats returns the field of that name.
+func (s ServiceSpent) Repeats() []int { return s.repeats }
+
+// EncodeMsgpack writes the fields in order, as one array.
+func (s ServiceSpent) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(3); err != nil {
+		return err
+	}
+	return enc.EncodeMulti(s.service, s.requests, s.repeats)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
+func (s *ServiceSpent) DecodeMsgpack(dec *msgpack.Decoder) error {
+	count, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := []any{&s.service, &s.requests, &s.repeats}
+	for i := 0; i < count; i++ {
+		if i >= len(fields) {
+			err = dec.Skip()
+		} else {
+			err = dec.Decode(fields[i])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// NewSpent returns a Spent with the given fields.
+func NewSpent(gateways int, slot time.Duration, age time.Duration, services []ServiceSpent) Spent {
+	return Spent{gateways: gateways, slot: slot, age: age, services: services}
+}
+
+// Gateways is how many gateways shared the reserve.
+func (s Spent) Gateways() int { return s.gateways }
+
+// Slot is the time that each count is of.
+func (s Spent) Slot() time.Duration { return s.slot }
+
+// Age is how long ago it ended, as far as the teller knows.
+func (s Spent) Age() time.Duration { return s.age }
+
+// Services are the counts by service.
+func (s Spent) Services() []ServiceSpent { return s.services }
+
+// EncodeMsgpack writes the fields in order, as one array.
+func (s Spent) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(4); err != nil {
+		return err
+	}
+	return enc.EncodeMulti(s.gateways, s.slot, s.age, s.services)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
+func (s *Spent) DecodeMsgpack(dec *msgpack.Decoder) error {
+	count, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := []any{&s.gateways, &s.slot, &s.age, &s.services}
+	for i := 0; i < count; i++ {
+		if i >= len(fields) {
+			err = dec.Skip()
+		} else {
+			err = dec.Decode(fields[i])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // NewUpdate returns a Update with the given fields.
-func NewUpdate(number uint64, document *serviceconfig.Document, weights []Weights, registrations []registry.Registration, confirmed bool, nodes []Node, gateways int, whole bool, peers []Peer, gone []string, loads []Load, demands []Demand, records []quarantine.Record) Update {
-	return Update{number: number, document: document, weights: weights, registrations: registrations, confirmed: confirmed, nodes: nodes, gateways: gateways, whole: whole, peers: peers, gone: gone, loads: loads, demands: demands, records: records}
+func NewUpdate(number uint64, document *serviceconfig.Document, weights []Weights, registrations []registry.Registration, confirmed bool, nodes []Node, gateways int, whole bool, peers []Peer, gone []string, loads []Load, demands []Demand, records []quarantine.Record, spent *Spent) Update {
+	return Update{number: number, document: document, weights: weights, registrations: registrations, confirmed: confirmed, nodes: nodes, gateways: gateways, whole: whole, peers: peers, gone: gone, loads: loads, demands: demands, records: records, spent: spent}
 }
 
 // Number is the newest document applied at the node; 0 is none.
@@ -301,12 +388,16 @@
 // servers ended: for gateways and nodes.
 func (u Update) Records() []quarantine.Record { return u.records }
 
+// Spent is what the gateway had spent that ended in order at the follower's address; nil
+// where none did of late, or another has taken its place since.
+func (u Update) Spent() *Spent { return u.spent }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (u Update) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(13); err != nil {
+	if err := enc.EncodeArrayLen(14); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(u.number, u.document, u.weights, u.registrations, u.confirmed, u.nodes, u.gateways, u.whole, u.peers, u.gone, u.loads, u.demands, u.records)
+	return enc.EncodeMulti(u.number, u.document, u.weights, u.registrations, u.confirmed, u.nodes, u.gateways, u.whole, u.peers, u.gone, u.loads, u.demands, u.records, u.spent)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -315,7 +406,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&u.number, &u.document, &u.weights, &u.registrations, &u.confirmed, &u.nodes, &u.gateways, &u.whole, &u.peers, &u.gone, &u.loads, &u.demands, &u.records}
+	fields := []any{&u.number, &u.document, &u.weights, &u.registrations, &u.confirmed, &u.nodes, &u.gateways, &u.whole, &u.peers, &u.gone, &u.loads, &u.demands, &u.records, &u.spent}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -372,8 +463,8 @@
 }
 
 // NewWord returns a Word with the given fields.
-func NewWord(ask bool, load *Load, demand float64, subscription Subscription, records []quarantine.Record, trial quarantine.Fingerprint) Word {
-	return Word{ask: ask, load: load, demand: demand, subscription: subscription, records: records, trial: trial}
+func NewWord(ask bool, load *Load, demand float64, subscription Subscription, records []quarantine.Record, trial quarantine.Fingerprint, spent *Spent) Word {
+	return Word{ask: ask, load: load, demand: demand, subscription: subscription, records: records, trial: trial, spent: spent}
 }
 
 // Ask asks for the document that the node holds.
@@ -396,12 +487,15 @@
 // Trial is a barred request that a gateway asks to try once more; else empty.
 func (w Word) Trial() quarantine.Fingerprint { return w.trial }
 
+// Spent is the last word of a gateway that ends in order; nil in all others.
+func (w Word) Spent() *Spent { return w.spent }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (w Word) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(6); err != nil {
+	if err := enc.EncodeArrayLen(7); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(w.ask, w.load, w.demand, w.subscription, w.records, w.trial)
+	return enc.EncodeMulti(w.ask, w.load, w.demand, w.subscription, w.records, w.trial, w.spent)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -410,7 +504,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&w.ask, &w.load, &w.demand, &w.subscription, &w.records, &w.trial}
+	fields := []any{&w.ask, &w.load, &w.demand, &w.subscription, &w.records, &w.trial, &w.spent}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -9,9 +9,9 @@
 // A gateway that starts may follow one that has just spent its whole share, which counts
 // for a window yet. For so long it spends what safety leaves: its part for requests, and of
 // the reserve a part that grows with its age, so that several starts in a row sum up to no
-// more. Gateways killed three times within 6 s, while engines shed 60%, sent 582 repeats
-// in 10 s where 538 were allowed. Rejected: nothing for a window. Streams that break off
-// just after a start would be lost.
+// more. One that follows a gateway that ended in order is told what that one had spent, and
+// goes on with it (inherit.go). Rejected: nothing for a window. Streams that break off just
+// after a start would be lost.
 // ================================================================
 
 package gateway
@@ -32,6 +32,10 @@
 	// youngest is the least age, as a share of the window, that counts for the reserve:
 	// without it there is no repeat at all just after a start.
 	youngest = 0.25
+	// notBegunShare is the share of the budget that requests may use of which their callers
+	// have nothing yet: refused, they come back. The rest is for streams under way, which
+	// would end without it.
+	notBegunShare = 0.75
 	// holdShare is the share of the budget up to which repeats are held for attempts that
 	// may need one: the rest is for those that do.
 	holdShare = 0.5
@@ -54,6 +58,8 @@
 	mu       sync.Mutex
 	services map[string]*spending
 	current  int64
+	// inherits says that what the gateway before this one had spent is counted here.
+	inherits bool
 }
 
 func newBudget(ratioPercent int, reserve float64, window time.Duration) *budget {
@@ -74,11 +80,16 @@
 // repeat takes a repeat out of the budget; false when there is none left.
 // gateways is how many share the reserve.
 func (b *budget) repeat(service string, gateways int) bool {
+	return b.repeatWithin(service, gateways, 1)
+}
+
+// repeatWithin is repeat where only a share of the budget may be used.
+func (b *budget) repeatWithin(service string, gateways int, share float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance()
 	s := b.of(service)
-	if !b.hasRepeat(s, gateways, 1) {
+	if !b.hasRepeat(s, gateways, share) {
 		return false
 	}
 	s.repeats[b.current%budgetSlots]++
@@ -135,7 +146,7 @@
 	forRequests := b.ratio * float64(requests)
 	share := b.reserve / float64(max(gateways, 1))
 	age := float64(b.now().Sub(b.started)) / float64(slotsInWindow*b.slot)
-	if age < 1 {
+	if age < 1 && !b.inherits {
 		return (1 - safety) * (forRequests + max(age, youngest)*share)
 	}
 	return safety * (forRequests + share)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -149,6 +149,7 @@
 		g.waiting.lookNow()
 	}
 	g.learnRecords(u.Records())
+	g.inheritSpent(u.Spent())
 	d := u.Document()
 	if d == nil || !g.index.Raise(*d) {
 		return
--- /dev/null
+++ b/pkg/gateway/inherit.go
@@ -0,0 +1,80 @@
+// ================================================================
+// A gateway that starts goes on with the budget of the one that ended in order before it: it
+// counts what that one had spent as its own, until it counts no more. Slots of the two do not
+// begin at the same moments, so repeats count as later than they were, by a slot at the most,
+// and requests as earlier.
+// ================================================================
+
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/tidepost/tidepost/pkg/feed"
+)
+
+// spent is what this gateway has spent, the last slot first.
+func (b *budget) spent(gateways int) feed.Spent {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance()
+	var all []feed.ServiceSpent
+	for _, name := range slices.Sorted(maps.Keys(b.services)) {
+		s := b.services[name]
+		requests, repeats := make([]int, budgetSlots), make([]int, budgetSlots)
+		for back := range int64(budgetSlots) {
+			i := (b.current - back + budgetSlots) % budgetSlots
+			requests[back], repeats[back] = s.requests[i], s.repeats[i]
+		}
+		all = append(all, feed.NewServiceSpent(name, requests, repeats))
+	}
+	return feed.NewSpent(gateways, b.slot, 0, all)
+}
+
+// inherit counts what the gateway before this one had spent; false where that can't be
+// compared, or is counted already.
+func (b *budget) inherit(spent feed.Spent) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.inherits || spent.Slot() != b.slot {
+		return false
+	}
+	b.advance()
+	b.inherits = true
+	passed := int(spent.Age() / b.slot)
+	for _, one := range spent.Services() {
+		s := b.of(one.Service())
+		for back, n := range one.Repeats() {
+			b.put(&s.repeats, max(passed+back-1, 0), n)
+		}
+		for back, n := range one.Requests() {
+			b.put(&s.requests, passed+back+1, n)
+		}
+	}
+	return true
+}
+
+// put adds a count so many slots back, unless that is longer than counts are kept, for
+// whoever holds the lock.
+func (b *budget) put(counts *[budgetSlots]int, back, count int) {
+	if back < budgetSlots {
+		counts[(b.current-int64(back)+budgetSlots)%budgetSlots] += count
+	}
+}
+
+// inheritSpent takes what the gateway that ended in order before this one had spent.
+func (g *Gateway) inheritSpent(spent *feed.Spent) {
+	if spent == nil || !g.budget.inherit(*spent) {
+		return
+	}
+	// The count of gateways that was known there goes until a higher one is heard.
+	g.fleet.count(spent.Gateways(), time.Now(), g.settings.RetryWindow())
+	_ = level.Info(g.process.Logger).Log("msg", "goes on with the budget of repeats of the gateway before", "ended_ms", spent.Age().Milliseconds(), "gateways", spent.Gateways())
+}
+
+// tellSpent tells control nodes what this gateway has spent, when it sends nothing more.
+func (g *Gateway) tellSpent() { g.follower.TellSpent(g.budget.spent(g.gateways())) }
--- a/pkg/gateway/lapse_test.go
+++ b/pkg/gateway/lapse_test.go
@@ -73,7 +73,7 @@
 // namedUpdate is a control node's word of it.
 func (f *fixture) namedUpdate(left time.Duration) feed.Update {
 	named := []feed.Weights{feed.NewWeights("menu", 2, f.gateway.settings.WeightsWithin()-left)}
-	return feed.NewUpdate(0, nil, named, nil, true, nil, 0, false, nil, nil, nil, nil, nil)
+	return feed.NewUpdate(0, nil, named, nil, true, nil, 0, false, nil, nil, nil, nil, nil, nil)
 }
 
 func (f *fixture) draft(t *testing.T) *http.Request {
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -114,6 +114,7 @@
 	if cut := g.connections.awaitNone(ctx); cut > 0 {
 		_ = level.Warn(g.process.Logger).Log("msg", "the stop closes connections in use", "connections", cut, "requests", g.cutRunning())
 	}
+	g.tellSpent()
 	return nil
 }
 
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -62,7 +62,7 @@
 // for a place. False where there is none.
 func (g *Gateway) awaitRepeat(q *request) bool {
 	for {
-		if g.budget.repeat(q.service.Name(), g.gateways()) {
+		if g.budget.repeatWithin(q.service.Name(), g.gateways(), q.repeatShare()) {
 			return true
 		}
 		if !g.waitsForPlace(q, time.Now()) {
@@ -72,6 +72,14 @@
 	}
 }
 
+// repeatShare is the share of the budget that a repeat of the request may use.
+func (q *request) repeatShare() float64 {
+	if q.begun {
+		return 1
+	}
+	return notBegunShare
+}
+
 // pauseForPlace lies between two looks for a place or for a repeat.
 func (g *Gateway) pauseForPlace(q *request) {
 	select {
@@ -84,8 +92,12 @@
 // caller has part of it, and a refusal can no longer be written. Engines that cut it for an
 // order or were full take it some 100 ms later.
 func (g *Gateway) waitsForPlace(q *request, now time.Time) bool {
-	patience := g.protocol.Patience(q.route.Objective(), q.route.GapObjective()) - goesOnWithin
-	return q.begun && q.ctx.Err() == nil && now.Sub(q.eventAt) < patience && q.due().Sub(now) > leastTime
+	return q.begun && q.ctx.Err() == nil && now.Sub(q.eventAt) < g.patienceOf(q)-goesOnWithin && q.due().Sub(now) > leastTime
+}
+
+// patienceOf is for how long a caller waits for the next event of a stream.
+func (g *Gateway) patienceOf(q *request) time.Duration {
+	return g.protocol.Patience(q.route.Objective(), q.route.GapObjective())
 }
 
 // choosePlaceInTime chooses a place where the request is over before the version there
--- a/pkg/staging/due_test.go
+++ b/pkg/staging/due_test.go
@@ -64,7 +64,7 @@
 		{[]feed.Weights{feed.NewWeights("menu", 2, time.Second), feed.NewWeights("menu", 3, 0)}, true},
 		{[]feed.Weights{feed.NewWeights("menu", 2, time.Hour), feed.NewWeights("menu", 3, time.Minute)}, false},
 	} {
-		m.takeUpdate("10.0.0.9:7700", feed.NewUpdate(0, nil, step.told, nil, true, nil, 0, false, nil, nil, nil, nil, nil))
+		m.takeUpdate("10.0.0.9:7700", feed.NewUpdate(0, nil, step.told, nil, true, nil, 0, false, nil, nil, nil, nil, nil, nil))
 		select {
 		case <-m.wake:
 			if !step.wake {
