A stream under way is not taken back from where it waits for want of patience or of a dial

Cause: (1) an engine that reads the prompts of others gives its streams no events for longer than 1.2 s when it is slow, and they were moved to another one that was as slow; (2) the second attempt waited at an engine whose version was about to lapse, was taken back, as it must, and might not go anywhere any more; (3) all that wait at a server whose dial fails were taken back, also those that could not go on.

Mend: (1) an engine that its stager hears of, and that gives none of its streams an event, has as long as its caller stays, less the time to go on elsewhere; (2) a stream that was taken back for its version, or broken off for standing still, may go back to a server that it was at: a route bounds the servers and not the tries; (3) what cannot go on waits.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -65,18 +65,18 @@
 	q.sent++
 	q.sentAfter = time.Since(q.started)
 	work := q.work
-	var takeBack func()
+	x := &exchange{gateway: g, request: q, backend: b, conn: conn, permit: permit, isLast: q.isLastAt(b), goesOn: q.begun}
+	var breakOff, takeBack func()
 	if q.route.Idempotent() {
-		takeBack = conn.Abort
+		breakOff, takeBack = conn.Abort, x.takeBack
 	}
-	began := b.begin(work, takeBack)
+	x.began = b.begin(work, takeBack)
 	defer b.end(work)
-	defer b.begun(began, false)
-	x := &exchange{gateway: g, request: q, backend: b, conn: conn, began: began, permit: permit, isLast: q.isLastAt(b), goesOn: q.begun}
+	defer b.begun(x.began, false)
 	if x.bound() {
 		defer func() { x.settle(answered) }()
 	}
-	x.listening = g.listen(x, takeBack)
+	x.listening = g.listen(x, breakOff)
 	defer g.silences.end(x.listening)
 	stop := context.AfterFunc(q.ctx, conn.Abort)
 	defer stop()
@@ -103,6 +103,15 @@
 // part of a stream, by it or by one before, that is only where the stream can go on.
 func (x *exchange) mayGiveUp(flows bool) bool { return !flows && !x.goesOn || x.mayBreakOff() }
 
+// takeBack ends an attempt that waits at a backend server which seems out of reach. Where its
+// caller has part of a stream and it could not go on, it waits there: on a busy VM dials fail
+// that would have been answered a little later.
+func (x *exchange) takeBack() {
+	if x.mayGiveUp(false) {
+		x.conn.Abort()
+	}
+}
+
 // mayBreakOff tells whether a stream under way may be broken off because its connection or
 // its backend server seems silent: only where it can go on elsewhere, and then the repeat
 // for that is taken. Without one it would end there, while on a busy machine all backend
@@ -184,6 +193,7 @@
 			x.gateway.metrics.outrun.Inc()
 			q.sawRun(&x.gateway.silences, time.Now(), time.Since(x.started))
 		}
+		q.mayGoBackTo(x.backend)
 		x.gateway.note(q, attemptLapsed, fmt.Sprintf("the version of the weights there lapses; %s; taken back %s late", why, time.Duration(x.watch.lateBy.Load())))
 	case x.listening.found.Load() != nil:
 		// The backend server works: the request may go on there, and it is no failure.
@@ -197,6 +207,10 @@
 		x.gateway.note(q, attemptCut, why)
 	default:
 		x.backend.failed(time.Now())
+		if x.watch.barked.Load() {
+			// It may only have been slow.
+			q.mayGoBackTo(x.backend)
+		}
 		x.gateway.note(q, attemptBroken, why)
 	}
 	return false
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -155,6 +155,13 @@
 	return told
 }
 
+// isHeardOf tells whether the stager beside it read its load just now.
+func (b *backend) isHeardOf(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Sub(b.told.at) < silentAfter
+}
+
 // begin notes work under way that waits for its first event; end takes it off.
 // takeBack, if not nil, ends the attempt while it waits.
 func (b *backend) begin(work time.Duration, takeBack func()) *waiting {
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -25,8 +25,10 @@
 	silentAfter = time.Second
 	// patience is for how long an attempt may be silent at the most.
 	patience = 2 * time.Second
-	// gapPatience is the same between two events.
+	// gapPatience is the same between two events, and leaveWithin how much of its caller's
+	// patience is left when a stream goes on elsewhere.
 	gapPatience = 1200 * time.Millisecond
+	leaveWithin = 2 * goesOnWithin
 )
 
 type watchdog struct {
@@ -134,10 +136,22 @@
 	return !x.gateway.silences.areAllSilent(x.listening) && x.gateway.hasPlaceElsewhere(x.request)
 }
 
+// gapLimit is how long the attempt may be silent between two events. An engine that is heard of
+// and gives none of its streams an event reads the prompts of others; elsewhere the stream
+// would wait as long for its own to be read again. So it is left as long as its caller stays.
+func (w *watchdog) gapLimit() time.Duration {
+	x := w.exchange
+	last := x.started.Add(time.Duration(w.last.Load()))
+	if x.backend.heardAt.time().After(last.Add(leastSilence)) || !x.backend.isHeardOf(time.Now()) {
+		return gapPatience
+	}
+	return min(max(gapPatience, x.gateway.patienceOf(x.request)-leaveWithin), patience)
+}
+
 // limit is how long the attempt may be silent now.
 func (w *watchdog) limit() time.Duration {
 	if w.flowing.Load() {
-		return gapPatience
+		return w.gapLimit()
 	}
 	if time.Since(w.exchange.backend.heard()) > silentAfter {
 		return silentAfter
