Proofs: the pools are emptied behind each bubble, however it ends

Cause: a play that fails within its bubble (t.Fatal, `eventually`) leaves by Goexit, and the pools were emptied only where it returned. The next bubble took a timer of the first from yamux's pool.

The end of the process hid it, and does not any more: it shows by itself next time.

The network in memory of the proofs is a package of its own, for the feed's tests.

--- a/prove/network_test.go
+++ b/internal/memnet/memnet.go
@@ -1,9 +1,10 @@
 // ================================================================
 // A network in memory: hosts that listen and dial, links that can be cut
-// without a word, and hosts that can vanish.
+// without a word, and hosts that can vanish. Time in it may be virtual.
 // ================================================================
 
-package prove
+// Package memnet is a network in memory, for tests of whole programs in virtual time.
+package memnet
 
 import (
 	"context"
@@ -15,15 +16,13 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	// latency is one way, for every write.
-	latency = time.Millisecond
-	// cutPoll is how often a write looks whether its link is whole again.
-	cutPoll = 20 * time.Millisecond
-)
+// cutPoll is how often a write looks whether its link is whole again.
+const cutPoll = 20 * time.Millisecond
+
+// Network connects hosts. Use New.
+type Network struct {
+	latency time.Duration // one way, for every write
 
-// network connects hosts.
-type network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
 	hosts     map[string]string // address to host
@@ -31,8 +30,10 @@
 	conns     map[*conn]bool
 }
 
-func newNetwork() *network {
-	return &network{
+// New returns a network in which every write takes a time to arrive.
+func New(latency time.Duration) *Network {
+	return &Network{
+		latency:   latency,
 		listeners: map[string]*listener{}, hosts: map[string]string{},
 		cuts: map[[2]string]bool{}, conns: map[*conn]bool{},
 	}
@@ -40,7 +41,7 @@
 
 // listener is a host's listener.
 type listener struct {
-	network *network
+	network *Network
 	address string
 	queue   chan net.Conn
 	closed  chan struct{}
@@ -71,7 +72,8 @@
 // Addr implements net.Listener.
 func (l *listener) Addr() net.Addr { return &net.TCPAddr{} }
 
-func (n *network) listen(host string) func(address string) (net.Listener, error) {
+// Listen returns how a host listens at its addresses.
+func (n *Network) Listen(host string) func(address string) (net.Listener, error) {
 	return func(address string) (net.Listener, error) {
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -85,7 +87,8 @@
 	}
 }
 
-func (n *network) dial(host string) func(ctx context.Context, address string) (net.Conn, error) {
+// Dial returns how a host dials. A dial over a cut link hangs until its context ends.
+func (n *Network) Dial(host string) func(ctx context.Context, address string) (net.Conn, error) {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		n.mu.Lock()
 		l := n.listeners[address]
@@ -115,7 +118,7 @@
 // other end's buffer, all at once: a receiver that holds a lock while it reads
 // a frame would else keep virtual time from passing.
 type conn struct {
-	network  *network
+	network  *Network
 	from, to string
 	peer     *conn
 	closed   chan struct{}
@@ -136,7 +139,7 @@
 }
 
 // connect returns the two ends of a connection.
-func (n *network) connect(a, b string) (near, far *conn) {
+func (n *Network) connect(a, b string) (near, far *conn) {
 	near = &conn{network: n, from: a, to: b, closed: make(chan struct{}), sent: make(chan struct{}, 1), arrived: make(chan struct{}, 1)}
 	far = &conn{network: n, from: b, to: a, closed: make(chan struct{}), sent: make(chan struct{}, 1), arrived: make(chan struct{}, 1)}
 	near.peer, far.peer = far, near
@@ -176,7 +179,7 @@
 		case <-c.closed:
 			return
 		}
-		time.Sleep(latency)
+		time.Sleep(c.network.latency)
 		for c.network.isCut(c.from, c.to) {
 			select {
 			case <-c.closed:
@@ -267,28 +270,29 @@
 // RemoteAddr implements net.Conn.
 func (c *conn) RemoteAddr() net.Addr { return &net.TCPAddr{} }
 
-func (n *network) isCut(from, to string) bool {
+func (n *Network) isCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.cuts[[2]string{from, to}]
 }
 
-// setCut cuts or mends a link in both directions.
-func (n *network) setCut(a, b string, cut bool) {
+// SetCut cuts or mends a link in both directions.
+func (n *Network) SetCut(a, b string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cuts[[2]string{a, b}] = cut
 	n.cuts[[2]string{b, a}] = cut
 }
 
-func (n *network) mendAll() {
+// MendAll mends all links.
+func (n *Network) MendAll() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cuts = map[[2]string]bool{}
 }
 
-// vanish breaks every connection of a host at once.
-func (n *network) vanish(host string) {
+// Vanish breaks every connection of a host at once.
+func (n *Network) Vanish(host string) {
 	n.mu.Lock()
 	var broken []*conn
 	for c := range n.conns {
--- a/prove/callers_test.go
+++ b/prove/callers_test.go
@@ -13,9 +13,9 @@
 	"os"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"github.com/tidepost/tidepost/internal/bubble"
 	"github.com/tidepost/tidepost/pkg/entry"
 )
 
@@ -42,8 +42,7 @@
 }
 
 func TestRefusalsAreTypedAndTrue(t *testing.T) {
-	defer emptyPools()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		w := newWorld(t, 1)
 		defer w.stop()
 		w.start()
@@ -107,8 +106,7 @@
 // TestCallerCannotMakeAnOrderRepeatable shows that a header does not let an
 // order run twice that the configuration does not let.
 func TestCallerCannotMakeAnOrderRepeatable(t *testing.T) {
-	defer emptyPools()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		w := newWorld(t, 1)
 		defer w.stop()
 		w.start()
--- a/prove/faults_test.go
+++ b/prove/faults_test.go
@@ -28,9 +28,9 @@
 // cutFor cuts the link between two hosts without a word.
 func (w *world) cutFor(a, b string, d time.Duration) {
 	w.note()
-	w.network.setCut(a, b, true)
+	w.network.SetCut(a, b, true)
 	time.Sleep(d)
-	w.network.setCut(a, b, false)
+	w.network.SetCut(a, b, false)
 }
 
 // isolateFor cuts a host off from all entries and agents.
@@ -44,12 +44,12 @@
 func (w *world) isolate(name string, cut bool) {
 	for other := range entryPlaces {
 		if other != name {
-			w.network.setCut(name, other, cut)
+			w.network.SetCut(name, other, cut)
 		}
 	}
 	for other := range agentPlaces {
 		if other != name {
-			w.network.setCut(name, other, cut)
+			w.network.SetCut(name, other, cut)
 		}
 	}
 }
--- a/prove/promises_test.go
+++ b/prove/promises_test.go
@@ -383,7 +383,7 @@
 				w.configFault()
 			}
 			w.requests.Wait()
-			w.network.mendAll()
+			w.network.MendAll()
 			for _, name := range allEntries {
 				if !w.up(name) {
 					w.startEntry(name)
--- a/prove/prove_test.go
+++ b/prove/prove_test.go
@@ -9,13 +9,12 @@
 	"flag"
 	"fmt"
 	"os"
-	"runtime"
 	"strings"
 	"testing"
-	"testing/synctest"
 
 	"pgregory.net/rapid"
 
+	"github.com/tidepost/tidepost/internal/bubble"
 	"github.com/tidepost/tidepost/internal/fixedseed"
 )
 
@@ -52,7 +51,7 @@
 
 // play makes one run and returns what was violated.
 func (p proof) play(t *testing.T, seed uint64, seedFault func(w *world)) (violations []string, faults int) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		w := newWorld(t, seed)
 		defer w.stop()
 		if seedFault != nil {
@@ -64,17 +63,9 @@
 		defer w.ledger.mu.Unlock()
 		violations, faults = w.ledger.violations, w.faults
 	})
-	emptyPools()
 	return violations, faults
 }
 
-// emptyPools drops what sync.Pools hold. yamux keeps timers in one, and a timer
-// of one bubble must not be used in the next. Two collections empty a pool.
-func emptyPools() {
-	runtime.GC()
-	runtime.GC()
-}
-
 // run proves the promise and prints its line.
 func (p proof) run(t *testing.T) {
 	runs, faults := 0, 0
--- a/prove/quiet_test.go
+++ b/prove/quiet_test.go
@@ -8,8 +8,9 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"github.com/tidepost/tidepost/internal/bubble"
 )
 
 const orderLimit = 20 * time.Second
@@ -27,8 +28,7 @@
 // orderAfterRestart kills an agent in the middle of an order and returns how
 // long after its restart the next one came, and how many overlapped.
 func orderAfterRestart(t *testing.T, skipQuiet bool) (waited time.Duration, overlaps int) {
-	defer emptyPools()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		w := newWorld(t, 1)
 		defer w.stop()
 		w.agentSettings = fmt.Sprintf("engine: {url: \"http://127.0.0.1:1\", checks_fences: false, order_limit: %s}", orderLimit)
--- a/prove/smoke_test.go
+++ b/prove/smoke_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"testing"
-	"testing/synctest"
+
+	"github.com/tidepost/tidepost/internal/bubble"
 )
 
 func TestWorldServes(t *testing.T) {
-	defer emptyPools()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
 		w := newWorld(t, 1)
 		defer w.stop()
 		w.start()
--- a/prove/world_test.go
+++ b/prove/world_test.go
@@ -25,6 +25,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/tidepost/tidepost/internal/memnet"
 	"github.com/tidepost/tidepost/pkg/agent"
 	"github.com/tidepost/tidepost/pkg/contract"
 	"github.com/tidepost/tidepost/pkg/daemon"
@@ -38,6 +39,9 @@
 	"github.com/tidepost/tidepost/pkg/vm"
 )
 
+// latency is what every write takes to arrive.
+const latency = time.Millisecond
+
 // place says where a process stands.
 type place struct {
 	domain  string
@@ -70,7 +74,7 @@
 type world struct {
 	t       *testing.T
 	random  *rand.Rand
-	network *network
+	network *memnet.Network
 	folder  string
 	ledger  *ledger
 	origin  *origin
@@ -102,7 +106,7 @@
 func newWorld(t *testing.T, seed uint64) *world {
 	random := rand.New(rand.NewPCG(seed, seed))
 	w := &world{
-		t: t, random: random, network: newNetwork(), folder: t.TempDir(), ledger: newLedger(),
+		t: t, random: random, network: memnet.New(latency), folder: t.TempDir(), ledger: newLedger(),
 		origin:  newOrigin(rand.New(rand.NewPCG(seed, 2))),
 		engines: map[string]*modelEngine{}, processes: map[string]*process{}, entries: map[string]*entry.Entry{},
 		agentSettings: "engine: {url: \"http://127.0.0.1:1\", checks_fences: true}",
@@ -114,7 +118,7 @@
 	w.origin.put("v2", 2)
 	w.operator = link.NewEndpoint(link.Config{
 		Own: vm.NewIdentity("operator", 1, "", "", ""), Clock: event.NewClock(time.Now),
-		Logger: log.NewNopLogger(), Dial: w.network.dial("operator"),
+		Logger: log.NewNopLogger(), Dial: w.network.Dial("operator"),
 	})
 	w.restore = invariant.Listen(func(name, detail string) {
 		if w.mangling && strings.HasPrefix(name, "answer_") {
@@ -178,7 +182,7 @@
 }
 
 func (w *world) seams(name string) daemon.Seams {
-	return daemon.Seams{Listen: w.network.listen(name), Dial: w.network.dial(name), Log: io.Discard}
+	return daemon.Seams{Listen: w.network.Listen(name), Dial: w.network.Dial(name), Log: io.Discard}
 }
 
 func (w *world) startEntry(name string) {
@@ -269,7 +273,7 @@
 	if p == nil {
 		return
 	}
-	w.network.vanish(name)
+	w.network.Vanish(name)
 	p.signals <- os.Kill
 	<-p.done
 }
@@ -292,7 +296,7 @@
 // stop ends everything, and every goroutine with it.
 func (w *world) stop() {
 
-	w.network.mendAll()
+	w.network.MendAll()
 	w.requests.Wait()
 	w.mu.Lock()
 	var names []string
@@ -304,7 +308,7 @@
 		w.kill(name)
 	}
 	w.operator.Close()
-	w.network.vanish("operator")
+	w.network.Vanish("operator")
 	w.restore()
 	time.Sleep(time.Minute)
 }
