Gateways lend each other repeats for streams under way

The budget is one for all, and each kept its part for itself.

Mend: a stream under way that finds no repeat asks two other gateways, by lot; a lender counts it as its own, up to half of its budget, and lends nothing after its last word. First tries do not ask: refused, they come back.

--- a/pkg/contract/wire_generated.go
+++ b/pkg/contract/wire_generated.go
@@ -1405,6 +1405,78 @@
 	return nil
 }
 
+// NewRepeatAnswer returns a RepeatAnswer with the given fields.
+func NewRepeatAnswer(lent bool) RepeatAnswer {
+	return RepeatAnswer{lent: lent}
+}
+
+// Lent says that it may.
+func (r RepeatAnswer) Lent() bool { return r.lent }
+
+// EncodeMsgpack writes the fields in order, as one array.
+func (r RepeatAnswer) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(1); err != nil {
+		return err
+	}
+	return enc.EncodeMulti(r.lent)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
+func (r *RepeatAnswer) DecodeMsgpack(dec *msgpack.Decoder) error {
+	count, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := []any{&r.lent}
+	for i := 0; i < count; i++ {
+		if i >= len(fields) {
+			err = dec.Skip()
+		} else {
+			err = dec.Decode(fields[i])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// NewRepeatAsk returns a RepeatAsk with the given fields.
+func NewRepeatAsk(service string) RepeatAsk {
+	return RepeatAsk{service: service}
+}
+
+// Service is whose requests are repeated.
+func (r RepeatAsk) Service() string { return r.service }
+
+// EncodeMsgpack writes the fields in order, as one array.
+func (r RepeatAsk) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(1); err != nil {
+		return err
+	}
+	return enc.EncodeMulti(r.service)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
+func (r *RepeatAsk) DecodeMsgpack(dec *msgpack.Decoder) error {
+	count, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := []any{&r.service}
+	for i := 0; i < count; i++ {
+		if i >= len(fields) {
+			err = dec.Skip()
+		} else {
+			err = dec.Decode(fields[i])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // NewRequest returns a Request with the given fields.
 func NewRequest(attempt string, organisation string, model string, digest Digest, service string, method string, path string, contentType string, body []byte, deadline int64, stream bool, repeatable bool, priority int) Request {
 	return Request{attempt: attempt, organisation: organisation, model: model, digest: digest, service: service, method: method, path: path, contentType: contentType, body: body, deadline: deadline, stream: stream, repeatable: repeatable, priority: priority}
--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -58,8 +58,9 @@
 	mu       sync.Mutex
 	services map[string]*spending
 	current  int64
-	// inherits says that what the gateway before this one had spent is counted here.
-	inherits bool
+	// inherits says that what the gateway before this one had spent is counted here, and over
+	// that what was spent here has been told for good.
+	inherits, over bool
 }
 
 func newBudget(ratioPercent int, reserve float64, window time.Duration) *budget {
@@ -138,7 +139,7 @@
 			requests += s.requests[i]
 		}
 	}
-	return float64(repeats+1) <= share*b.allowed(requests, gateways)
+	return !b.over && float64(repeats+1) <= share*b.allowed(requests, gateways)
 }
 
 // allowed is how many repeats so many requests of a window allow.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/time/rate"
 
+	"github.com/tidepost/tidepost/pkg/contract"
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/link"
@@ -83,9 +84,13 @@
 	// second, by failure domain.
 	heardDemands func() map[string]float64
 	// askStager asks the stager at a link address for a place.
-	askStager  func(ctx context.Context, address string, a reservation.Ask) (reservation.Answer, error)
-	metrics    *metrics
-	suspension *suspension.Watch
+	askStager func(ctx context.Context, address string, a reservation.Ask) (reservation.Answer, error)
+	// askLender asks the gateway at a link address for a repeat, and borrowAgain is when that
+	// may be done next.
+	askLender   func(ctx context.Context, address string, a contract.RepeatAsk) (contract.RepeatAnswer, error)
+	borrowAgain moment
+	metrics     *metrics
+	suspension  *suspension.Watch
 
 	index       serviceconfig.Current
 	stop        *plannedStop
@@ -130,9 +135,11 @@
 	g.suspension.OnResume(process.LogSuspension)
 	g.heardDemands = g.follower.Demands
 	g.askStager = g.callStager
+	g.askLender = g.callLender
 	g.owners = g.newOwners()
 	process.Endpoint.Handle(link.KindPermit, g.servePermit)
 	process.Endpoint.Handle(link.KindPermitReport, g.serveReport)
+	process.Endpoint.Handle(link.KindRepeat, g.serveRepeat)
 	return g, nil
 }
 
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -203,12 +203,13 @@
 			g.giveUp(q, f)
 			return
 		}
-		sent := q.sent
+		sent, borrowed := q.sent, q.borrowed
+		q.borrowed = false
 		b, f := g.pick(q)
 		if f == nil && g.try(q, b) {
 			return
 		}
-		if sent > 0 && q.sent == sent {
+		if sent > 0 && q.sent == sent && !borrowed {
 			g.budget.unspent(q.service.Name())
 		}
 		if f != nil {
--- a/pkg/gateway/inherit.go
+++ b/pkg/gateway/inherit.go
@@ -76,5 +76,15 @@
 	_ = level.Info(g.process.Logger).Log("msg", "goes on with the budget of repeats of the gateway before", "ended_ms", spent.Age().Milliseconds(), "gateways", spent.Gateways())
 }
 
+// end has nothing spent or lent any more.
+func (b *budget) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.over = true
+}
+
 // tellSpent tells control nodes what this gateway has spent, when it sends nothing more.
-func (g *Gateway) tellSpent() { g.follower.TellSpent(g.budget.spent(g.gateways())) }
+func (g *Gateway) tellSpent() {
+	g.budget.end()
+	g.follower.TellSpent(g.budget.spent(g.gateways()))
+}
--- /dev/null
+++ b/pkg/gateway/lend.go
@@ -0,0 +1,88 @@
+// ================================================================
+// Gateways lend each other repeats. The budget is a share of the requests of all gateways, and
+// each keeps its part: one whose streams break off together has spent it while others have
+// theirs. A stream under way that finds no repeat here asks another gateway, which counts the
+// repeat as its own, so the sum stays what it was. First tries are not worth the question:
+// refused, they come back.
+// ================================================================
+
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/contract"
+	"github.com/tidepost/tidepost/pkg/link"
+)
+
+const (
+	// lendShare is the share of its budget up to which a gateway lends: the rest is for its
+	// own streams.
+	lendShare = 0.5
+	// lendTimeout is how long a lender may take to answer, and lendersAsked how many are
+	// asked at a time.
+	lendTimeout  = 40 * time.Millisecond
+	lendersAsked = 2
+	// lendRest is how long none are asked when none had a repeat: their windows pass slowly.
+	lendRest = 250 * time.Millisecond
+)
+
+// borrow takes a repeat for a stream under way out of the budget of another gateway.
+func (g *Gateway) borrow(q *request) bool {
+	now := time.Now()
+	if !q.begun || now.Before(g.borrowAgain.time()) {
+		return false
+	}
+	for _, address := range g.lenders() {
+		ctx, cancel := context.WithTimeout(q.ctx, lendTimeout)
+		answer, err := g.askLender(ctx, address, contract.NewRepeatAsk(q.service.Name()))
+		cancel()
+		if err == nil && answer.Lent() {
+			q.borrowed = true
+			g.metrics.borrowed.Inc()
+			return true
+		}
+	}
+	g.borrowAgain.set(now.Add(lendRest))
+	return false
+}
+
+// lenders returns some of the other gateways, by lot.
+func (g *Gateway) lenders() []string {
+	var all []string
+	for address, peer := range g.owners.listed() {
+		if peer.Gateway() && address != g.process.Identity.Address() {
+			all = append(all, address)
+		}
+	}
+	slices.Sort(all)
+	for i := range min(lendersAsked, len(all)) {
+		j := i + int(g.random()*float64(len(all)-i))
+		all[i], all[j] = all[j], all[i]
+	}
+	return all[:min(lendersAsked, len(all))]
+}
+
+// serveRepeat answers another gateway that asks for a repeat.
+func (g *Gateway) serveRepeat(_ context.Context, stream *link.Stream) error {
+	stream.SetDeadline(time.Now().Add(lendTimeout))
+	var a contract.RepeatAsk
+	if err := stream.Receive(&a); err != nil {
+		return err
+	}
+	return stream.Send(contract.NewRepeatAnswer(g.lend(a.Service())))
+}
+
+// lend takes a repeat out of the budget here for another gateway.
+func (g *Gateway) lend(service string) bool {
+	return g.budget.repeatWithin(service, g.gateways(), lendShare)
+}
+
+// callLender asks another gateway over a link.
+func (g *Gateway) callLender(ctx context.Context, address string, a contract.RepeatAsk) (contract.RepeatAnswer, error) {
+	var answer contract.RepeatAnswer
+	err := g.process.Endpoint.Call(ctx, address, link.KindRepeat, a, &answer)
+	return answer, err
+}
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -24,6 +24,7 @@
 	limited      prometheus.Gauge
 	heldBack     *prometheus.CounterVec
 	outrun       prometheus.Counter
+	borrowed     prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -40,7 +41,8 @@
 		limited:      metric.NewGauge(metric.GatewayLimited),
 		heldBack:     metric.NewCounters(metric.GatewayHeldBack, "why"),
 		outrun:       metric.NewCounter(metric.GatewayOutrun),
+		borrowed:     metric.NewCounter(metric.GatewayBorrowed),
 	}
-	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number, m.ends, m.quarantined, m.limited, m.heldBack, m.outrun)
+	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number, m.ends, m.quarantined, m.limited, m.heldBack, m.outrun, m.borrowed)
 	return m
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -50,6 +50,7 @@
 	ranAt map[*backend]bool // where those of them were that may have run
 	// repeatTaken says that the repeat of the next attempt is out of the budget already.
 	repeatTaken atomic.Bool
+	borrowed    bool     // the repeat of the next attempt counts at another gateway
 	knownEnds   int      // of servers under this request, when it was sent last
 	build       string   // of the server that it was sent to last
 	avoid       []string // builds that it may not be sent to
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -62,7 +62,7 @@
 // for a place. False where there is none.
 func (g *Gateway) awaitRepeat(q *request) bool {
 	for {
-		if g.budget.repeatWithin(q.service.Name(), g.gateways(), q.repeatShare()) {
+		if g.budget.repeatWithin(q.service.Name(), g.gateways(), q.repeatShare()) || g.borrow(q) {
 			return true
 		}
 		if !g.waitsForPlace(q, time.Now()) {
--- a/pkg/link/kinds.go
+++ b/pkg/link/kinds.go
@@ -40,6 +40,7 @@
 	KindReserve
 	KindPermit
 	KindPermitReport
+	KindRepeat
 )
 
 // opening is the first frame of a stream.
--- a/soak/lost_test.go
+++ b/soak/lost_test.go
@@ -4,6 +4,14 @@
 // Whether requests over kept connections are lost while the programs are rolled,
 // reloaded and reconfigured. By hand, since it takes a clock and a machine that is
 // not too busy: make lost SEED=1.
+//
+// Seen: beside other work streams ended midway within stops that had not cut them, 1 to 5 of
+// some 1,300 in a run of 12 s. How: an order for weights, a slow engine or a machine that stood
+// still broke an attempt, and nothing was left to go on with. Why, by the gateways' lines: their
+// own deadline, which an estimate had set to the end of their version (`lapsed ... the stream
+// broke off ... taken back 0s late`); `the budget of repeats is used up` at gateways that had just
+// started; streams that were moved because they stood still, as all did (`the stream stood still`,
+// `no other backend server`), or taken back from where they waited (`all 2 attempts are used up`).
 // ================================================================
 
 package soak
