--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -30,11 +30,6 @@
 	// lateBeat is when the link to a node that says nothing is looked at: a beat, and
 	// time to come behind chunks. A silent link is replaced, and the node not lost.
 	lateBeat = 1200 * time.Millisecond
-	// askAgain is when a document is asked of another node.
-	askAgain = 400 * time.Millisecond
-	// nearFirst is how long nodes of other failure domains wait for one of the
-	// own to have the document too: it is large, and links between are narrow.
-	nearFirst = 150 * time.Millisecond
 	// leastPause and mostPause lie between two dials of a node.
 	leastPause = 100 * time.Millisecond
 	mostPause  = 800 * time.Millisecond
@@ -398,56 +393,3 @@
 	f.lostAt[address] = time.Now()
 	daemon.Wake(f.wake)
 }
-
-// ----------------------------------------------------------------
-// Documents
-
-// askSoon asks a node for its document: at once where it is near or no near
-// node is heard, else when no near one had it in time. A failure to send shows
-// in the reading.
-func (f *Follower) askSoon(stream *link.Stream, number uint64) {
-	ask := func() {
-		if f.claimAsk(number) {
-			_ = stream.Send(Word{ask: true})
-		}
-	}
-	if f.isNear(stream) || !f.hearsNear() {
-		ask()
-		return
-	}
-	time.AfterFunc(nearFirst, ask)
-}
-
-// claimAsk tells whether a node may be asked for a document: it is newer than
-// the one held, and no other node was asked for it just now.
-func (f *Follower) claimAsk(number uint64) bool {
-	if number <= f.Held() {
-		return false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	if number <= f.asked && now.Sub(f.askedAt) < askAgain {
-		return false
-	}
-	f.asked, f.askedAt = number, now
-	return true
-}
-
-func (f *Follower) isNear(stream *link.Stream) bool {
-	return stream.Peer().Domain() == f.Hello.Self().Domain()
-}
-
-// hearsNear tells whether a node of the own failure domain is heard that would have a new
-// document by now.
-func (f *Follower) hearsNear() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := time.Now()
-	for _, s := range f.streams {
-		if s.stream != nil && f.isNear(s.stream) && now.Sub(s.sure) < quietAfter {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/gateway/inherit.go
+++ b/pkg/gateway/inherit.go
@@ -17,6 +17,10 @@
 	"github.com/tidepost/tidepost/pkg/feed"
 )
 
+// inheritWithin is how long before this gateway started the one before it may have ended: in a
+// longer time another one may have started there, and been killed without a word.
+const inheritWithin = 5 * time.Second
+
 // spent is what this gateway has spent, the last slot first.
 func (b *budget) spent(gateways int) feed.Spent {
 	b.mu.Lock()
@@ -36,11 +40,12 @@
 }
 
 // inherit counts what the gateway before this one had spent; false where that can't be
-// compared, or is counted already.
+// compared, is counted already, or is of one that ended long before.
 func (b *budget) inherit(spent feed.Spent) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.inherits || spent.Slot() != b.slot {
+	before := spent.Age() - b.now().Sub(b.started)
+	if b.inherits || spent.Slot() != b.slot || before > inheritWithin {
 		return false
 	}
 	b.advance()
--- a/pkg/gateway/inherit_test.go
+++ b/pkg/gateway/inherit_test.go
@@ -131,3 +131,17 @@
 		t.Error("counts of other slots were taken")
 	}
 }
+
+// A word of long ago is not followed: another gateway may have been there since.
+func TestOldWordsAreNotFollowed(t *testing.T) {
+	told := newBudget(10, 40, fleetWindow).spent(1)
+	old := feed.NewSpent(told.Gateways(), told.Slot(), inheritWithin+time.Second, told.Services())
+	if newBudget(10, 40, fleetWindow).inherit(old) {
+		t.Error("a word of long before the start was taken")
+	}
+	late := newBudget(10, 40, fleetWindow)
+	late.started = late.started.Add(-3 * time.Second)
+	if !late.inherit(old) {
+		t.Error("a word that came late was not taken")
+	}
+}
