What an attempt would find elsewhere has maps of its own

Found on reading: the watchdog's look whether a stream could go on elsewhere read the maps of the request, which the request's own way writes when its attempt ends at the same moment. Go ends the process over that. Not seen; the maps are cloned when the attempt begins now. go test -race on the tests of streams passes.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -65,7 +65,8 @@
 	q.sent++
 	q.sentAfter = time.Since(q.started)
 	work := q.work
-	x := &exchange{gateway: g, request: q, backend: b, conn: conn, permit: permit, isLast: q.isLastAt(b), goesOn: q.begun}
+	x := &exchange{gateway: g, request: q, backend: b, conn: conn, permit: permit, isLast: q.isLastAt(b), goesOn: q.begun, elsewhere: g.wantedFor(q)}
+	x.elsewhere.tried, x.elsewhere.only = maps.Clone(q.tried), maps.Clone(x.elsewhere.only)
 	var breakOff, takeBack func()
 	if q.route.Idempotent() {
 		breakOff, takeBack = conn.Abort, x.takeBack
@@ -97,6 +98,24 @@
 	permit    *permit // nil where the backend server names no limit
 	isLast    bool    // it may go to no other backend server afterwards
 	goesOn    bool    // its caller has part of the stream already
+	// elsewhere is what another backend server must satisfy, with maps of its own: looks at it
+	// come beside the request's way.
+	elsewhere wanted
+}
+
+// hasPlaceElsewhere tells whether a backend server that the request was not sent to could take
+// it now, as far as is known without a question.
+func (x *exchange) hasPlaceElsewhere() bool {
+	g, q, w := x.gateway, x.request, x.elsewhere
+	if b, _ := g.choose(w); b != nil {
+		return true
+	}
+	if !g.mayRunOn(q) {
+		return false
+	}
+	w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, 0) }
+	b, _ := g.choose(w)
+	return b != nil
 }
 
 // mayGiveUp tells whether an attempt that seems silent may be given up. Where its caller has
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -268,21 +268,6 @@
 	return w
 }
 
-// hasPlaceElsewhere tells whether a backend server that a request was not sent to could take
-// it now, as far as is known without a question.
-func (g *Gateway) hasPlaceElsewhere(q *request) bool {
-	w := g.wantedFor(q)
-	if b, _ := g.choose(w); b != nil {
-		return true
-	}
-	if !g.mayRunOn(q) {
-		return false
-	}
-	w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, 0) }
-	b, _ := g.choose(w)
-	return b != nil
-}
-
 // pick chooses a backend server for the next attempt. A request that no engine
 // would begin in time is refused at once: it is worth more when it comes back.
 func (g *Gateway) pick(q *request) (*backend, *failure.Failure) {
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -134,7 +134,7 @@
 	if !w.flowing.Load() && !x.goesOn {
 		return true
 	}
-	if !x.gateway.hasPlaceElsewhere(x.request) {
+	if !x.hasPlaceElsewhere() {
 		return false
 	}
 	return x.backend.load(time.Now()).lost || !x.gateway.silences.areAllSilent(x.listening)
