What a server must satisfy where a request runs on past its version's end is said once

The choice of a place and the watchdog's look for one elsewhere had the same rule each. No behaviour is changed; make check and the gateway's tests pass.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -106,15 +106,11 @@
 // hasPlaceElsewhere tells whether a backend server that the request was not sent to could take
 // it now, as far as is known without a question.
 func (x *exchange) hasPlaceElsewhere() bool {
-	g, q, w := x.gateway, x.request, x.elsewhere
-	if b, _ := g.choose(w); b != nil {
-		return true
+	g, q := x.gateway, x.request
+	b, _ := g.choose(x.elsewhere)
+	if b == nil && g.mayRunOn(q) {
+		b, _ = g.choose(g.runningOn(q, x.elsewhere))
 	}
-	if !g.mayRunOn(q) {
-		return false
-	}
-	w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, 0) }
-	b, _ := g.choose(w)
 	return b != nil
 }
 
--- a/pkg/gateway/versions.go
+++ b/pkg/gateway/versions.go
@@ -34,6 +34,13 @@
 	return q.model != "" && g.leastVersion(q.model, 0, 0) < g.leastVersion(q.model, 0, q.run)
 }
 
+// runningOn is what a backend server must satisfy where a request may run on past the end of
+// its version.
+func (g *Gateway) runningOn(q *request, w wanted) wanted {
+	w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, 0) }
+	return w
+}
+
 // expectedVersion returns the version that a backend server is told to insist
 // on: the newest named one where it serves that; 0 for none, since a backend
 // server may go on to a later version while the request waits there.
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -114,6 +114,5 @@
 	if b, loaded = g.choosePlace(q, w); b != nil || !g.mayRunOn(q) {
 		return b, loaded
 	}
-	w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, 0) }
-	return g.choosePlace(q, w)
+	return g.choosePlace(q, g.runningOn(q, w))
 }
