A stream that stands still is not moved to a server that is full

Cause: a move by choice took any server that serves for a place, whatever load it told. A full one turned the stream away, and its own server was gone by then.

Why it holds: until a stream has been silent for the longest patience it is moved only where a place is free by the load told; after that as before. The test of the cause fails on the code before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -103,13 +103,13 @@
 	elsewhere wanted
 }
 
-// hasPlaceElsewhere tells whether a backend server that the request was not sent to could take
-// it now, as far as is known without a question, if it takes so long to begin there.
-func (x *exchange) hasPlaceElsewhere(begins time.Duration) bool {
+// hasPlaceElsewhere tells whether a backend server that satisfies what is wanted could take the
+// request now, as far as is known without a question.
+func (x *exchange) hasPlaceElsewhere(w wanted) bool {
 	g, q := x.gateway, x.request
-	b, _ := g.choose(x.elsewhere.beginningIn(begins))
+	b, _ := g.choose(w)
 	if b == nil && g.mayRunOn(q) {
-		b, _ = g.choose(g.runningOn(q, x.elsewhere).beginningIn(begins))
+		b, _ = g.choose(g.runningOn(q, w))
 	}
 	return b != nil
 }
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -53,6 +53,8 @@
 	// least returns the least version of the weights at a backend server where
 	// requests take so long to begin.
 	least func(begins time.Duration) uint64
+	// begins is how long the request takes to begin at the least.
+	begins time.Duration
 	// work is the request's own, for the cost after it.
 	work time.Duration
 	// engine describes the engines; zero slots for plain services.
@@ -185,7 +187,7 @@
 		return true
 	}
 	served := b.servedVersion(w.model, w.layers)
-	return served > 0 && served >= w.least(b.begins(now))
+	return served > 0 && served >= w.least(max(b.begins(now), w.begins))
 }
 
 // waitAt predicts how long a request waits for a place at an engine: from its
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -262,12 +262,17 @@
 		w.model, w.layers = q.model, max(w.engine.Layers(), 1)
 		w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, q.run) }
 		if q.sent == 0 {
-			w.wait = time.Duration(longestWait * float64(q.route.Objective()))
+			w.wait = q.waitWorthTaking()
 		}
 	}
 	return w
 }
 
+// waitWorthTaking is the longest wait for a place that is worth taking.
+func (q *request) waitWorthTaking() time.Duration {
+	return time.Duration(longestWait * float64(q.route.Objective()))
+}
+
 // pick chooses a backend server for the next attempt. A request that no engine
 // would begin in time is refused at once: it is worth more when it comes back.
 func (g *Gateway) pick(q *request) (*backend, *failure.Failure) {
--- a/pkg/gateway/listeners.go
+++ b/pkg/gateway/listeners.go
@@ -127,9 +127,9 @@
 	return s.usual(key).due(now, 0, 0)
 }
 
-// longestWait returns the longest wait of late for the first event or the answer of a service's
+// slowestBegin returns the longest wait of late for the first event or the answer of a service's
 // requests; 0 where too few are known.
-func (s *silences) longestWait(service string, now time.Time) time.Duration {
+func (s *silences) slowestBegin(service string, now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var longest time.Duration
--- a/pkg/gateway/outrun_test.go
+++ b/pkg/gateway/outrun_test.go
@@ -237,6 +237,42 @@
 	}
 }
 
+// Seen too, one stream at a time: `attempt broken: the stream stood still`, `attempt refused: 503`,
+// then `the budget of repeats is used up`. The engine that it was moved to was full, and said so,
+// and the one where it had stood still went on a moment later.
+func TestStreamThatStandsStillStaysWhereOthersAreFull(t *testing.T) {
+	const pause = gapPatience + lookAfter
+	first := newStandIn(t, "i-first", func(w *bufio.Writer, r *http.Request) bool {
+		writeEvents(w, r, 1, 1)
+		<-time.After(pause)
+		return writeRest(w, 2, 3)
+	})
+	second := newStandIn(t, "i-second", answerWith("503 Service Unavailable", "full"))
+	f := newFixture(t, serviceconfig.Stream, true)
+	f.gateway.index.Raise(engineDocument(t))
+	f.hearIn(first, "hall-a")
+	f.hearIn(second, "hall-b")
+	over := make(chan bool)
+	defer close(over)
+	go func() {
+		for full := feed.NewLoad("menu", second.listener.Addr().String(), "menu", 1, 16, 32, 1, false, false); ; {
+			f.gateway.backends.hearLoad(full)
+			select {
+			case <-over:
+				return
+			case <-time.After(lookAfter / 4):
+			}
+		}
+	}()
+	status, _, body, err := f.do(t, f.draft(t))
+	if status != http.StatusOK || body != events(1, 3) || err != nil {
+		t.Fatalf("%d %q %v", status, body, err)
+	}
+	if moved := len(second.requests()); moved > 0 {
+		t.Errorf("it was sent to a full engine %d times", moved)
+	}
+}
+
 // An engine that is heard of, and gives none of its streams an event, reads the prompts of
 // others: its streams are left longer than those of one that says nothing.
 func TestStreamOfAnEngineThatReadsIsLeft(t *testing.T) {
--- a/pkg/gateway/versions.go
+++ b/pkg/gateway/versions.go
@@ -41,14 +41,6 @@
 	return w
 }
 
-// beginningIn is the same where the request takes so long to begin at the least.
-func (w wanted) beginningIn(begins time.Duration) wanted {
-	if least := w.least; least != nil {
-		w.least = func(own time.Duration) uint64 { return least(max(own, begins)) }
-	}
-	return w
-}
-
 // expectedVersion returns the version that a backend server is told to insist
 // on: the newest named one where it serves that; 0 for none, since a backend
 // server may go on to a later version while the request waits there.
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -116,7 +116,7 @@
 		w.exchange.gateway.doubt(b)
 	}
 	silent := time.Since(w.exchange.started) - time.Duration(w.last.Load())
-	if silent > w.limit() && w.mayMove() && w.exchange.mayGiveUp(w.flowing.Load()) {
+	if silent > w.limit() && w.mayMove(silent) && w.exchange.mayGiveUp(w.flowing.Load()) {
 		w.barked.Store(true)
 		w.exchange.conn.Abort()
 		return
@@ -131,18 +131,25 @@
 // it would stand still again. One whose server answers no dials is moved all the same.
 //
 // Elsewhere it has to begin before the version there lapses: by how long requests of the service
-// waited of late, since little may be known of the one server that takes it.
-func (w *watchdog) mayMove() bool {
+// waited of late, since little may be known of the one server that takes it. And until it has been
+// silent for long there is to be a place for it: a server that is full turns it away, and it can't
+// go back without another repeat.
+func (w *watchdog) mayMove(silent time.Duration) bool {
 	x := w.exchange
 	if !w.flowing.Load() && !x.goesOn {
 		return true
 	}
 	now := time.Now()
 	if x.backend.load(now).lost {
-		return x.hasPlaceElsewhere(0)
+		return x.hasPlaceElsewhere(x.elsewhere)
 	}
-	s := &x.gateway.silences
-	return x.hasPlaceElsewhere(s.longestWait(x.request.service.Name(), now)) && !s.areAllSilent(x.listening)
+	s, q := &x.gateway.silences, x.request
+	there := x.elsewhere
+	there.begins = s.slowestBegin(q.service.Name(), now)
+	if silent <= patience {
+		there.wait = q.waitWorthTaking()
+	}
+	return x.hasPlaceElsewhere(there) && !s.areAllSilent(x.listening)
 }
 
 // gapLimit is how long the attempt may be silent between two events. An engine that is heard of
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -42,7 +42,7 @@
 // nobody serves. A stream under way waits for somebody to serve, too.
 func (g *Gateway) awaitPlace(q *request, w wanted) (b *backend, loaded bool) {
 	idle := w
-	idle.wait = time.Duration(longestWait * float64(q.route.Objective()))
+	idle.wait = q.waitWorthTaking()
 	for q.yields(time.Now()) && q.ctx.Err() == nil {
 		if b, loaded = g.choosePlaceInTime(q, idle); b != nil {
 			return b, loaded
