The kinds of log lines stand in one table, printed into docs/LOGS.md

A newcomer who read a log at night had to look each message up in the sources. The table says for each what happened and what to look at next; a test parses the sources and fails where a program logs a message that the table lacks, or the table has one that nobody writes.

--- /dev/null
+++ b/pkg/logline/table_test.go
@@ -0,0 +1,103 @@
+package logline
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// sources are the folders whose programs log, from this one.
+var sources = []string{"..", "../../cmd", "../../platform"}
+
+// Each message that the programs log is in the table, once, and the table names no other.
+func TestTableHasEachMessage(t *testing.T) {
+	listed := map[string]bool{}
+	for _, r := range Rows() {
+		if listed[r.Message] {
+			t.Errorf("%q stands twice", r.Message)
+		}
+		listed[r.Message] = true
+		if r.Process == "" || r.Says == "" || r.Next == "" {
+			t.Errorf("%q says too little", r.Message)
+		}
+	}
+	logged, literals := messages(t)
+	for message, file := range logged {
+		if !listed[message] {
+			t.Errorf("%s logs %q, which is not in the table", file, message)
+		}
+	}
+	for message := range listed {
+		if !literals[message] {
+			t.Errorf("no program writes %q", message)
+		}
+	}
+}
+
+// messages returns the messages that are logged as literals, with where, and all literals.
+func messages(t *testing.T) (logged map[string]string, literals map[string]bool) {
+	t.Helper()
+	logged, literals = map[string]string{}, map[string]bool{}
+	eachSource(t, func(path string, f *ast.File) {
+		ast.Inspect(f, func(n ast.Node) bool {
+			if text, ok := literal(n); ok {
+				literals[text] = true
+			}
+			call, ok := n.(*ast.CallExpr)
+			if !ok || len(call.Args) < 2 {
+				return true
+			}
+			if key, ok := literal(call.Args[0]); !ok || key != "msg" {
+				return true
+			}
+			if message, ok := literal(call.Args[1]); ok {
+				logged[message] = path
+			}
+			return true
+		})
+	})
+	return logged, literals
+}
+
+// literal returns a string that stands in the source; one that is printed into a line by hand is
+// what that line says.
+func literal(n ast.Node) (string, bool) {
+	l, ok := n.(*ast.BasicLit)
+	if !ok || l.Kind != token.STRING {
+		return "", false
+	}
+	text, err := strconv.Unquote(l.Value)
+	if err != nil {
+		return "", false
+	}
+	if _, after, found := strings.Cut(text, `"msg":"`); found {
+		text, _, _ = strings.Cut(after, `"`)
+	}
+	return text, true
+}
+
+// eachSource calls f with each source file but tests and this package.
+func eachSource(t *testing.T, f func(path string, file *ast.File)) {
+	t.Helper()
+	for _, root := range sources {
+		err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") || strings.Contains(path, "logline") {
+				return err
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+			if err != nil {
+				return err
+			}
+			f(path, file)
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/pkg/operator/docs.go
+++ b/pkg/operator/docs.go
@@ -14,13 +14,14 @@
 	"github.com/spf13/cobra"
 
 	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/logline"
 	"github.com/tidepost/tidepost/pkg/metric"
 	"github.com/tidepost/tidepost/pkg/settings"
 )
 
 var docsVerb = verb{
 	name:    "docs PAGE",
-	summary: "Print a reference page: settings, errors, metrics or commands",
+	summary: "Print a reference page: settings, errors, metrics, logs or commands",
 	example: "  tidepost docs settings > docs/SETTINGS.md",
 	build:   buildDocs,
 }
@@ -30,6 +31,7 @@
 	"settings": writeSettingsPage,
 	"errors":   writeErrorsPage,
 	"metrics":  writeMetricsPage,
+	"logs":     writeLogsPage,
 }
 
 func init() {
@@ -39,11 +41,11 @@
 
 func buildDocs(c *cobra.Command, s *client) func(context.Context, []string) error {
 	c.Args = cobra.ExactArgs(1)
-	c.ValidArgs = []string{"settings", "errors", "metrics", "commands"}
+	c.ValidArgs = []string{"settings", "errors", "metrics", "logs", "commands"}
 	return func(_ context.Context, arguments []string) error {
 		page := docsPages[arguments[0]]
 		if page == nil {
-			return usageError{fmt.Errorf("page %q is not settings, errors, metrics or commands", arguments[0])}
+			return usageError{fmt.Errorf("page %q is not settings, errors, metrics, logs or commands", arguments[0])}
 		}
 		page(s.out)
 		return nil
@@ -88,6 +90,13 @@
 	}
 }
 
+func writeLogsPage(w io.Writer) {
+	_, _ = fmt.Fprint(w, "# Log lines\n\nPrinted by `tidepost docs logs` from the table in `pkg/logline`. Lines are JSON objects with `ts`,\n`level`, `process` and `msg`; `tidepost explain FILE` reads those of many processes.\n\n| `msg` | process | what it says | what to look at |\n| --- | --- | --- | --- |\n")
+	for _, r := range logline.Rows() {
+		_, _ = fmt.Fprintf(w, "| `%s` | %s | %s | %s |\n", r.Message, r.Process, r.Says, r.Next)
+	}
+}
+
 func writeCommandsPage(w io.Writer) {
 	_, _ = fmt.Fprint(w, "# Commands\n\nPrinted by `tidepost docs commands` from the commands' own help.\n")
 	root := newRoot(&client{out: w})
--- a/test/docs_test.go
+++ b/test/docs_test.go
@@ -15,6 +15,7 @@
 	"settings": "SETTINGS.md",
 	"errors":   "ERRORS.md",
 	"metrics":  "METRICS.md",
+	"logs":     "LOGS.md",
 	"commands": "COMMANDS.md",
 }
 
