tidepost explain tells one request's story and ends with the cause

It showed the raw lines of a request, and whoever read them had to know what an attempt's end means. Now each line is a sentence, in the order of the stamps whatever process wrote it, and a rule over all lines names the cause.

--- a/pkg/explain/lines.go
+++ b/pkg/explain/lines.go
@@ -29,8 +29,10 @@
 	Process string    `json:"process"`
 	Request string    `json:"request"`
 	Outcome string    `json:"outcome"`
-	Why     string    `json:"why"`
-	Backend string    `json:"backend"`
+	// End is how an attempt ended that did not answer the request.
+	End     string `json:"end"`
+	Why     string `json:"why"`
+	Backend string `json:"backend"`
 	// Sent is how many backend servers the request was sent to.
 	Sent int `json:"sent"`
 	// SentMs, FirstMs and PauseMs are the times until it was sent last, until
--- a/pkg/operator/explain.go
+++ b/pkg/operator/explain.go
@@ -32,7 +32,7 @@
 func buildExplain(c *cobra.Command, s *client) func(context.Context, []string) error {
 	c.Args = cobra.ExactArgs(1)
 	span := c.Flags().Duration("span", 2*time.Second, "length of the spans that requests are added up by")
-	id := c.Flags().String("request", "", "show all that the logs say of this request")
+	id := c.Flags().String("request", "", "tell this request's story and the cause of its end; -o json has the lines too")
 	return func(_ context.Context, arguments []string) error { return runExplain(s, arguments[0], *span, *id) }
 }
 
@@ -46,11 +46,11 @@
 	}
 	defer f.Close()
 	if id != "" {
-		steps, err := explain.Request(f, id)
+		story, err := explain.Request(f, id)
 		if err != nil {
 			return failure.New(failure.BadDocument, "%s: %v", path, err)
 		}
-		return showSteps(s, path, id, steps)
+		return showStory(s, path, id, story)
 	}
 	summary, err := explain.Summarize(f, span)
 	if err != nil {
@@ -59,13 +59,13 @@
 	return showSummary(s, path, summary)
 }
 
-func showSteps(s *client, path, id string, steps []explain.Step) error {
-	if len(steps) == 0 {
+func showStory(s *client, path, id string, story explain.Story) error {
+	if len(story.Steps) == 0 {
 		return failure.New(failure.BadDocument, "%s has no line of request %q", path, id)
 	}
-	r := report{columns: []string{"at", "process", "line"}, data: steps}
-	for _, step := range steps {
-		r.rows = append(r.rows, []string{step.At.Format("15:04:05.000"), step.Process, step.Text})
+	r := report{columns: []string{"at", "process", "what happened"}, data: story, notes: []string{"cause: " + story.Cause}}
+	for _, step := range story.Steps {
+		r.rows = append(r.rows, []string{step.At.Format("15:04:05.000"), step.Process, step.Says})
 	}
 	return s.show(r)
 }
