--- a/pkg/gateway/fleet.go
+++ b/pkg/gateway/fleet.go
@@ -1,8 +1,7 @@
 // ================================================================
 // How many gateways there are, as control nodes count them. A node that has just started
-// counts few: gateways that took its word would each spend the repeats of all, fifty times
-// what is agreed where 3 of 149 were counted. So a count falls only when no higher one was
-// heard for as long as repeats are counted.
+// counts few: gateways that took its word would each spend the repeats of all. So a count
+// falls only when no higher one was heard for as long as repeats are counted.
 // ================================================================
 
 package gateway
--- a/pkg/gateway/stop.go
+++ b/pkg/gateway/stop.go
@@ -8,12 +8,10 @@
 // answer that did not announce it; one that rests for a while does.
 //
 // Nothing is begun late that the end of the process may cut. Rejected: to ask an estimate
-// alone. Where engines became 4.5 times as slow at the signal, 2 of 12 callers that keep
-// their connections had a stream cut with the estimate, and 11 with no bound at all.
+// alone. Engines that become slower after the signal make it wrong.
 //
 // Rejected: http.Server.Shutdown. It closes such a connection as its stream ends, and
-// resets those that the kernel has accepted and the process has not: beside 24 busy
-// processes on 8 cores 48 of 15,132 requests were left without an answer in 30 stops.
+// resets those that the kernel has accepted and the process has not.
 // ================================================================
 
 package gateway
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -8,8 +8,8 @@
 // A stream that was broken off otherwise takes any place, and waits for one, and for a repeat
 // in the budget, as long as its caller does: without them its connection would close.
 //
-// Rejected: those whose next event can still be in time queue at engines as others do. 33 of
-// 44 were turned away there, which spent the repeats of all.
+// Rejected: those whose next event can still be in time queue at engines as others do. Most
+// are turned away there, which spends the repeats of all.
 // ================================================================
 
 package gateway
--- a/pkg/staging/gather.go
+++ b/pkg/staging/gather.go
@@ -16,9 +16,8 @@
 
 const (
 	// asksAtOnce bounds the questions of one member under way, and
-	// asksBesideWork those of one whose engine serves: two keep its link full
-	// (copies took 2.44 s with 2, 3 and 8), and every chunk more under way keeps
-	// requests to the engine waiting for 35 ms.
+	// asksBesideWork those of one whose engine serves: two keep its link full, and
+	// every chunk more under way keeps requests to the engine waiting.
 	asksAtOnce     = 8
 	asksBesideWork = 2
 	// drawTimeout bounds one draw from the origin.
