--- a/pkg/gateway/limit_owners.go
+++ b/pkg/gateway/limit_owners.go
@@ -28,9 +28,9 @@
 	// control node that has just started or is cut off lists few.
 	listedLife = 2 * time.Second
 	longLife   = time.Minute
-	// listLook is the time between two looks at the list: at 149 gateways a look and the
-	// order for a server take 0.14 ms of processor time, and each request to a limited server
-	// asks for it twice.
+	// listLook is the time between two looks at the list: each request to a limited server
+	// asks for the order of owners twice, and working it out costs more the more gateways
+	// there are.
 	listLook = 200 * time.Millisecond
 )
 
--- a/pkg/serverlimit/limiter.go
+++ b/pkg/serverlimit/limiter.go
@@ -23,9 +23,9 @@
 	// share of a limit is granted. At its full the limit would be passed wherever the ways
 	// to the server bunch requests up, and where ownership changes hands.
 	share = 0.95
-	// cutShare is granted by a stand-in for an owner that is silent. With two of those
-	// beside the owner, as where three failure domains are cut off from each other, the sum
-	// is 1.35 times the limit and what three buckets save up.
+	// cutShare is granted by a stand-in for an owner that is silent. Two of those may be
+	// beside the owner, as where three failure domains are cut off from each other, and the
+	// sum is to stay near the limit.
 	cutShare = 0.2
 	// leastRate and leastCutRate, in requests a second, are granted whatever is named: a
 	// server that gets nothing says nothing, and would never be heard to be well again.
