A read of the configuration fetches no document that its node holds

Cause: a node that is not the leader asked it for the whole document at each read, within 0.3 s, over a link between regions that is full of the same documents. By its log a node had acknowledged the version as held five seconds before.

Why it holds: the read carries the number that the node holds, and the leader, after the quorum has confirmed it, answers by number. The document goes only to a node that lacks it.

The field is the last of its message: releases before and after it understand each other.

--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -40,14 +40,19 @@
 	// gateway; both empty in other calls.
 	trial  quarantine.Fingerprint
 	tester string
+	// holds is the number of the configuration that the asking node has applied, in a read.
+	holds uint64
 }
 
 // response is the leader's answer.
 //
 //wire:generate
 type response struct {
-	// configuration is the newest, in answer to a read.
+	// configuration is the newest, in answer to a read; nil where there is none, or the asking
+	// node holds it.
 	configuration *Configuration
+	// number is that of the newest, in answer to a read; 0 where there is none.
+	number uint64
 }
 
 // Service is what a control node does for others. It is safe for concurrent
@@ -97,17 +102,21 @@
 	return err
 }
 
-// ReadConfiguration returns the newest configuration, confirmed by a quorum.
+// ReadConfiguration returns the newest configuration, confirmed by a quorum. Where this node
+// has applied it already only its number comes from the leader: a large document would take
+// longer than a call may on a link that is full of them.
 // It fails with UnknownObject when there is none yet.
 func (s *Service) ReadConfiguration(ctx context.Context) (Configuration, error) {
-	answer, err := s.call(ctx, request{})
-	if err != nil {
+	answer, err := s.call(ctx, request{holds: s.state.Number()})
+	switch {
+	case err != nil:
 		return Configuration{}, err
-	}
-	if answer.configuration == nil {
+	case answer.configuration != nil:
+		return *answer.configuration, nil
+	case answer.number == 0:
 		return Configuration{}, failure.New(failure.UnknownObject, "no configuration was ever sent")
 	}
-	return *answer.configuration, nil
+	return *s.state.Configuration(), nil
 }
 
 // Hear takes the word of a backend server. The word that it leaves is only
@@ -222,7 +231,19 @@
 		s.grantTrial(r.trial, r.tester)
 		return response{}, nil
 	}
-	return response{s.state.Configuration()}, nil
+	return newestFor(r.holds, s.state.Configuration()), nil
+}
+
+// newestFor answers a read of a node that holds a configuration already; 0 for none.
+func newestFor(holds uint64, newest *Configuration) response {
+	if newest == nil {
+		return response{}
+	}
+	number := newest.document.Number()
+	if number > 0 && holds >= number {
+		return response{number: number}
+	}
+	return response{configuration: newest, number: number}
 }
 
 // serveCall carries out a call that another node hands on.
--- a/pkg/control/wire_generated.go
+++ b/pkg/control/wire_generated.go
@@ -222,16 +222,16 @@
 }
 
 // newRequest returns a request with the given fields.
-func newRequest(data []byte, trial quarantine.Fingerprint, tester string) request {
-	return request{data: data, trial: trial, tester: tester}
+func newRequest(data []byte, trial quarantine.Fingerprint, tester string, holds uint64) request {
+	return request{data: data, trial: trial, tester: tester, holds: holds}
 }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (r request) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(3); err != nil {
+	if err := enc.EncodeArrayLen(4); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(r.data, r.trial, r.tester)
+	return enc.EncodeMulti(r.data, r.trial, r.tester, r.holds)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -240,7 +240,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&r.data, &r.trial, &r.tester}
+	fields := []any{&r.data, &r.trial, &r.tester, &r.holds}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -255,16 +255,16 @@
 }
 
 // newResponse returns a response with the given fields.
-func newResponse(configuration *Configuration) response {
-	return response{configuration: configuration}
+func newResponse(configuration *Configuration, number uint64) response {
+	return response{configuration: configuration, number: number}
 }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (r response) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(1); err != nil {
+	if err := enc.EncodeArrayLen(2); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(r.configuration)
+	return enc.EncodeMulti(r.configuration, r.number)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -273,7 +273,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&r.configuration}
+	fields := []any{&r.configuration, &r.number}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
