--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -103,9 +103,9 @@
 	elsewhere wanted
 }
 
-// hasPlaceElsewhere tells whether a backend server that satisfies what is wanted could take the
-// request now, as far as is known without a question.
-func (x *exchange) hasPlaceElsewhere(w wanted) bool {
+// hasPlace tells whether a backend server that satisfies what is wanted could take the request
+// now, as far as is known without a question.
+func (x *exchange) hasPlace(w wanted) bool {
 	g, q := x.gateway, x.request
 	b, _ := g.choose(w)
 	if b == nil && g.mayRunOn(q) {
@@ -121,14 +121,21 @@
 	return (!flows && !x.goesOn || x.beginsInTime(now)) && x.mayGiveUp(flows)
 }
 
-// beginsInTime tells whether some backend server has a place where the request would begin before
-// the version there lapses, by how long requests of the service waited of late.
+// beginsInTime tells whether some backend server, its own too, has a place where the request would
+// begin before the version there lapses.
 func (x *exchange) beginsInTime(now time.Time) bool {
-	w := x.elsewhere
-	w.begins = x.gateway.silences.slowestBegin(x.request.service.Name(), now)
+	w := x.elsewhereAsSlow(now)
 	w.tried = maps.Clone(w.tried)
 	delete(w.tried, x.backend)
-	return x.hasPlaceElsewhere(w)
+	return x.hasPlace(w)
+}
+
+// elsewhereAsSlow is what another backend server must satisfy where the request begins no sooner
+// than those of its service did of late.
+func (x *exchange) elsewhereAsSlow(now time.Time) wanted {
+	w := x.elsewhere
+	w.begins = x.gateway.silences.slowestBegin(x.request.service.Name(), now)
+	return w
 }
 
 // mayGiveUp tells whether an attempt that seems silent may be given up. Where its caller has
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -141,15 +141,13 @@
 	}
 	now := time.Now()
 	if x.backend.load(now).lost {
-		return x.hasPlaceElsewhere(x.elsewhere)
+		return x.hasPlace(x.elsewhere)
 	}
-	s, q := &x.gateway.silences, x.request
-	there := x.elsewhere
-	there.begins = s.slowestBegin(q.service.Name(), now)
+	there := x.elsewhereAsSlow(now)
 	if silent <= patience {
-		there.wait = q.waitWorthTaking()
+		there.wait = x.request.waitWorthTaking()
 	}
-	return x.hasPlaceElsewhere(there) && !s.areAllSilent(x.listening)
+	return x.hasPlace(there) && !x.gateway.silences.areAllSilent(x.listening)
 }
 
 // gapLimit is how long the attempt may be silent between two events. An engine that is heard of
