The soak may signal a program that has just ended as it was asked to

The second signal of the stop follows an operator's two calls, which took longer than the gateways' whole stop on that machine. A program that was not asked to end and is gone still fails the run, here and where its end is seen.

--- a/soak/programs_test.go
+++ b/soak/programs_test.go
@@ -7,6 +7,7 @@
 package soak
 
 import (
+	"errors"
 	"maps"
 	"os"
 	"os/exec"
@@ -119,9 +120,16 @@
 	return slices.Sorted(maps.Keys(p.all))
 }
 
-// signal sends a signal that ends no program.
+// signal sends a signal that ends no program. One that was asked to end may have done so by then,
+// where the machine is slow.
 func (p *programs) signal(name string, s syscall.Signal) {
-	if err := p.named(name).cmd.Process.Signal(s); err != nil {
+	one := p.named(name)
+	err := one.cmd.Process.Signal(s)
+	switch {
+	case err == nil:
+	case one.expected.Load() && errors.Is(err, os.ErrProcessDone):
+		p.t.Logf("%s has ended before signal %v", name, s)
+	default:
 		p.t.Errorf("%s: %v", name, err)
 	}
 }
