A gateway's deadline ends no stream that has begun

What callers saw: half an answer.

Cause: the deadline is to keep a request from beginning late, and an engine ends with it what has begun. Which streams carried one was decided in a place of its own, beside five other guards that may end an attempt, with three predicates that asked nearly the same.

Now only a request that may run once carries it: nothing takes that back. What may be repeated is taken back while it waits, 1 s before the end instead of 0.6 where chunks are on the link, and is not sent within that time. All guards ask one table (interrupt.go, testdata/interruptions.txt), and streams that their callers had part of are counted by reason when any guard ends them.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -65,7 +65,7 @@
 	q.sent++
 	q.sentAfter = time.Since(q.started)
 	work := q.work
-	x := &exchange{gateway: g, request: q, backend: b, conn: conn, permit: permit, isLast: q.isLastAt(b), goesOn: q.begun, elsewhere: g.wantedFor(q)}
+	x := &exchange{gateway: g, request: q, backend: b, conn: conn, permit: permit, isLast: q.isLastAt(b), resumes: q.begun, elsewhere: g.wantedFor(q)}
 	x.elsewhere.tried, x.elsewhere.only = maps.Clone(q.tried), maps.Clone(x.elsewhere.only)
 	var breakOff, takeBack func()
 	if q.route.Idempotent() {
@@ -74,9 +74,7 @@
 	x.began = b.begin(work, takeBack)
 	defer b.end(work)
 	defer b.begun(x.began, false)
-	if x.bound() {
-		defer func() { x.settle(answered) }()
-	}
+	q.lapse.bounds = x.mayInterrupt(interruptDeadline, x.stage(false), time.Now())
 	x.listening = g.listen(x, breakOff)
 	defer g.silences.end(x.listening)
 	stop := context.AfterFunc(q.ctx, conn.Abort)
@@ -97,77 +95,20 @@
 	listening *listening
 	permit    *permit // nil where the backend server names no limit
 	isLast    bool    // it may go to no other backend server afterwards
-	goesOn    bool    // its caller has part of the stream already
+	resumes   bool    // its caller has part of the stream already
 	// elsewhere is what another backend server must satisfy, with maps of its own: looks at it
 	// come beside the request's way.
 	elsewhere wanted
 }
 
-// hasPlace tells whether a backend server that satisfies what is wanted could take the request
-// now, as far as is known without a question.
-func (x *exchange) hasPlace(w wanted) bool {
-	g, q := x.gateway, x.request
-	b, _ := g.choose(w)
-	if b == nil && g.mayRunOn(q) {
-		b, _ = g.choose(g.runningOn(q, w))
-	}
-	return b != nil
-}
-
-// mayLeave tells whether an attempt whose connection seems silent may be given up now. A stream
-// that its caller has part of stays while it could begin nowhere, at its own server either, before
-// the version there lapses: a busy machine is silent as well, and goes on.
-func (x *exchange) mayLeave(flows bool, now time.Time) bool {
-	return (!flows && !x.goesOn || x.beginsInTime(now)) && x.mayGiveUp(flows)
-}
-
-// beginsInTime tells whether some backend server, its own too, has a place where the request would
-// begin before the version there lapses.
-func (x *exchange) beginsInTime(now time.Time) bool {
-	w := x.elsewhereAsSlow(now)
-	w.tried = maps.Clone(w.tried)
-	delete(w.tried, x.backend)
-	return x.hasPlace(w)
-}
-
-// elsewhereAsSlow is what another backend server must satisfy where the request begins no sooner
-// than those of its service did of late.
-func (x *exchange) elsewhereAsSlow(now time.Time) wanted {
-	w := x.elsewhere
-	w.begins = x.gateway.silences.slowestBegin(x.request.service.Name(), now)
-	return w
-}
-
-// mayGiveUp tells whether an attempt that seems silent may be given up. Where its caller has
-// part of a stream, by it or by one before, that is only where the stream can go on.
-func (x *exchange) mayGiveUp(flows bool) bool { return !flows && !x.goesOn || x.mayBreakOff() }
-
-// takeBack ends an attempt that waits at a backend server which seems out of reach. Where its
-// caller has part of a stream and it could not go on, it waits there: on a busy VM dials fail
-// that would have been answered a little later.
+// takeBack ends an attempt that waits at a backend server which seems out of reach.
 func (x *exchange) takeBack() {
-	if x.mayGiveUp(false) {
+	if stage := x.stage(false); x.mayInterrupt(interruptUnreachable, stage, time.Now()) {
+		x.gateway.countInterrupted(interruptUnreachable, stage)
 		x.conn.Abort()
 	}
 }
 
-// mayBreakOff tells whether a stream under way may be broken off because its connection or
-// its backend server seems silent: only where it can go on elsewhere, and then the repeat
-// for that is taken. Without one it would end there, while on a busy machine all backend
-// servers stand still for a moment and go on; it is left to its deadline.
-func (x *exchange) mayBreakOff() bool {
-	q := x.request
-	if x.isLast {
-		return false
-	}
-	// The watchdog and the looks for silence may both come to it, and one repeat does.
-	if !q.repeatTaken.Load() && !x.gateway.budget.repeat(q.service.Name(), x.gateway.gateways()) {
-		return false
-	}
-	q.repeatTaken.Store(true)
-	return true
-}
-
 // run sends the request and handles its answer.
 func (x *exchange) run() (answered bool) {
 	q := x.request
@@ -229,7 +170,7 @@
 	case q.ctx.Err() != nil:
 	case x.watch.lapsed.Load() || q.hasLapsed():
 		if x.listening.ranWhenLost() {
-			x.gateway.metrics.outrun.Inc()
+			x.gateway.countInterrupted(interruptDeadline, stageStreaming)
 			q.sawRun(&x.gateway.silences, time.Now(), time.Since(x.started))
 		}
 		q.mayGoBackTo(x.backend)
--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -223,6 +223,17 @@
 	return b.told.isFresh(now) && b.told.load.Exchanging()
 }
 
+// takeBackMargin is how long before its version lapses a request that waits here is taken
+// back, by the last report of its stager, however old: a full link delays the next one.
+func (b *backend) takeBackMargin() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.told.load.Exchanging() {
+		return chunksMargin
+	}
+	return lapseMargin
+}
+
 // failed notes an attempt that the backend server did not answer as it should.
 func (b *backend) failed(now time.Time) {
 	b.mu.Lock()
--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -36,15 +36,11 @@
 	// have nothing yet: refused, they come back. The rest is for streams under way, which
 	// would end without it.
 	notBegunShare = 0.75
-	// holdShare is the share of the budget up to which repeats are held for attempts that
-	// may need one: the rest is for those that do.
-	holdShare = 0.5
 )
 
 // spending is what one service got in the window.
 type spending struct {
 	requests, repeats [budgetSlots]int
-	held              int // repeats that are neither sent nor given back yet
 }
 
 // budget counts requests and repeats by service.
@@ -97,41 +93,10 @@
 	return true
 }
 
-// hold keeps a repeat for an attempt that may need one; false when there is none left for
-// that. It is to be used or given back.
-func (b *budget) hold(service string, gateways int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.advance()
-	s := b.of(service)
-	if !b.hasRepeat(s, gateways, holdShare) {
-		return false
-	}
-	s.held++
-	return true
-}
-
-// useHeld takes a repeat that was held.
-func (b *budget) useHeld(service string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.advance()
-	s := b.of(service)
-	s.held--
-	s.repeats[b.current%budgetSlots]++
-}
-
-// giveBack gives back a repeat that was held.
-func (b *budget) giveBack(service string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.of(service).held--
-}
-
 // hasRepeat tells whether one more repeat stays within a share of what is allowed, for
 // whoever holds the lock.
 func (b *budget) hasRepeat(s *spending, gateways int, share float64) bool {
-	requests, repeats := 0, s.held
+	requests, repeats := 0, 0
 	oldest := (b.current + 1) % budgetSlots
 	for i := range int64(budgetSlots) {
 		repeats += s.repeats[i]
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -51,8 +51,8 @@
 	model  string
 	layers int
 	// least returns the least version of the weights at a backend server where
-	// requests take so long to begin.
-	least func(begins time.Duration) uint64
+	// requests take so long to begin, and are taken back so long before a version lapses.
+	least func(begins, back time.Duration) uint64
 	// begins is how long the request takes to begin at the least.
 	begins time.Duration
 	// work is the request's own, for the cost after it.
@@ -187,7 +187,7 @@
 		return true
 	}
 	served := b.servedVersion(w.model, w.layers)
-	return served > 0 && served >= w.least(max(b.begins(now), w.begins))
+	return served > 0 && served >= w.least(max(b.begins(now), w.begins), b.takeBackMargin())
 }
 
 // waitAt predicts how long a request waits for a place at an engine: from its
--- a/pkg/gateway/distrust.go
+++ b/pkg/gateway/distrust.go
@@ -38,9 +38,11 @@
 		if f.evidence == evidenceSuspected || l.breakOff == nil || l.found.Load() != nil {
 			continue
 		}
-		if !l.exchange.mayLeave(h.flows, now) {
+		stage := l.exchange.stage(h.flows)
+		if !l.exchange.mayInterrupt(interruptSilence, stage, now) {
 			continue
 		}
+		g.countInterrupted(interruptSilence, stage)
 		l.found.Store(&silence{f.evidence, h.silent(now), h.due})
 		g.metrics.distrusted.WithLabelValues(string(f.evidence)).Inc()
 		if h.flows {
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -260,7 +260,7 @@
 	}
 	if q.model != "" {
 		w.model, w.layers = q.model, max(w.engine.Layers(), 1)
-		w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, q.run) }
+		w.least = func(begins, back time.Duration) uint64 { return g.leastVersion(q.model, begins, q.run, back) }
 		if q.sent == 0 {
 			w.wait = q.waitWorthTaking()
 		}
--- /dev/null
+++ b/pkg/gateway/interrupt.go
@@ -0,0 +1,177 @@
+// ================================================================
+// Interruptions: when a gateway itself ends an attempt under way. Every guard that may do so
+// asks here, and the table says what must hold for each reason and how far the answer is. An
+// answer that its caller has part of is interrupted only where it can be resumed, or where a
+// rule leaves no choice: half of an answer serves nobody.
+// ================================================================
+
+package gateway
+
+import (
+	"maps"
+	"time"
+)
+
+// interruption is why a gateway ends an attempt.
+type interruption string
+
+const (
+	// interruptDeadline is the end of a version's time, sent along as the request's deadline.
+	interruptDeadline interruption = "version deadline"
+	// interruptExpiry keeps a request from beginning on a version whose time is over.
+	interruptExpiry interruption = "version expiry"
+	// interruptStall is an attempt without progress for too long.
+	interruptStall interruption = "stall"
+	// interruptSilence is a connection that seems silent for good while its server works.
+	interruptSilence interruption = "silent connection"
+	// interruptUnreachable is a backend server that answers no dials.
+	interruptUnreachable interruption = "unreachable server"
+	// interruptStop is the end of the time for a planned stop.
+	interruptStop interruption = "stop deadline"
+)
+
+// answerStage is how far the answer to a request is.
+type answerStage int
+
+const (
+	// stageWaiting is an attempt without an event, whose caller has nothing.
+	stageWaiting answerStage = iota
+	// stageResuming is an attempt without an event, whose caller has part of the answer by an
+	// earlier one.
+	stageResuming
+	// stageStreaming is an attempt whose events come.
+	stageStreaming
+	answerStages
+)
+
+// condition is what must hold before an attempt is interrupted.
+type condition struct {
+	name  string
+	holds func(x *exchange, now time.Time) bool
+	// resumes says that the request is to go on elsewhere: it is interrupted only with the
+	// repeat for that in hand.
+	resumes bool
+}
+
+var (
+	always = condition{name: "always", holds: func(*exchange, time.Time) bool { return true }}
+	never  = condition{name: "never", holds: func(*exchange, time.Time) bool { return false }}
+	// mayRunOnce holds where no break can take the request back.
+	mayRunOnce = condition{name: "may run once, and should be over before the version ends", holds: (*exchange).needsVersionDeadline}
+	// stalledAlone does not hold where all others stand still as well, as behind an overloaded
+	// link or on a machine short of processor time: the answer would stand still again.
+	stalledAlone = condition{name: "resumable elsewhere, and others make progress", holds: (*exchange).isStalledAlone, resumes: true}
+	// resumableAnywhere counts the attempt's own server, which works.
+	resumableAnywhere = condition{name: "resumable here or elsewhere", holds: (*exchange).beginsInTime, resumes: true}
+	repeatInHand      = condition{name: "not the last attempt", holds: func(*exchange, time.Time) bool { return true }, resumes: true}
+)
+
+// interruptRule says for one reason what must hold at each stage, and what follows.
+type interruptRule struct {
+	reason  interruption
+	stages  [answerStages]condition
+	follows string
+}
+
+// interruptRules is the whole table.
+var interruptRules = []interruptRule{
+	{interruptDeadline, [...]condition{mayRunOnce, mayRunOnce, mayRunOnce}, "the server ends it"},
+	{interruptExpiry, [...]condition{always, always, never}, "another server; a resumed answer waits for one as long as its caller does"},
+	{interruptStall, [...]condition{always, stalledAlone, stalledAlone}, "another server, with the repeat that was taken"},
+	{interruptSilence, [...]condition{always, resumableAnywhere, resumableAnywhere}, "any server, with the repeat that was taken"},
+	{interruptUnreachable, [...]condition{always, repeatInHand, never}, "another server, with the repeat that was taken"},
+	{interruptStop, [...]condition{always, always, always}, "the answer ends"},
+}
+
+// interruptRuleOf returns the rule of a reason.
+func interruptRuleOf(why interruption) interruptRule {
+	for _, r := range interruptRules {
+		if r.reason == why {
+			return r
+		}
+	}
+	return interruptRule{reason: why, stages: [...]condition{never, never, never}}
+}
+
+// mayInterrupt tells whether the attempt may be interrupted now, and takes the repeat that the
+// request needs to be resumed.
+func (x *exchange) mayInterrupt(why interruption, stage answerStage, now time.Time) bool {
+	c := interruptRuleOf(why).stages[stage]
+	return c.holds(x, now) && (!c.resumes || x.takeRepeatToResume())
+}
+
+// stage is how far the answer is, by whether events of this attempt come.
+func (x *exchange) stage(flows bool) answerStage {
+	switch {
+	case flows:
+		return stageStreaming
+	case x.resumes:
+		return stageResuming
+	}
+	return stageWaiting
+}
+
+// countInterrupted counts an answer that was under way when it was interrupted.
+func (g *Gateway) countInterrupted(why interruption, stage answerStage) {
+	if stage != stageWaiting {
+		g.metrics.interrupted.WithLabelValues(string(why)).Inc()
+	}
+}
+
+// takeRepeatToResume takes the repeat that a request needs to go on. Without one it would end,
+// while on a busy machine all servers stand still for a moment and go on.
+func (x *exchange) takeRepeatToResume() bool {
+	q := x.request
+	if x.isLast {
+		return false
+	}
+	// Several guards may come to it, and one repeat does.
+	if !q.repeatTaken.Load() && !x.gateway.budget.repeat(q.service.Name(), x.gateway.gateways()) {
+		return false
+	}
+	q.repeatTaken.Store(true)
+	return true
+}
+
+// hasPlace tells whether a backend server that satisfies what is wanted could take the request
+// now, as far as is known without a question.
+func (x *exchange) hasPlace(w wanted) bool {
+	g, q := x.gateway, x.request
+	b, _ := g.choose(w)
+	if b == nil && g.mayRunOn(q) {
+		b, _ = g.choose(g.runningOn(q, w))
+	}
+	return b != nil
+}
+
+// beginsInTime tells whether some backend server, its own too, has a place where the request would
+// begin before the version there lapses.
+func (x *exchange) beginsInTime(now time.Time) bool {
+	w := x.elsewhereAsSlow(now)
+	w.tried = maps.Clone(w.tried)
+	delete(w.tried, x.backend)
+	return x.hasPlace(w)
+}
+
+// elsewhereAsSlow is what another backend server must satisfy where the request begins no sooner
+// than those of its service did of late.
+func (x *exchange) elsewhereAsSlow(now time.Time) wanted {
+	w := x.elsewhere
+	w.begins = x.gateway.silences.slowestBegin(x.request.service.Name(), now)
+	return w
+}
+
+// isStalledAlone tells whether an answer without progress would fare better elsewhere. It has to
+// begin before the version there lapses, by how long requests of the service waited of late. And
+// until it has been silent for long there is to be a place for it: a server that is full turns it
+// away, and it can't go back without another repeat.
+func (x *exchange) isStalledAlone(now time.Time) bool {
+	if x.backend.load(now).lost {
+		return x.hasPlace(x.elsewhere)
+	}
+	there := x.elsewhereAsSlow(now)
+	if x.watch.silentFor(now) <= patience {
+		there.wait = x.request.waitWorthTaking()
+	}
+	return x.hasPlace(there) && !x.gateway.silences.areAllSilent(x.listening)
+}
--- /dev/null
+++ b/pkg/gateway/interrupt_test.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+// The table of interruptions, read as a whole: a guard that may end answers under way on other
+// terms shows here.
+func TestInterruptRules(t *testing.T) {
+	var b strings.Builder
+	for _, r := range interruptRules {
+		_, _ = fmt.Fprintf(&b, "%s\n", r.reason)
+		for stage, name := range []string{"waiting", "resuming", "streaming"} {
+			c := r.stages[stage]
+			_, _ = fmt.Fprintf(&b, "  %-9s %s", name, c.name)
+			if c.resumes {
+				b.WriteString("; takes a repeat")
+			}
+			b.WriteString("\n")
+		}
+		_, _ = fmt.Fprintf(&b, "  then      %s\n", r.follows)
+	}
+	const golden = "testdata/interruptions.txt"
+	if os.Getenv("TIDEPOST_UPDATE") != "" {
+		if err := os.WriteFile(golden, []byte(b.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b.String() != string(want) {
+		t.Errorf("the table is now\n%s", b.String())
+	}
+}
--- a/pkg/gateway/lapse.go
+++ b/pkg/gateway/lapse.go
@@ -6,21 +6,16 @@
 //
 //   - the choice leaves out where the request would not be over by then, as long as
 //     another backend server has a place (versions.go);
-//   - a request that is over by then, also if it runs as slowly as those of late, carries
-//     the time that is left as its deadline.
-//     The backend server drops it for itself, whatever becomes of this gateway and of the
-//     link between: a break lies behind the chunks on that link, up to 0.6 s where it is
-//     narrow;
-//   - the attempt is taken back while it waits, by what is known now and not by what was
-//     known when it was sent: versions, and earlier namings of them, are heard of late by
-//     a gateway that has just started.
+//   - an attempt of a request that may be repeated is taken back while it waits, by what is
+//     known now and not by what was known when it was sent: versions, and earlier namings of
+//     them, are heard of late by a gateway that has just started. The break lies behind the
+//     chunks on its link, so it comes earlier where there are any;
+//   - a request that may run once cannot be taken back. One that should be over by then, also
+//     if it runs as slowly as those of late, carries the time that is left as its deadline, and
+//     the backend server drops it for itself.
 //
-// A deadline ends a stream that has begun as well, and estimates are wrong where engines slow
-// down. So a request that may be sent again carries one only with a repeat held for it, and
-// where another attempt may follow: else half of an answer would be all that its caller gets.
-//
-// Rejected: the deadline for all. Requests that began in time, and run on past the end as
-// they may, were cut and read again elsewhere.
+// A request may run on past the end once it has begun, so a deadline is not sent where a break
+// can do: the backend server can't tell the two apart.
 // ================================================================
 
 package gateway
@@ -34,6 +29,8 @@
 	// lapseMargin is how long before a version lapses a request that has not begun on it
 	// is taken back: the break takes that long to a backend server at the worst.
 	lapseMargin = 600 * time.Millisecond
+	// chunksMargin is the same where chunks are on the link: the break lies behind several.
+	chunksMargin = time.Second
 	// deadlineMargin is how long before a version lapses the request's own deadline ends:
 	// the way to the backend server, from where it counts, and the word of the version to
 	// this gateway. While chunks are on that way it is lapseMargin.
@@ -46,35 +43,19 @@
 	served uint64        // the version that the backend server serves
 	at     time.Time     // when its time ends; zero when no later version is named
 	margin time.Duration // how long before that a request's own deadline ends
+	back   time.Duration // how long before that a request that waits is taken back
 	bounds bool          // the request's own deadline ends there
 }
 
-// bound decides whether a request that is about to be sent carries the end of the version as
-// its deadline, and holds a repeat where it may have to go on elsewhere. held tells whether
-// it does.
-func (x *exchange) bound() (held bool) {
-	q, g := x.request, x.gateway
-	l := &q.lapse
-	l.bounds = l.lapses() && l.left() > max(q.longestRun(&g.silences, time.Now()), leastTime)
-	if !l.bounds || !q.route.Idempotent() {
-		return false
-	}
-	l.bounds = !x.isLast && g.budget.hold(q.service.Name(), g.gateways())
-	return l.bounds
-}
-
-// settle uses or gives back the repeat that was held for an attempt that is over.
-func (x *exchange) settle(answered bool) {
-	q, b := x.request, x.gateway.budget
-	if answered || !q.repeatTaken.CompareAndSwap(false, true) {
-		b.giveBack(q.service.Name())
-		return
-	}
-	b.useHeld(q.service.Name())
+// needsVersionDeadline tells whether the request carries the end of its version as its deadline: it
+// may run once and should be over by then, also if it runs as slowly as those of late.
+func (x *exchange) needsVersionDeadline(now time.Time) bool {
+	q := x.request
+	return !q.route.Idempotent() && q.lapse.lapses() && q.lapse.left() > max(q.longestRun(&x.gateway.silences, now), leastTime)
 }
 
 // isOver tells whether a request that waits is taken back by now.
-func (l lapse) isOver() bool { return l.lapses() && time.Until(l.at) <= lapseMargin }
+func (l lapse) isOver() bool { return l.lapses() && time.Until(l.at) <= l.back }
 
 // left is for how long a request's own deadline may still be.
 func (l lapse) left() time.Duration { return time.Until(l.at) - l.margin }
@@ -90,7 +71,7 @@
 	if engine.Slots() == 0 || q.model == "" {
 		return lapse{}
 	}
-	l := lapse{served: b.servedVersion(q.model, max(engine.Layers(), 1)), margin: deadlineMargin}
+	l := lapse{served: b.servedVersion(q.model, max(engine.Layers(), 1)), margin: deadlineMargin, back: b.takeBackMargin()}
 	if b.isExchanging(time.Now()) {
 		l.margin = lapseMargin
 	}
@@ -148,16 +129,21 @@
 func (w *watchdog) untilTakenBack() (time.Duration, bool) {
 	q := w.exchange.request
 	l := w.exchange.gateway.lapseOf(q, w.exchange.backend, w.served)
-	return time.Until(l.at) - lapseMargin, l.lapses()
+	return time.Until(l.at) - l.back, l.lapses()
 }
 
 // takeBackLapsed takes the attempt back when it waits for its first event and the version
 // where it waits is about to lapse.
 func (w *watchdog) takeBackLapsed() bool {
 	left, lapses := w.untilTakenBack()
-	if !lapses || left > 0 || w.flowing.Load() {
+	if !lapses || left > 0 {
+		return false
+	}
+	stage := w.exchange.stage(w.flowing.Load())
+	if !w.exchange.mayInterrupt(interruptExpiry, stage, time.Now()) {
 		return false
 	}
+	w.exchange.gateway.countInterrupted(interruptExpiry, stage)
 	w.lapsed.Store(true)
 	w.lateBy.Store(int64(-left))
 	w.exchange.conn.Abort()
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -23,7 +23,7 @@
 	quarantined  prometheus.Gauge
 	limited      prometheus.Gauge
 	heldBack     *prometheus.CounterVec
-	outrun       prometheus.Counter
+	interrupted  *prometheus.CounterVec
 	borrowed     prometheus.Counter
 }
 
@@ -40,9 +40,9 @@
 		quarantined:  metric.NewGauge(metric.GatewayQuarantined),
 		limited:      metric.NewGauge(metric.GatewayLimited),
 		heldBack:     metric.NewCounters(metric.GatewayHeldBack, "why"),
-		outrun:       metric.NewCounter(metric.GatewayOutrun),
+		interrupted:  metric.NewCounters(metric.GatewayInterrupted, "reason"),
 		borrowed:     metric.NewCounter(metric.GatewayBorrowed),
 	}
-	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number, m.ends, m.quarantined, m.limited, m.heldBack, m.outrun, m.borrowed)
+	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number, m.ends, m.quarantined, m.limited, m.heldBack, m.interrupted, m.borrowed)
 	return m
 }
--- /dev/null
+++ b/pkg/gateway/stream_fleet_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// streamScenarios are the worlds that each seed is played in.
+var streamScenarios = []struct {
+	name  string
+	seeds int // that are played where none are asked for
+	streamScenario
+}{
+	{"2 gateways, slow engines", 3, streamScenario{gateways: 2, engines: 3, load: 0.7, slow: 3, lasts: 25 * time.Second}},
+	{"4 gateways, slow engines, stops", 3, streamScenario{gateways: 4, engines: 5, load: 0.7, slow: 4, stops: true, lasts: 25 * time.Second}},
+	{"4 gateways, links full of chunks", 3, streamScenario{gateways: 4, engines: 5, load: 0.6, slow: 3, chunks: 600 * time.Millisecond, lasts: 25 * time.Second}},
+	{"4 gateways, stalls, stops", 3, streamScenario{gateways: 4, engines: 6, load: 0.6, slow: 3, stalls: true, stops: true, lasts: 25 * time.Second}},
+	{"149 gateways", 1, streamScenario{gateways: 149, engines: 60, load: 0.6, slow: 3, chunks: 300 * time.Millisecond, lasts: 14 * time.Second}},
+}
+
+// seeds returns the seeds to play: some, or as many as TIDEPOST_SEEDS says.
+func seeds(t *testing.T, usual int) (all []uint64) {
+	t.Helper()
+	from := uint64(1)
+	if text := os.Getenv("TIDEPOST_SEEDS"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		usual = n
+	}
+	if text := os.Getenv("TIDEPOST_SEED"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		from = n
+	}
+	for i := range usual {
+		all = append(all, from+uint64(i))
+	}
+	return all
+}
+
+// A stream that has begun is not ended by a deadline that its gateway set, and none begins on a
+// version whose time is over: not behind slow engines, late orders, stalls or links full of chunks.
+func TestNoDeadlineOfAGatewayEndsAStream(t *testing.T) {
+	for _, s := range streamScenarios {
+		t.Run(s.name, func(t *testing.T) {
+			for _, seed := range seeds(t, s.seeds) {
+				w, v := playStreams(t, seed, s.streamScenario)
+				w.report(t, "ended by a deadline", v.byDeadline)
+				w.report(t, "begun late", v.begunLate)
+			}
+		})
+	}
+}
+
+// playStreams plays one world in a bubble.
+func playStreams(t *testing.T, seed uint64, s streamScenario) (w *streamWorld, v *streamVerdict) {
+	t.Helper()
+	w = newStreamWorld(t, seed, s)
+	synctest.Test(t, func(*testing.T) { v = w.play() })
+	t.Logf("seed %d: asked %d, whole %d, late %d, refused %d, lost %d, ended by a deadline %d, interrupted %d, begun late %d",
+		seed, v.asked, v.whole, v.late, v.refused, len(v.lost), len(v.byDeadline), len(v.interrupted), len(v.begunLate))
+	return w, v
+}
+
+// report fails for each finding of a kind.
+func (w *streamWorld) report(t *testing.T, kind string, findings []string) {
+	t.Helper()
+	for _, line := range findings {
+		t.Errorf("seed %d: %s: %s\n%s", w.seed, kind, line, w.logsOf(line))
+	}
+}
+
+// logsOf returns the gateways' lines on the request of a finding.
+func (w *streamWorld) logsOf(finding string) string {
+	id, _, _ := strings.Cut(finding, " ")
+	var lines []string
+	for _, m := range w.members {
+		for _, log := range m.logs {
+			for line := range strings.Lines(log.String()) {
+				if strings.Contains(line, fmt.Sprintf("%q", id)) {
+					lines = append(lines, line)
+				}
+			}
+		}
+	}
+	return strings.Join(lines, "")
+}
--- a/pkg/gateway/versions.go
+++ b/pkg/gateway/versions.go
@@ -22,22 +22,23 @@
 )
 
 // leastVersion returns the least version that a request may use at a backend server
-// where requests took begins to begin, and that it runs on for no longer than run.
-func (g *Gateway) leastVersion(model string, begins, run time.Duration) uint64 {
-	margin := max(min(leastMargin+begins, mostMargin)+run, lapseMargin)
+// where requests took begins to begin, and that it runs on for no longer than run. It is not
+// sent within back before the version lapses.
+func (g *Gateway) leastVersion(model string, begins, run, back time.Duration) uint64 {
+	margin := max(min(leastMargin+begins, mostMargin)+run, back)
 	return g.versions.Due(model, g.settings.WeightsWithin()-margin, time.Now())
 }
 
 // mayRunOn tells whether a request that would still run when a version lapses may begin
 // on it now.
 func (g *Gateway) mayRunOn(q *request) bool {
-	return q.model != "" && g.leastVersion(q.model, 0, 0) < g.leastVersion(q.model, 0, q.run)
+	return q.model != "" && g.leastVersion(q.model, 0, 0, lapseMargin) < g.leastVersion(q.model, 0, q.run, lapseMargin)
 }
 
 // runningOn is what a backend server must satisfy where a request may run on past the end of
 // its version.
 func (g *Gateway) runningOn(q *request, w wanted) wanted {
-	w.least = func(begins time.Duration) uint64 { return g.leastVersion(q.model, begins, 0) }
+	w.least = func(begins, back time.Duration) uint64 { return g.leastVersion(q.model, begins, 0, back) }
 	return w
 }
 
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -115,8 +115,9 @@
 	if b := w.exchange.backend; time.Since(b.heardAt.time()) > silentBeforeDial {
 		w.exchange.gateway.doubt(b)
 	}
-	silent := time.Since(w.exchange.started) - time.Duration(w.last.Load())
-	if silent > w.limit() && w.mayMove(silent) && w.exchange.mayGiveUp(w.flowing.Load()) {
+	now, stage := time.Now(), w.exchange.stage(w.flowing.Load())
+	if w.silentFor(now) > w.limit() && w.exchange.mayInterrupt(interruptStall, stage, now) {
+		w.exchange.gateway.countInterrupted(interruptStall, stage)
 		w.barked.Store(true)
 		w.exchange.conn.Abort()
 		return
@@ -124,30 +125,9 @@
 	w.lookLater()
 }
 
-// mayMove tells whether an attempt that is silent for too long would fare better elsewhere.
-// A stream that its caller has part of is left where no other backend server could take it: to
-// be broken off would end it. And where all others stand still too, in other failure domains as
-// well, as they do behind a link that is overloaded or where VMs share a busy machine: elsewhere
-// it would stand still again. One whose server answers no dials is moved all the same.
-//
-// Elsewhere it has to begin before the version there lapses: by how long requests of the service
-// waited of late, since little may be known of the one server that takes it. And until it has been
-// silent for long there is to be a place for it: a server that is full turns it away, and it can't
-// go back without another repeat.
-func (w *watchdog) mayMove(silent time.Duration) bool {
-	x := w.exchange
-	if !w.flowing.Load() && !x.goesOn {
-		return true
-	}
-	now := time.Now()
-	if x.backend.load(now).lost {
-		return x.hasPlace(x.elsewhere)
-	}
-	there := x.elsewhereAsSlow(now)
-	if silent <= patience {
-		there.wait = x.request.waitWorthTaking()
-	}
-	return x.hasPlace(there) && !x.gateway.silences.areAllSilent(x.listening)
+// silentFor is for how long the attempt has been without progress.
+func (w *watchdog) silentFor(now time.Time) time.Duration {
+	return now.Sub(w.exchange.started) - time.Duration(w.last.Load())
 }
 
 // gapLimit is how long the attempt may be silent between two events. An engine that is heard of
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -109,7 +109,7 @@
 func (g *Gateway) choosePlaceInTime(q *request, w wanted) (b *backend, loaded bool) {
 	if next := g.versions.Next(q.model, q.lapse.served); q.sent > 0 && next.Version() > 0 {
 		newest := w
-		newest.least = func(time.Duration) uint64 { return g.versions.Due(q.model, 0, time.Now()) }
+		newest.least = func(_, _ time.Duration) uint64 { return g.versions.Due(q.model, 0, time.Now()) }
 		if b, loaded = g.choosePlace(q, newest); b != nil {
 			return b, loaded
 		}
--- a/pkg/metric/table.go
+++ b/pkg/metric/table.go
@@ -38,7 +38,7 @@
 	GatewayLimited      = "tidepost_gateway_limited_backend_servers"
 	GatewayHeldBack     = "tidepost_gateway_held_back_total"
 	GatewayBorrowed     = "tidepost_gateway_repeats_borrowed_total"
-	GatewayOutrun       = "tidepost_gateway_streams_outrun_total"
+	GatewayInterrupted  = "tidepost_gateway_streams_interrupted_total"
 	GatewayNumber       = "tidepost_gateway_configuration_number"
 	StagerChunks        = "tidepost_stager_chunks_total"
 	StagerVersionServed = "tidepost_stager_version"
@@ -80,7 +80,7 @@
 	{GatewayQuarantined, "gateway", "Requests that are kept away from backend servers, since these ended under them.", "above zero: find the fingerprint in the log lines 'request ends backend servers', and what ends the servers"},
 	{GatewayLimited, "gateway", "Backend servers that name a limit of the requests that they take, as far as heard here.", "above zero: a backend server is in need; the log lines 'backend server names a limit' say which one and what it takes"},
 	{GatewayBorrowed, "gateway", "Repeats for streams under way that another gateway lent.", "many: the budget of repeats is spent unevenly; look for the backend servers that break streams off"},
-	{GatewayOutrun, "gateway", "Streams that had begun and that their backend server ended because the time of its version of the weights was over.", "runs take several times what the configuration says: mend the engines' figures, or find what slows them"},
+	{GatewayInterrupted, "gateway", "Streams that their caller had part of when the gateway ended the attempt, whatever became of them, by reason: version deadline, version expiry, stall, silent connection, unreachable server, stop deadline.", "more than none but for a stop deadline: servers or their VMs are overloaded, or links lose what they carry"},
 	{GatewayHeldBack, "gateway", "Times that a backend server was passed over for its own limit, by why: spent, or no owner of the limit answered.", "spent: add backend servers, or find out what the limited ones need; no owner: gateways do not reach each other over their links"},
 	{GatewayNumber, "gateway", "Number of the service configuration in force here.", "differs between gateways for more than 2 s: one is cut off from the control nodes"},
 	{StagerChunks, "stager", "Chunks by where they came from: origin, peer or engine, and spoilt ones.", "many from the origin: peers are cut off; spoilt: look at the source"},
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -33,10 +33,13 @@
 	probeCount     = 2
 )
 
+// Dial makes a connection to an address, IP:PORT.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Pool keeps the connections to one address.
 type Pool struct {
 	address string
-	dialer  *net.Dialer
+	dial    Dial
 	open    atomic.Int64
 
 	mu      sync.Mutex
@@ -44,11 +47,14 @@
 	closed  bool
 }
 
-// NewPool returns an empty pool of an address, IP:PORT.
+// NewPool returns an empty pool of an address, IP:PORT, over TCP.
 func NewPool(address string) *Pool {
-	return &Pool{address: address, dialer: &net.Dialer{Control: control, KeepAlive: -1}}
+	return NewPoolOver(address, (&net.Dialer{Control: control, KeepAlive: -1}).DialContext)
 }
 
+// NewPoolOver returns an empty pool of an address whose connections dial makes.
+func NewPoolOver(address string, dial Dial) *Pool { return &Pool{address: address, dial: dial} }
+
 // control bounds the silence of a connection from its first packet on.
 func control(_, _ string, raw syscall.RawConn) error {
 	return raw.Control(func(fd uintptr) {
@@ -78,7 +84,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	conn, err := p.dial(ctx, "tcp", p.address)
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +98,7 @@
 func (p *Pool) Reaches(ctx context.Context, dialTimeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	conn, err := p.dial(ctx, "tcp", p.address)
 	if err != nil {
 		var timeout net.Error
 		return !errors.As(err, &timeout) || !timeout.Timeout()
@@ -106,7 +112,7 @@
 func (p *Pool) Refuses(ctx context.Context, dialTimeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := p.dialer.DialContext(ctx, "tcp", p.address)
+	conn, err := p.dial(ctx, "tcp", p.address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
