A stream without progress moves only to a free place, where its caller still gets more

Cause: after the longest patience any server was a place, and engines that are heard of are left for just that long, so the look for a free place was never made; and nobody asked whether the stream would begin elsewhere before its caller gives it up.

Now one condition of the table asks both (stalledAlone, interrupt.go). A server that answers no dials is left for any place, as before.

TestStalledStreamMovesOnlyWhereItsCallerGetsMore fails before.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-# Targets: build, demo, test, check, prove, soak, silence, lost, ends, final-faults, limits,
+# Targets: build, demo, test, check, prove, soak, silence, lost, streams, ends, final-faults, limits,
 # generate, clean, and bench-...
 
-.PHONY: build demo test check prove soak silence lost ends final-faults limits generate clean \
+.PHONY: build demo test check prove soak silence lost streams ends final-faults limits generate clean \
 	bench-burst bench-route bench-control bench-capacity bench-path
 
 # A failing test must fail the target, also where its output is filtered.
@@ -49,6 +49,12 @@
 	TIDEPOST_LONG="$(LONG)" TIDEPOST_SLOW="$(SLOW)" TIDEPOST_PLAIN_MS="$(PLAIN_MS)" TIDEPOST_RESERVE="$(RESERVE)" \
 	go test -count=1 -v -timeout 30m -tags bench ./soak -run TestNothingIsLost | grep -E '^lost|lost_test|FAIL|^ok'
 
+# Streams of gateways before engines in virtual time, by seed: make streams SEED=1 SEEDS=100.
+streams:
+	TIDEPOST_SEED=$(or $(SEED),1) TIDEPOST_SEEDS=$(or $(SEEDS),100) \
+	go test -count=1 -v -timeout 60m -tags bench ./pkg/gateway -run 'TestNoStreamIsLost|TestNoDeadlineOfAGateway' \
+	| grep -E 'seed [0-9]+:|^ *---|FAIL|^ok'
+
 # A request that ends the servers that run it: make ends SEED=1 KIND=unsafe SAME=1 RACKS=1
 # RESTARTS=1 ENDING=0 SECONDS=24, each of them optional.
 ends:
@@ -75,9 +81,9 @@
 check:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet ./...
-	go vet -tags bench ./bench ./soak
+	go vet -tags bench ./bench ./soak ./pkg/gateway
 	go tool staticcheck ./...
-	go tool staticcheck -tags bench ./bench ./soak
+	go tool staticcheck -tags bench ./bench ./soak ./pkg/gateway
 
 generate:
 	go generate ./...
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -40,6 +40,8 @@
 	// usualBegin is how long a request may wait for its first event at an engine
 	// that has a place for it.
 	usualBegin = 200 * time.Millisecond
+	// noWait is the longest wait for a place that nobody waits for.
+	noWait = time.Nanosecond
 	// unitWork is the least work that a request counts as.
 	unitWork = 20 * time.Millisecond
 )
--- a/pkg/gateway/interrupt.go
+++ b/pkg/gateway/interrupt.go
@@ -147,10 +147,14 @@
 // beginsInTime tells whether some backend server, its own too, has a place where the request would
 // begin before the version there lapses.
 func (x *exchange) beginsInTime(now time.Time) bool {
-	w := x.elsewhereAsSlow(now)
+	return x.hasPlace(x.hereOrElsewhere(x.elsewhereAsSlow(now)))
+}
+
+// hereOrElsewhere also allows the attempt's own server.
+func (x *exchange) hereOrElsewhere(w wanted) wanted {
 	w.tried = maps.Clone(w.tried)
 	delete(w.tried, x.backend)
-	return x.hasPlace(w)
+	return w
 }
 
 // elsewhereAsSlow is what another backend server must satisfy where the request begins no sooner
@@ -161,17 +165,21 @@
 	return w
 }
 
-// isStalledAlone tells whether an answer without progress would fare better elsewhere. It has to
-// begin before the version there lapses, by how long requests of the service waited of late. And
-// until it has been silent for long there is to be a place for it: a server that is full turns it
-// away, and it can't go back without another repeat.
+// outlastsCaller tells whether the caller of an answer that has been silent for a time gives it up
+// before its next event, where that takes as long as the first events of late.
+func (x *exchange) outlastsCaller(w wanted, silent time.Duration) bool {
+	return silent+w.begins >= x.gateway.patienceOf(x.request)
+}
+
+// isStalledAlone tells whether an answer without progress would fare better elsewhere: at a free
+// place, where it is resumed before the version there lapses and before its caller gives up. A
+// server that is full turns it away, and it can't go back without another repeat. Where its own is
+// out of reach any place will do.
 func (x *exchange) isStalledAlone(now time.Time) bool {
 	if x.backend.load(now).lost {
 		return x.hasPlace(x.elsewhere)
 	}
-	there := x.elsewhereAsSlow(now)
-	if x.watch.silentFor(now) <= patience {
-		there.wait = x.request.waitWorthTaking()
-	}
-	return x.hasPlace(there) && !x.gateway.silences.areAllSilent(x.listening)
+	w := x.elsewhereAsSlow(now)
+	w.wait = noWait
+	return !x.outlastsCaller(w, x.watch.silentFor(now)) && x.hasPlace(w) && !x.gateway.silences.areAllSilent(x.listening)
 }
--- a/pkg/gateway/lapse_test.go
+++ b/pkg/gateway/lapse_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	dto "github.com/prometheus/client_model/go"
 
 	"github.com/tidepost/tidepost/pkg/feed"
@@ -331,9 +332,15 @@
 
 // interrupted counts the streams under way that a guard ended.
 func (f *fixture) interrupted(t *testing.T, why interruption) float64 {
+	t.Helper()
+	return countOf(t, f.gateway.metrics.interrupted.WithLabelValues(string(why)))
+}
+
+// countOf returns what a counter counts.
+func countOf(t *testing.T, c prometheus.Counter) float64 {
 	t.Helper()
 	var m dto.Metric
-	if err := f.gateway.metrics.interrupted.WithLabelValues(string(why)).Write(&m); err != nil {
+	if err := c.Write(&m); err != nil {
 		t.Fatal(err)
 	}
 	return m.GetCounter().GetValue()
--- /dev/null
+++ b/pkg/gateway/stall_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
+)
+
+// newStalled is a stream under way at the first of two engines, without an event for a time.
+func newStalled(t *testing.T, silent time.Duration) (f *fixture, x *exchange) {
+	t.Helper()
+	f = newFixture(t, serviceconfig.Stream, true)
+	f.gateway.index.Raise(engineDocument(t))
+	own, other := newStandIn(t, "i-own", breakOff), newStandIn(t, "i-other", breakOff)
+	f.hearVersion(own, 1)
+	f.hearVersion(other, 1)
+	route, _ := f.gateway.index.Load().Route("menus.example", "/draft/x")
+	b := f.backend("i-own")
+	q := &request{ctx: t.Context(), route: route, service: f.service(t), model: "menu", sent: 1, begun: true, tried: map[*backend]bool{b: true}}
+	now := time.Now()
+	x = &exchange{gateway: f.gateway, request: q, backend: b, elsewhere: f.gateway.wantedFor(q), started: now.Add(-silent)}
+	x.watch = &watchdog{exchange: x}
+	x.listening = &listening{silences: &f.gateway.silences, exchange: x, made: x.started, sent: x.started, heard: x.started, due: leastSilence, spoke: true, flows: true}
+	return f, x
+}
+
+// A stream without progress is left where it would begin elsewhere after its caller has given it
+// up, and where no other server has a free place: on such a move it was refused, and lost.
+func TestStalledStreamMovesOnlyWhereItsCallerGetsMore(t *testing.T) {
+	for name, c := range map[string]struct {
+		begins time.Duration
+		full   bool
+		moves  bool
+	}{
+		"a free place":            {50 * time.Millisecond, false, true},
+		"others are full":         {50 * time.Millisecond, true, false},
+		"begins after its caller": {1500 * time.Millisecond, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, x := newStalled(t, gapPatience+lookAfter/2)
+			for range fewestValues {
+				f.gateway.silences.learn(usualKey{"menu", usualWait}, time.Now(), c.begins)
+			}
+			if c.full {
+				other := f.backend("i-other")
+				f.gateway.backends.hearLoad(feed.NewLoad("menu", other.address, "menu", 1, 16, 1, 1, false, false))
+			}
+			if moves := x.mayInterrupt(interruptStall, stageStreaming, time.Now()); moves != c.moves {
+				t.Errorf("it is moved: %t", moves)
+			}
+		})
+	}
+}
--- a/pkg/gateway/stream_engine_test.go
+++ b/pkg/gateway/stream_engine_test.go
@@ -41,16 +41,23 @@
 type virtualRun struct {
 	ask        *virtualAsk
 	prompt     int
+	first      int // event
 	next, last int
 	until      time.Time // its deadline
 	events     chan int
 	hasLeft    atomic.Bool // its connection has closed
 	hasBegun   bool
+	isOver     atomic.Bool // the engine has ended it
 	ending     *sync.Once
 }
 
 // end ends the run without a whole answer.
-func (r *virtualRun) end() { r.ending.Do(func() { close(r.events) }) }
+func (r *virtualRun) end() {
+	r.ending.Do(func() {
+		r.isOver.Store(true)
+		close(r.events)
+	})
+}
 
 // virtualEngine is one engine, and the stager beside it.
 type virtualEngine struct {
@@ -265,7 +272,7 @@
 	r.hasLeft.Store(true)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if r.hasBegun && r.next <= r.last {
+	if r.next > r.first && !r.isOver.Load() {
 		e.world.interrupted(r, e.stoodStill)
 	}
 }
@@ -279,7 +286,7 @@
 	after, _ := strconv.Atoi(h.Get(headerLastEvent))
 	last := eventsOfTokens(tokens)
 	r := &virtualRun{
-		ask: e.world.askOf(h.Get(headerID)), prompt: prompt, next: after + 1, last: last, ending: &sync.Once{},
+		ask: e.world.askOf(h.Get(headerID)), prompt: prompt, first: after + 1, next: after + 1, last: last, ending: &sync.Once{},
 		until: time.Now().Add(time.Duration(left) * time.Millisecond), events: make(chan int, max(last-after, 0)),
 	}
 	e.mu.Lock()
--- a/pkg/gateway/stream_fleet_test.go
+++ b/pkg/gateway/stream_fleet_test.go
@@ -50,12 +50,19 @@
 // A stream that has begun is not ended by a deadline that its gateway set, and none begins on a
 // version whose time is over: not behind slow engines, late orders, stalls or links full of chunks.
 func TestNoDeadlineOfAGatewayEndsAStream(t *testing.T) {
+	eachWorld(t, func(t *testing.T, w *streamWorld, v *streamVerdict) {
+		w.report(t, "ended by a deadline", v.byDeadline)
+		w.report(t, "begun late", v.begunLate)
+	})
+}
+
+// eachWorld plays each scenario with its seeds.
+func eachWorld(t *testing.T, check func(t *testing.T, w *streamWorld, v *streamVerdict)) {
 	for _, s := range streamScenarios {
 		t.Run(s.name, func(t *testing.T) {
 			for _, seed := range seeds(t, s.seeds) {
 				w, v := playStreams(t, seed, s.streamScenario)
-				w.report(t, "ended by a deadline", v.byDeadline)
-				w.report(t, "begun late", v.begunLate)
+				check(t, w, v)
 			}
 		})
 	}
@@ -66,8 +73,8 @@
 	t.Helper()
 	w = newStreamWorld(t, seed, s)
 	synctest.Test(t, func(*testing.T) { v = w.play() })
-	t.Logf("seed %d: asked %d, whole %d, late %d, refused %d, lost %d, ended by a deadline %d, interrupted %d, begun late %d",
-		seed, v.asked, v.whole, v.late, v.refused, len(v.lost), len(v.byDeadline), len(v.interrupted), len(v.begunLate))
+	t.Logf("seed %d: asked %d, whole %d, late %d, refused %d, lost %d, ended by a deadline %d, interrupted %d, begun late %d; counted %v",
+		seed, v.asked, v.whole, v.late, v.refused, len(v.lost), len(v.byDeadline), len(v.interrupted), len(v.begunLate), v.byReason)
 	return w, v
 }
 
--- a/pkg/gateway/stream_world_test.go
+++ b/pkg/gateway/stream_world_test.go
@@ -56,18 +56,17 @@
 
 // virtualAsk is one request of a caller.
 type virtualAsk struct {
-	id       string
-	sent     time.Time
-	last     int // event
-	gateway  *Gateway
-	mu       sync.Mutex
-	header   http.Header
-	status   int
-	body     bytes.Buffer
-	isOver   bool
-	whole    bool
-	endedAt  time.Time
-	finished context.CancelFunc
+	id      string
+	sent    time.Time
+	last    int // event
+	gateway *Gateway
+	mu      sync.Mutex
+	header  http.Header
+	status  int
+	body    bytes.Buffer
+	isOver  bool
+	whole   bool
+	endedAt time.Time
 }
 
 func (a *virtualAsk) Header() http.Header { return a.header }
@@ -137,8 +136,10 @@
 	lost []string
 	// byDeadline had begun when a deadline that was not their caller's ended them.
 	byDeadline []string
-	// interrupted had begun at an engine that did not stand still when their gateway left it.
+	// interrupted had begun at an engine that has not stood still of late when their gateway left it.
 	interrupted []string
+	// byReason are the interruptions that the gateways count.
+	byReason map[interruption]int
 	// begunLate began on a version whose time was over.
 	begunLate []string
 }
@@ -284,6 +285,12 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.verdict.byReason = map[interruption]int{}
+	for _, r := range interruptRules {
+		for _, g := range w.begun {
+			w.verdict.byReason[r.reason] += int(countOf(w.t, g.metrics.interrupted.WithLabelValues(string(r.reason))))
+		}
+	}
 	return &w.verdict
 }
 
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -139,6 +139,11 @@
 	if x.backend.heardAt.time().After(last.Add(leastSilence)) || !x.backend.isHeardOf(time.Now()) {
 		return gapPatience
 	}
+	return x.longestPause()
+}
+
+// longestPause is how long a stream may be silent that its caller still waits for.
+func (x *exchange) longestPause() time.Duration {
 	return min(max(gapPatience, x.gateway.patienceOf(x.request)-leaveWithin), patience)
 }
 
