A stream leaves connections that seem silent everywhere only when that is proved

What callers saw: half an answer. Where all engines became slow, or stood still on a busy machine, their connections were taken for silent within 0.13 to 0.4 s ('evidence: many'), all streams of a gateway were sent anew at one moment, found the engines full, and the budget of repeats ended the rest.

Cause: that dials are answered and nothing comes shows silent connections and servers that are slow together alike. What gives up resting connections and requests that wait may guess; a stream under way loses by a wrong guess.

Now it leaves when a connection made since, to the same server, is answered on; without such a one after as long as a stream that stalls, at a free place; never while newer attempts wait in vain as well. Requests that wait and resting connections go as early as before.

TestStreamLeavesSilenceEverywhereOnlyWhenProved asks each case.

--- a/pkg/gateway/distrust.go
+++ b/pkg/gateway/distrust.go
@@ -38,11 +38,11 @@
 		if f.evidence == evidenceSuspected || l.breakOff == nil || l.found.Load() != nil {
 			continue
 		}
-		stage := l.exchange.stage(h.flows)
-		if !l.exchange.mayInterrupt(interruptSilence, stage, now) {
+		why, stage := reasonOf(now, f.evidence, h, all), l.exchange.stage(h.flows)
+		if !l.exchange.mayInterrupt(why, stage, now) {
 			continue
 		}
-		g.countInterrupted(interruptSilence, stage)
+		g.countInterrupted(why, stage)
 		l.found.Store(&silence{f.evidence, h.silent(now), h.due})
 		g.metrics.distrusted.WithLabelValues(string(f.evidence)).Inc()
 		if h.flows {
@@ -57,6 +57,17 @@
 	}
 }
 
+// reasonOf is why an attempt with a silent connection is interrupted, by what newer ones show.
+func reasonOf(now time.Time, e evidence, h hearing, all []hearing) interruption {
+	switch {
+	case e == evidenceNewer || newerSpeaks(h, all):
+		return interruptSilence
+	case newerWait(now, h, all):
+		return interruptNobodyAnswers
+	}
+	return interruptAllSilent
+}
+
 // dialSilent dials the backend servers whose connections may be silent since a moment.
 func (g *Gateway) dialSilent(now, since time.Time, all []hearing) {
 	for _, h := range all {
--- a/pkg/gateway/interrupt.go
+++ b/pkg/gateway/interrupt.go
@@ -24,6 +24,12 @@
 	interruptStall interruption = "stall"
 	// interruptSilence is a connection that seems silent for good while its server works.
 	interruptSilence interruption = "silent connection"
+	// interruptAllSilent are connections that seem silent everywhere, at an address where no newer
+	// one has proved it yet: servers that become slow together look alike.
+	interruptAllSilent interruption = "silent connections everywhere, not proved"
+	// interruptNobodyAnswers are such connections while newer ones to other servers, or the same, are
+	// not answered on either: the servers stand still.
+	interruptNobodyAnswers interruption = "silent connections everywhere, newer ones too"
 	// interruptUnreachable is a backend server that answers no dials.
 	interruptUnreachable interruption = "unreachable server"
 	// interruptStop is the end of the time for a planned stop.
@@ -63,6 +69,8 @@
 	stalledAlone = condition{name: "resumable elsewhere, and others make progress", holds: (*exchange).isStalledAlone, resumes: true}
 	// resumableAnywhere counts the attempt's own server, which works.
 	resumableAnywhere = condition{name: "resumable here or elsewhere", holds: (*exchange).beginsInTime, resumes: true}
+	overdueAnywhere   = condition{name: "overdue, and resumable here or elsewhere", holds: (*exchange).isOverdue, resumes: true}
+	longSilent        = condition{name: "silent for as long as a stall, and resumable at a free place", holds: (*exchange).isLongSilent, resumes: true}
 	repeatInHand      = condition{name: "not the last attempt", holds: func(*exchange, time.Time) bool { return true }, resumes: true}
 )
 
@@ -79,6 +87,8 @@
 	{interruptExpiry, [...]condition{always, always, never}, "another server; a resumed answer waits for one as long as its caller does"},
 	{interruptStall, [...]condition{always, stalledAlone, stalledAlone}, "another server, with the repeat that was taken"},
 	{interruptSilence, [...]condition{always, resumableAnywhere, resumableAnywhere}, "any server, with the repeat that was taken"},
+	{interruptAllSilent, [...]condition{always, overdueAnywhere, longSilent}, "any server, with the repeat that was taken"},
+	{interruptNobodyAnswers, [...]condition{always, never, never}, "any server"},
 	{interruptUnreachable, [...]condition{always, repeatInHand, never}, "another server, with the repeat that was taken"},
 	{interruptStop, [...]condition{always, always, always}, "the answer ends"},
 }
@@ -171,6 +181,19 @@
 	return silent+w.begins >= x.gateway.patienceOf(x.request)
 }
 
+// isOverdue tells whether an attempt has waited for longer than is usual, and can be resumed.
+func (x *exchange) isOverdue(now time.Time) bool {
+	return x.listening.hearing().overdue(now) && x.beginsInTime(now)
+}
+
+// isLongSilent tells whether an attempt has been silent for as long as one that stalls, and a server
+// has a free place where it is resumed before its caller gives up.
+func (x *exchange) isLongSilent(now time.Time) bool {
+	w, silent := x.hereOrElsewhere(x.elsewhereAsSlow(now)), x.listening.hearing().silent(now)
+	w.wait, w.begins = noWait, max(w.begins, goesOnWithin)
+	return silent > x.longestPause() && !x.outlastsCaller(w, silent) && x.hasPlace(w)
+}
+
 // isStalledAlone tells whether an answer without progress would fare better elsewhere: at a free
 // place, where it is resumed before the version there lapses and before its caller gives up. A
 // server that is full turns it away, and it can't go back without another repeat. Where its own is
--- a/pkg/gateway/silence.go
+++ b/pkg/gateway/silence.go
@@ -222,6 +222,22 @@
 	return false
 }
 
+// newerWait tells whether attempts over connections made since one fell silent wait as well, and
+// none of them was answered.
+func newerWait(now time.Time, silent hearing, all []hearing) bool {
+	wait := false
+	for _, h := range all {
+		if !h.made.After(silent.since) {
+			continue
+		}
+		if h.spoke {
+			return false
+		}
+		wait = wait || h.silent(now) > leastSilence
+	}
+	return wait
+}
+
 // newerSpeaks tells whether a connection to the same address, made since a stream fell
 // silent, is answered on although that stream is overdue: an engine gives all streams their
 // events in turn. Requests that wait are no evidence: more urgent ones overtake them, and
--- a/pkg/gateway/stall_test.go
+++ b/pkg/gateway/stall_test.go
@@ -53,3 +53,39 @@
 		})
 	}
 }
+
+// Servers that become slow together look like connections that are silent everywhere. A stream
+// leaves its connection when a newer one to the same server is answered on, or after as long as one
+// that stalls: streams of slow servers were all sent anew at one moment, and found them full.
+func TestStreamLeavesSilenceEverywhereOnlyWhenProved(t *testing.T) {
+	const slow = 400 * time.Millisecond
+	for name, c := range map[string]struct {
+		silent  time.Duration
+		newer   bool // connections are there
+		answers bool // they are answered on
+		leaves  bool
+	}{
+		"not proved":              {slow, false, false, false},
+		"proved by a newer one":   {slow, true, true, true},
+		"as long as one stalls":   {gapPatience + 3*leastSilence, false, false, true},
+		"newer ones wait as well": {gapPatience + 3*leastSilence, true, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, x := newStalled(t, c.silent)
+			f.gateway.protocol.Patience = func(time.Duration, time.Duration) time.Duration { return 2 * gapPatience }
+			f.gateway.silences.learn(usualKey{"menu", usualWait}, time.Now(), leastSilence)
+			h := x.listening.hearing()
+			all := []hearing{h}
+			if c.newer {
+				newer := h
+				newer.made, newer.since = h.since.Add(leastSilence/2), h.since.Add(2*leastSilence)
+				newer.spoke, newer.flows = c.answers, c.answers
+				all = append(all, newer)
+			}
+			why := reasonOf(time.Now(), evidenceMany, h, all)
+			if leaves := x.mayInterrupt(why, stageStreaming, time.Now()); leaves != c.leaves {
+				t.Errorf("it leaves as %q: %t", why, leaves)
+			}
+		})
+	}
+}
