A stream on its last server leaves a silent connection too, and what never arrived costs no repeat

What callers saw: after connections had fallen silent twice within 1.5 s, streams stood still for 2 s, until TCP gave the connection up ('read: connection timed out'), and ended: 'the budget of repeats is used up'.

Cause: a stream that was at as many servers as its route allows was never taken off a silent connection, though its own server works and counts once. And each attempt counted as an arrival, also those that the silent connection ate.

Now the table asks for a place at the servers where it was, its own too. What the other side had acknowledged nothing of when it was given up as silent is no arrival, so the next attempt is no repeat; only where dials to the server, or newer connections, are answered meanwhile: on a link that is only full the bytes may still come. Whether it ran is not decided by it.

TestAttemptThatNeverArrivedCostsNoRepeat, TestNothingIsAcknowledgedOnLostConnections. In TestStreamIsBrokenOffOnlyWhereItGoesOn the last attempt is asked for by the table. Log lines of attempts and requests say which guard interrupted a stream under way.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -68,6 +68,10 @@
 	work := q.work
 	x := &exchange{gateway: g, request: q, backend: b, conn: conn, permit: permit, isLast: q.isLastAt(b), resumes: q.begun, elsewhere: g.wantedFor(q)}
 	x.elsewhere.tried, x.elsewhere.only = maps.Clone(q.tried), maps.Clone(x.elsewhere.only)
+	if x.isLast {
+		x.elsewhere.only = maps.Clone(q.ranAt)
+		x.elsewhere.only[b] = true
+	}
 	var breakOff, takeBack func()
 	if q.route.Idempotent() {
 		breakOff, takeBack = conn.Abort, x.takeBack
@@ -105,7 +109,7 @@
 // takeBack ends an attempt that waits at a backend server which seems out of reach.
 func (x *exchange) takeBack() {
 	if stage := x.stage(false); x.mayInterrupt(interruptUnreachable, stage, time.Now()) {
-		x.gateway.countInterrupted(interruptUnreachable, stage)
+		x.gateway.noteInterrupted(x.request, interruptUnreachable, stage)
 		x.conn.Abort()
 	}
 }
@@ -172,7 +176,7 @@
 	case q.ctx.Err() != nil:
 	case x.watch.lapsed.Load() || q.hasLapsed():
 		if x.listening.ranWhenLost() {
-			x.gateway.countInterrupted(interruptDeadline, stageStreaming)
+			x.gateway.noteInterrupted(q, interruptDeadline, stageStreaming)
 			q.sawRun(&x.gateway.silences, time.Now(), time.Since(x.started))
 		}
 		q.mayGoBackTo(x.backend)
@@ -183,7 +187,12 @@
 		if x.listening.ranWhenLost() {
 			q.lostAt = time.Now()
 		}
-		x.gateway.note(q, attemptSilent, x.listening.found.Load().String())
+		seen := x.listening.found.Load().String()
+		if x.conn.NothingAcknowledged() {
+			x.gateway.uncount(q)
+			seen += "; nothing of it was acknowledged"
+		}
+		x.gateway.note(q, attemptSilent, seen)
 	case x.backend.isWithdrawn(time.Now()):
 		q.mayGoBackTo(x.backend)
 		x.gateway.note(q, attemptCut, why)
--- a/pkg/gateway/budget.go
+++ b/pkg/gateway/budget.go
@@ -118,6 +118,17 @@
 	return safety * (forRequests + share)
 }
 
+// uncount has an attempt that never came to its backend server count for nothing: the one after it
+// is no repeat of it. It is for connections found silent while dials to the same server were answered,
+// which would have brought an acknowledgement.
+func (g *Gateway) uncount(q *request) {
+	if q.repeatTaken.Swap(true) && !q.borrowed {
+		g.budget.unspent(q.service.Name())
+	}
+	q.borrowed = true
+	g.metrics.uncounted.Inc()
+}
+
 // returnRepeat puts back a repeat that was taken for an attempt that does not come.
 func (g *Gateway) returnRepeat(q *request) {
 	if q.repeatTaken.Swap(false) && !q.borrowed {
--- a/pkg/gateway/budget_test.go
+++ b/pkg/gateway/budget_test.go
@@ -46,3 +46,36 @@
 		t.Errorf("%d repeats for first events and %d for streams under way", first, streams)
 	}
 }
+
+// An attempt that never came to its server is no arrival, so the next one costs no repeat; nor is
+// one put back that was never taken.
+func TestAttemptThatNeverArrivedCostsNoRepeat(t *testing.T) {
+	f := newFixture(t, serviceconfig.Stream, true)
+	f.gateway.budget = settledBudget(0, 1.5*float64(f.gateway.gateways()), time.Hour)
+	service, _ := f.gateway.index.Load().Service("menu")
+	has := func() bool {
+		if !f.gateway.budget.repeat("menu", f.gateway.gateways()) {
+			return false
+		}
+		f.gateway.budget.unspent("menu")
+		return true
+	}
+	for name, taken := range map[string]bool{"with a repeat in hand": true, "without": false} {
+		q := &request{ctx: t.Context(), service: service, sent: 1, begun: true}
+		if taken && !f.gateway.takeRepeat(q) {
+			t.Fatal("there is no repeat")
+		}
+		f.gateway.uncount(q)
+		if !has() {
+			t.Errorf("%s: the budget's repeat is gone", name)
+		}
+		if !f.gateway.takeRepeat(q) || !has() {
+			t.Errorf("%s: the next attempt took one", name)
+		}
+		f.gateway.returnRepeat(q)
+		if f.gateway.budget.repeat("menu", f.gateway.gateways()); has() {
+			t.Errorf("%s: a repeat was put back that was not taken", name)
+		}
+		f.gateway.budget.unspent("menu")
+	}
+}
--- a/pkg/gateway/distrust.go
+++ b/pkg/gateway/distrust.go
@@ -42,7 +42,7 @@
 		if !l.exchange.mayInterrupt(why, stage, now) {
 			continue
 		}
-		g.countInterrupted(why, stage)
+		g.noteInterrupted(l.exchange.request, why, stage)
 		l.found.Store(&silence{f.evidence, h.silent(now), h.due})
 		g.metrics.distrusted.WithLabelValues(string(f.evidence)).Inc()
 		if h.flows {
--- a/pkg/gateway/ending.go
+++ b/pkg/gateway/ending.go
@@ -69,9 +69,9 @@
 
 // cutOr is how a request ends whose answer is not whole: cut by this gateway where the time
 // for its stop is over, which breaks connections to both sides, and else as it seems.
-func (g *Gateway) cutOr(o outcome, why string) (outcome, string) {
+func (g *Gateway) cutOr(q *request, o outcome, why string) (outcome, string) {
 	if g.stop.isOver() {
-		g.countInterrupted(interruptStop, stageStreaming)
+		g.noteInterrupted(q, interruptStop, stageStreaming)
 		return outcomeStopped, errStopOver.Error()
 	}
 	return o, why
@@ -101,7 +101,7 @@
 	}
 	const left = "the caller left"
 	if q.begun {
-		o, why := g.cutOr(outcomeGone, left)
+		o, why := g.cutOr(q, outcomeGone, left)
 		g.end(q, o, why)
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/gateway/interrupt.go
+++ b/pkg/gateway/interrupt.go
@@ -71,7 +71,7 @@
 	resumableAnywhere = condition{name: "resumable here or elsewhere", holds: (*exchange).beginsInTime, resumes: true}
 	overdueAnywhere   = condition{name: "overdue, and resumable here or elsewhere", holds: (*exchange).isOverdue, resumes: true}
 	longSilent        = condition{name: "silent for as long as a stall, and resumable at a free place", holds: (*exchange).isLongSilent, resumes: true}
-	repeatInHand      = condition{name: "not the last attempt", holds: func(*exchange, time.Time) bool { return true }, resumes: true}
+	repeatInHand      = condition{name: "not the last server", holds: func(x *exchange, _ time.Time) bool { return !x.isLast }, resumes: true}
 )
 
 // interruptRule says for one reason what must hold at each stage, and what follows.
@@ -121,20 +121,29 @@
 	return stageWaiting
 }
 
-// countInterrupted counts an answer that was under way when it was interrupted.
-func (g *Gateway) countInterrupted(why interruption, stage answerStage) {
-	if stage != stageWaiting {
-		g.metrics.interrupted.WithLabelValues(string(why)).Inc()
+// noteInterrupted counts an answer that was under way when it was interrupted, and has its next log
+// line say why.
+func (g *Gateway) noteInterrupted(q *request, why interruption, stage answerStage) {
+	if stage == stageWaiting {
+		return
 	}
+	g.metrics.interrupted.WithLabelValues(string(why)).Inc()
+	q.interrupted.Store(&why)
+}
+
+// takeInterrupted returns why the answer was interrupted since the last log line; nil where it was
+// not.
+func (q *request) takeInterrupted() any {
+	if why := q.interrupted.Swap(nil); why != nil {
+		return string(*why)
+	}
+	return nil
 }
 
 // takeRepeatToResume takes the repeat that a request needs to go on. Without one it would end,
 // while on a busy machine all servers stand still for a moment and go on.
 func (x *exchange) takeRepeatToResume() bool {
 	q := x.request
-	if x.isLast {
-		return false
-	}
 	// Several guards may come to it, and one repeat does.
 	if !q.repeatTaken.Load() && !x.gateway.budget.repeat(q.service.Name(), x.gateway.gateways()) {
 		return false
@@ -200,9 +209,9 @@
 // out of reach any place will do.
 func (x *exchange) isStalledAlone(now time.Time) bool {
 	if x.backend.load(now).lost {
-		return x.hasPlace(x.elsewhere)
+		return !x.isLast && x.hasPlace(x.elsewhere)
 	}
 	w := x.elsewhereAsSlow(now)
 	w.wait = noWait
-	return !x.outlastsCaller(w, x.watch.silentFor(now)) && x.hasPlace(w) && !x.gateway.silences.areAllSilent(x.listening)
+	return !x.isLast && !x.outlastsCaller(w, x.watch.silentFor(now)) && x.hasPlace(w) && !x.gateway.silences.areAllSilent(x.listening)
 }
--- a/pkg/gateway/lapse.go
+++ b/pkg/gateway/lapse.go
@@ -143,7 +143,7 @@
 	if !w.exchange.mayInterrupt(interruptExpiry, stage, time.Now()) {
 		return false
 	}
-	w.exchange.gateway.countInterrupted(interruptExpiry, stage)
+	w.exchange.gateway.noteInterrupted(w.exchange.request, interruptExpiry, stage)
 	w.lapsed.Store(true)
 	w.lateBy.Store(int64(-left))
 	w.exchange.conn.Abort()
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -25,6 +25,7 @@
 	heldBack     *prometheus.CounterVec
 	interrupted  *prometheus.CounterVec
 	borrowed     prometheus.Counter
+	uncounted    prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -42,7 +43,8 @@
 		heldBack:     metric.NewCounters(metric.GatewayHeldBack, "why"),
 		interrupted:  metric.NewCounters(metric.GatewayInterrupted, "reason"),
 		borrowed:     metric.NewCounter(metric.GatewayBorrowed),
+		uncounted:    metric.NewCounter(metric.GatewayUncounted),
 	}
-	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number, m.ends, m.quarantined, m.limited, m.heldBack, m.interrupted, m.borrowed)
+	r.MustRegister(m.requests, m.attempts, m.reservations, m.distrusted, m.firstEvent, m.inFlight, m.number, m.ends, m.quarantined, m.limited, m.heldBack, m.interrupted, m.borrowed, m.uncounted)
 	return m
 }
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -50,7 +50,7 @@
 	g.metrics.attempts.WithLabelValues(string(end)).Inc()
 	_ = level.Info(g.process.Logger).Log("msg", "attempt", "request", q.call.ID, "fingerprint", q.fingerprint, "end", string(end), "sign", string(q.sign), "backend", q.backend,
 		"service", q.service.Name(), "sent", q.sent, "left_ms", q.remaining().Milliseconds(),
-		"version", q.lapse.served, "lapses_ms", q.untilLapse(), "why", why)
+		"version", q.lapse.served, "lapses_ms", q.untilLapse(), "interrupted", q.takeInterrupted(), "why", why)
 }
 
 // end logs and counts a request that is over.
@@ -69,7 +69,7 @@
 		"configuration", q.number, "organisation", q.organisation, "backend", q.backend, "sent", q.sent,
 		"sent_ms", q.sentAfter.Milliseconds(), "came_back", q.cameBack, "forecast_ms", q.forecast.Milliseconds(), "first_ms", q.firstByte.Milliseconds(), "pause_ms", q.pause.Milliseconds(),
 		"objective_ms", objective.Milliseconds(), "pause_objective_ms", pauseObjective.Milliseconds(), "allowed_ms", q.call.Deadline.Milliseconds(), "ms", time.Since(q.started).Milliseconds(),
-		"version", q.lapse.served, "lapses_ms", q.untilLapse(), "stopping_ms", g.stop.lasts(q.started), "limited", q.limited, "why", why)
+		"version", q.lapse.served, "lapses_ms", q.untilLapse(), "stopping_ms", g.stop.lasts(q.started), "limited", q.limited, "interrupted", q.takeInterrupted(), "why", why)
 }
 
 // untilLapse is for how long yet, in milliseconds, the version where the request went
--- a/pkg/gateway/plain.go
+++ b/pkg/gateway/plain.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		x.conn.Abort()
 		q.sign = x.signAfter(rest.err)
-		o, why := x.gateway.cutOr(outcomeBroken, err.Error())
+		o, why := x.gateway.cutOr(x.request, outcomeBroken, err.Error())
 		x.gateway.end(q, o, why)
 		panic(http.ErrAbortHandler)
 	}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -50,15 +50,16 @@
 	ranAt map[*backend]bool // where those of them were that may have run
 	// repeatTaken says that the repeat of the next attempt is out of the budget already.
 	repeatTaken atomic.Bool
-	borrowed    bool     // that repeat counts at another gateway
-	breaks      int      // attempts whose outcome is not known
-	turnedAway  int      // attempts that a server turned away while the stream was under way
-	knownEnds   int      // of servers under this request, when it was sent last
-	build       string   // of the server that it was sent to last
-	avoid       []string // builds that it may not be sent to
-	permit      *permit  // to be sent to a backend server that names a limit; nil for none
-	limited     bool     // limits of backend servers alone kept it from all of them
-	isTrial     bool     // it is barred, and tried once on another build
+	interrupted atomic.Pointer[interruption] // since the last log line
+	borrowed    bool                         // that repeat counts at another gateway, or not at all
+	breaks      int                          // attempts whose outcome is not known
+	turnedAway  int                          // attempts that a server turned away while the stream was under way
+	knownEnds   int                          // of servers under this request, when it was sent last
+	build       string                       // of the server that it was sent to last
+	avoid       []string                     // builds that it may not be sent to
+	permit      *permit                      // to be sent to a backend server that names a limit; nil for none
+	limited     bool                         // limits of backend servers alone kept it from all of them
+	isTrial     bool                         // it is barred, and tried once on another build
 	fallback    *heldAnswer
 	sign        sign   // of what became of the backend server where the last attempt broke
 	mayHaveRun  bool   // an attempt's outcome is unknown, or it ran
--- a/pkg/gateway/silence_test.go
+++ b/pkg/gateway/silence_test.go
@@ -419,7 +419,7 @@
 	f.gateway.budget = settledBudget(0, 1.5*float64(f.gateway.gateways()), time.Hour)
 	q := &request{route: route, service: service, sent: 1, ranAt: map[*backend]bool{{}: true}}
 	last := &exchange{gateway: f.gateway, request: q, isLast: true}
-	if last.takeRepeatToResume() {
+	if last.mayInterrupt(interruptUnreachable, stageResuming, time.Now()) {
 		t.Error("the last attempt is broken off")
 	}
 	x := &exchange{gateway: f.gateway, request: q}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -38,7 +38,7 @@
 		q.sawEvents(time.Now())
 		if err := q.passOn(answer, events); err != nil {
 			x.conn.Abort()
-			o, why := x.gateway.cutOr(outcomeGone, "the caller left the stream: "+err.Error())
+			o, why := x.gateway.cutOr(q, outcomeGone, "the caller left the stream: "+err.Error())
 			x.gateway.end(q, o, why)
 			return true
 		}
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -117,7 +117,7 @@
 	}
 	now, stage := time.Now(), w.exchange.stage(w.flowing.Load())
 	if w.silentFor(now) > w.limit() && w.exchange.mayInterrupt(interruptStall, stage, now) {
-		w.exchange.gateway.countInterrupted(interruptStall, stage)
+		w.exchange.gateway.noteInterrupted(w.exchange.request, interruptStall, stage)
 		w.barked.Store(true)
 		w.exchange.conn.Abort()
 		return
--- a/pkg/metric/table.go
+++ b/pkg/metric/table.go
@@ -38,6 +38,7 @@
 	GatewayLimited      = "tidepost_gateway_limited_backend_servers"
 	GatewayHeldBack     = "tidepost_gateway_held_back_total"
 	GatewayBorrowed     = "tidepost_gateway_repeats_borrowed_total"
+	GatewayUncounted    = "tidepost_gateway_repeats_uncounted_total"
 	GatewayInterrupted  = "tidepost_gateway_streams_interrupted_total"
 	GatewayNumber       = "tidepost_gateway_configuration_number"
 	StagerChunks        = "tidepost_stager_chunks_total"
@@ -82,6 +83,7 @@
 	{GatewayBorrowed, "gateway", "Repeats for streams under way that another gateway lent.", "many: the budget of repeats is spent unevenly; look for the backend servers that break streams off"},
 	{GatewayInterrupted, "gateway", "Streams that their caller had part of when the gateway ended the attempt, whatever became of them, by reason: version deadline, version expiry, stall, silent connection, unreachable server, stop deadline.", "more than none but for a stop deadline: servers or their VMs are overloaded, or links lose what they carry"},
 	{GatewayHeldBack, "gateway", "Times that a backend server was passed over for its own limit, by why: spent, or no owner of the limit answered.", "spent: add backend servers, or find out what the limited ones need; no owner: gateways do not reach each other over their links"},
+	{GatewayUncounted, "gateway", "Attempts on silent connections that nothing was acknowledged of; the next one of each is no repeat.", "more than a few: connections go silent without a reset, look at what lies between the VMs"},
 	{GatewayNumber, "gateway", "Number of the service configuration in force here.", "differs between gateways for more than 2 s: one is cut off from the control nodes"},
 	{StagerChunks, "stager", "Chunks by where they came from: origin, peer or engine, and spoilt ones.", "many from the origin: peers are cut off; spoilt: look at the source"},
 	{StagerVersionServed, "stager", "Version that the engine here serves.", "behind the named version: read the stager's log lines"},
--- /dev/null
+++ b/pkg/upstream/acknowledged_test.go
@@ -0,0 +1,50 @@
+package upstream
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/tidepost/tidepost/pkg/faultproxy"
+)
+
+// What a silent connection ate is told from what its server may have got, on a new connection and on
+// one that was answered on before.
+func TestNothingIsAcknowledgedOnLostConnections(t *testing.T) {
+	const silence = 50 * time.Millisecond
+	for name, c := range map[string]struct {
+		manner  faultproxy.Manner
+		silent  bool
+		nothing bool
+	}{
+		"lost":         {faultproxy.Manner{}, true, true},
+		"acknowledged": {faultproxy.Manner{Acknowledged: true}, true, false},
+		"works":        {faultproxy.Manner{}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			proxy, err := faultproxy.Listen(faultproxy.Config{Listen: "127.0.0.1:0", Target: serveOK(t), Label: func([]byte) string { return "" }})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(proxy.Close)
+			p := NewPool(proxy.Address())
+			_, finish := use(t, p)
+			finish()
+			kept, err := p.Get(t.Context(), time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.silent {
+				proxy.Silence(faultproxy.Every, c.manner)
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), silence)
+			defer cancel()
+			_, _ = kept.Exchange(ctx, Request{Method: http.MethodGet, URI: "/", Host: "h"}, time.Now().Add(silence))
+			kept.Abort()
+			if nothing := kept.NothingAcknowledged(); nothing != c.nothing {
+				t.Errorf("nothing acknowledged: %t", nothing)
+			}
+		})
+	}
+}
--- a/pkg/upstream/connection.go
+++ b/pkg/upstream/connection.go
@@ -56,6 +56,11 @@
 	expires time.Time // when the other side may close it while it rests
 	unsent  atomic.Bool
 	closed  sync.Once
+
+	sending  sync.Mutex
+	sent     uint64 // bytes of the requests before the last one
+	last     uint64 // bytes of the last request
+	unheeded bool   // nothing of the last request was acknowledged when it was aborted
 }
 
 // Made returns when the connection was dialed.
@@ -73,11 +78,45 @@
 // a request that was given up on is not begun later.
 func (c *Connection) Abort() {
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
+		c.noteAcknowledged(tcp)
 		_ = tcp.SetLinger(0)
 	}
 	c.Close()
 }
 
+// NothingAcknowledged tells whether the other side had acknowledged nothing of the last request when
+// the connection was aborted; false where that is not known.
+func (c *Connection) NothingAcknowledged() bool {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	return c.unheeded
+}
+
+// noteAcknowledged notes what is acknowledged of the last request. The kernel counts the bytes of a
+// connection from its first packet on, which counts as one.
+func (c *Connection) noteAcknowledged(tcp *net.TCPConn) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	var info *unix.TCPInfo
+	controlled := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if controlled != nil || err != nil {
+		return // it is closed already
+	}
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	const firstPacket = 1
+	c.unheeded = c.last > 0 && info.Bytes_acked == c.sent+firstPacket
+}
+
+// noteSending notes that a request of so many bytes is about to be sent.
+func (c *Connection) noteSending(bytes int) {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	c.sent, c.last = c.sent+c.last, uint64(bytes)
+}
+
 // quiet tells whether nothing has come on a resting connection: neither its
 // end nor bytes that belong to no request.
 func (c *Connection) quiet() bool {
@@ -111,6 +150,7 @@
 	}
 	buffer := heads.Get().(*[]byte)
 	head := appendHead((*buffer)[:0], q)
+	c.noteSending(len(head) + len(q.Body))
 	err := c.write(head, q.Body)
 	*buffer = head
 	heads.Put(buffer)
