--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -63,6 +63,7 @@
 		g.budget.request(q.service.Name())
 	}
 	q.repeatTaken.Store(false)
+	q.borrowed = false
 	q.sent++
 	q.sentAfter = time.Since(q.started)
 	work := q.work
--- a/pkg/gateway/interrupt.go
+++ b/pkg/gateway/interrupt.go
@@ -71,7 +71,7 @@
 	resumableAnywhere = condition{name: "resumable here or elsewhere", holds: (*exchange).beginsInTime, resumes: true}
 	overdueAnywhere   = condition{name: "overdue, and resumable here or elsewhere", holds: (*exchange).isOverdue, resumes: true}
 	longSilent        = condition{name: "silent for as long as a stall, and resumable at a free place", holds: (*exchange).isLongSilent, resumes: true}
-	repeatInHand      = condition{name: "not the last server", holds: func(x *exchange, _ time.Time) bool { return !x.isLast }, resumes: true}
+	notLastServer     = condition{name: "not the last server", holds: func(x *exchange, _ time.Time) bool { return !x.isLast }, resumes: true}
 )
 
 // interruptRule says for one reason what must hold at each stage, and what follows.
@@ -89,7 +89,7 @@
 	{interruptSilence, [...]condition{always, resumableAnywhere, resumableAnywhere}, "any server, with the repeat that was taken"},
 	{interruptAllSilent, [...]condition{always, overdueAnywhere, longSilent}, "any server, with the repeat that was taken"},
 	{interruptNobodyAnswers, [...]condition{always, never, never}, "any server"},
-	{interruptUnreachable, [...]condition{always, repeatInHand, never}, "another server, with the repeat that was taken"},
+	{interruptUnreachable, [...]condition{always, notLastServer, never}, "another server, with the repeat that was taken"},
 	{interruptStop, [...]condition{always, always, always}, "the answer ends"},
 }
 
@@ -144,11 +144,16 @@
 // while on a busy machine all servers stand still for a moment and go on.
 func (x *exchange) takeRepeatToResume() bool {
 	q := x.request
-	// Several guards may come to it, and one repeat does.
-	if !q.repeatTaken.Load() && !x.gateway.budget.repeat(q.service.Name(), x.gateway.gateways()) {
+	if q.repeatTaken.Load() {
+		return true
+	}
+	if !x.gateway.budget.repeat(q.service.Name(), x.gateway.gateways()) {
 		return false
 	}
-	q.repeatTaken.Store(true)
+	if q.repeatTaken.Swap(true) {
+		// Several guards came to it, and one repeat does.
+		x.gateway.budget.unspent(q.service.Name())
+	}
 	return true
 }
 
