--- a/pkg/logline/table.go
+++ b/pkg/logline/table.go
@@ -54,7 +54,7 @@
 	// ----------------------------------------------------------------
 	// Gateways
 	{"request", gateway, "A request is over: `outcome`, `why`, where it went and how long each part took.", "`tidepost explain` reads these"},
-	{"attempt", gateway, "An attempt did not answer the request: `end`, `why`, and what became of its server as `sign`.", "`tidepost explain --request ID`"},
+	{"attempt", gateway, "An attempt did not answer the request: `end`, `why`, what became of its server as `sign`, and which guard `interrupted` a stream under way.", "`tidepost explain --request ID`"},
 	{"stager did not answer for a place", gateway, "The stager beside an engine did not answer in time; it is left alone for a while.", "lasting for one `stager`: its process or its link"},
 	{"backend server out of reach", gateway, "Its dials are not answered; requests that wait there are taken back.", "whether the VM is there, and the way to it"},
 	{"connections everywhere are silent", gateway, "Nothing came over connections of a time from anywhere, and new ones work: the old ones are given up.", "what lies on the way; on a busy VM it may be mistaken"},
