A stream without progress is moved when another server has granted it a place

Cause: the stream was broken off on a report that there is a free place, some 100 ms old, and asked for one afterwards. Another had taken it.

Now the stager grants the place first, and the next attempt takes it without another question; the same for connections that seem silent everywhere. Where no stager answers the report has to do.

TestStalledStreamMovesToTheGrantedPlace fails before: nobody is asked.

--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -302,6 +302,9 @@
 // pick chooses a backend server for the next attempt. A request that no engine
 // would begin in time is refused at once: it is worth more when it comes back.
 func (g *Gateway) pick(q *request) (*backend, *failure.Failure) {
+	if b := q.reserved.Swap(nil); b != nil && g.isPermitted(q, b) {
+		return b, nil
+	}
 	w := g.wantedFor(q)
 	b, loaded := g.awaitPlace(q, w)
 	if b != nil {
--- a/pkg/gateway/interrupt.go
+++ b/pkg/gateway/interrupt.go
@@ -36,6 +36,9 @@
 	interruptStop interruption = "stop deadline"
 )
 
+// placesAsked bounds the servers that are asked for a place before an answer is interrupted.
+const placesAsked = 3
+
 // answerStage is how far the answer to a request is.
 type answerStage int
 
@@ -66,11 +69,11 @@
 	mayRunOnce = condition{name: "may run once, and should be over before the version ends", holds: (*exchange).needsVersionDeadline}
 	// stalledAlone does not hold where all others stand still as well, as behind an overloaded
 	// link or on a machine short of processor time: the answer would stand still again.
-	stalledAlone = condition{name: "resumable elsewhere, and others make progress", holds: (*exchange).isStalledAlone, resumes: true}
+	stalledAlone = condition{name: "granted a free place elsewhere, and others make progress", holds: (*exchange).isStalledAlone, resumes: true}
 	// resumableAnywhere counts the attempt's own server, which works.
 	resumableAnywhere = condition{name: "resumable here or elsewhere", holds: (*exchange).beginsInTime, resumes: true}
 	overdueAnywhere   = condition{name: "overdue, and resumable here or elsewhere", holds: (*exchange).isOverdue, resumes: true}
-	longSilent        = condition{name: "silent for as long as a stall, and resumable at a free place", holds: (*exchange).isLongSilent, resumes: true}
+	longSilent        = condition{name: "silent for as long as a stall, and granted a free place", holds: (*exchange).isLongSilent, resumes: true}
 	notLastServer     = condition{name: "not the last server", holds: func(x *exchange, _ time.Time) bool { return !x.isLast }, resumes: true}
 )
 
@@ -157,15 +160,41 @@
 	return true
 }
 
+// reservesPlace tells whether a backend server that satisfies what is wanted grants a place, which the
+// next attempt then takes. Where no stager answers, one that could take the request as far as is known
+// will do.
+func (x *exchange) reservesPlace(w wanted, now time.Time) bool {
+	g, q := x.gateway, x.request
+	w.tried = maps.Clone(w.tried)
+	for range placesAsked {
+		b := x.place(w)
+		if b == nil {
+			return false
+		}
+		switch o := g.reserve(q, b, 0, now.Add(placesAsked*reserveTimeout)); {
+		case o.granted:
+			q.reserved.Store(b)
+			return true
+		case o.unanswered:
+			return true
+		}
+		w.tried[b] = true
+	}
+	return false
+}
+
 // hasPlace tells whether a backend server that satisfies what is wanted could take the request
 // now, as far as is known without a question.
-func (x *exchange) hasPlace(w wanted) bool {
+func (x *exchange) hasPlace(w wanted) bool { return x.place(w) != nil }
+
+// place returns the backend server that hasPlace tells of; nil for none.
+func (x *exchange) place(w wanted) *backend {
 	g, q := x.gateway, x.request
 	b, _ := g.choose(w)
 	if b == nil && g.mayRunOn(q) {
 		b, _ = g.choose(g.runningOn(q, w))
 	}
-	return b != nil
+	return b
 }
 
 // beginsInTime tells whether some backend server, its own too, has a place where the request would
@@ -205,7 +234,7 @@
 func (x *exchange) isLongSilent(now time.Time) bool {
 	w, silent := x.hereOrElsewhere(x.elsewhereAsSlow(now)), x.listening.hearing().silent(now)
 	w.wait, w.begins = noWait, max(w.begins, goesOnWithin)
-	return silent > x.longestPause() && !x.outlastsCaller(w, silent) && x.hasPlace(w)
+	return silent > x.longestPause() && !x.outlastsCaller(w, silent) && x.reservesPlace(w, now)
 }
 
 // isStalledAlone tells whether an answer without progress would fare better elsewhere: at a free
@@ -218,5 +247,8 @@
 	}
 	w := x.elsewhereAsSlow(now)
 	w.wait = noWait
-	return !x.isLast && !x.outlastsCaller(w, x.watch.silentFor(now)) && x.hasPlace(w) && !x.gateway.silences.areAllSilent(x.listening)
+	if x.isLast || x.outlastsCaller(w, x.watch.silentFor(now)) || x.gateway.silences.areAllSilent(x.listening) {
+		return false
+	}
+	return x.reservesPlace(w, now)
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -50,6 +50,7 @@
 	ranAt map[*backend]bool // where those of them were that may have run
 	// repeatTaken says that the repeat of the next attempt is out of the budget already.
 	repeatTaken atomic.Bool
+	reserved    atomic.Pointer[backend]      // granted a place for the next attempt; nil for none
 	interrupted atomic.Pointer[interruption] // since the last log line
 	borrowed    bool                         // that repeat counts at another gateway, or not at all
 	breaks      int                          // attempts whose outcome is not known
--- a/pkg/gateway/stall_test.go
+++ b/pkg/gateway/stall_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/reservation"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
@@ -54,6 +56,30 @@
 	}
 }
 
+// A stream without progress stays until a server has granted a place, and takes that one: moved by a
+// report alone it found all places taken.
+func TestStalledStreamMovesToTheGrantedPlace(t *testing.T) {
+	for name, granted := range map[string]bool{"granted": true, "refused": false} {
+		t.Run(name, func(t *testing.T) {
+			f, x := newStalled(t, gapPatience+lookAfter/2)
+			asked := 0
+			f.gateway.askStager = func(context.Context, string, reservation.Ask) (reservation.Answer, error) {
+				asked++
+				return reservation.NewAnswer(granted, idleBegin, feed.NewLoad("menu", "", "menu", 1, 1, 0, 1, false, false)), nil
+			}
+			if moves := x.mayInterrupt(interruptStall, stageStreaming, time.Now()); moves != granted || asked != 1 {
+				t.Fatalf("it is moved: %t, after %d questions", moves, asked)
+			}
+			if !granted {
+				return
+			}
+			if b, refused := f.gateway.pick(x.request); b != f.backend("i-other") || asked != 1 {
+				t.Errorf("it goes to %v, refused with %v, after %d questions", b, refused, asked)
+			}
+		})
+	}
+}
+
 // Servers that become slow together look like connections that are silent everywhere. A stream
 // leaves its connection when a newer one to the same server is answered on, or after as long as one
 // that stalls: streams of slow servers were all sent anew at one moment, and found them full.
--- a/pkg/gateway/stream_world_test.go
+++ b/pkg/gateway/stream_world_test.go
@@ -211,7 +211,7 @@
 	for _, e := range w.engines {
 		working.Go(func() { e.run(engines) })
 	}
-	under.Go(func() { w.loads(ctx) })
+	working.Go(func() { w.loads(engines) })
 	under.Go(func() { w.versions(ctx, &under) })
 	if w.scenario.slow > 1 {
 		under.Go(func() { w.spells(ctx) })
