A look at all attempts asks no stager; a place is held only with a repeat

Found by reading: a look for silence that waits for stagers delays the next one, which then takes the process for one that stood still and forgets for how long connections were silent. Only an attempt's own look asks. A place that was granted to a stream for which there is no repeat is forgotten.

--- a/pkg/gateway/interrupt.go
+++ b/pkg/gateway/interrupt.go
@@ -73,7 +73,7 @@
 	// resumableAnywhere counts the attempt's own server, which works.
 	resumableAnywhere = condition{name: "resumable here or elsewhere", holds: (*exchange).beginsInTime, resumes: true}
 	overdueAnywhere   = condition{name: "overdue, and resumable here or elsewhere", holds: (*exchange).isOverdue, resumes: true}
-	longSilent        = condition{name: "silent for as long as a stall, and granted a free place", holds: (*exchange).isLongSilent, resumes: true}
+	longSilent        = condition{name: "silent for as long as a stall, and resumable at a free place", holds: (*exchange).isLongSilent, resumes: true}
 	notLastServer     = condition{name: "not the last server", holds: func(x *exchange, _ time.Time) bool { return !x.isLast }, resumes: true}
 )
 
@@ -110,7 +110,14 @@
 // request needs to be resumed.
 func (x *exchange) mayInterrupt(why interruption, stage answerStage, now time.Time) bool {
 	c := interruptRuleOf(why).stages[stage]
-	return c.holds(x, now) && (!c.resumes || x.takeRepeatToResume())
+	if !c.holds(x, now) {
+		return false
+	}
+	if c.resumes && !x.takeRepeatToResume() {
+		x.request.reserved.Store(nil)
+		return false
+	}
+	return true
 }
 
 // stage is how far the answer is, by whether events of this attempt come.
@@ -162,7 +169,7 @@
 
 // reservesPlace tells whether a backend server that satisfies what is wanted grants a place, which the
 // next attempt then takes. Where no stager answers, one that could take the request as far as is known
-// will do.
+// will do. It waits for answers, so it is for the attempt's own looks and not for those at all attempts.
 func (x *exchange) reservesPlace(w wanted, now time.Time) bool {
 	g, q := x.gateway, x.request
 	w.tried = maps.Clone(w.tried)
@@ -234,7 +241,7 @@
 func (x *exchange) isLongSilent(now time.Time) bool {
 	w, silent := x.hereOrElsewhere(x.elsewhereAsSlow(now)), x.listening.hearing().silent(now)
 	w.wait, w.begins = noWait, max(w.begins, goesOnWithin)
-	return silent > x.longestPause() && !x.outlastsCaller(w, silent) && x.reservesPlace(w, now)
+	return silent > x.longestPause() && !x.outlastsCaller(w, silent) && x.hasPlace(w)
 }
 
 // isStalledAlone tells whether an answer without progress would fare better elsewhere: at a free
--- a/pkg/upstream/connection.go
+++ b/pkg/upstream/connection.go
@@ -57,10 +57,10 @@
 	unsent  atomic.Bool
 	closed  sync.Once
 
-	sending  sync.Mutex
-	sent     uint64 // bytes of the requests before the last one
-	last     uint64 // bytes of the last request
-	unheeded bool   // nothing of the last request was acknowledged when it was aborted
+	sending             sync.Mutex
+	sent                uint64 // bytes of the requests before the last one
+	last                uint64 // bytes of the last request
+	nothingAcknowledged bool   // of the last request, when the connection was aborted
 }
 
 // Made returns when the connection was dialed.
@@ -89,7 +89,7 @@
 func (c *Connection) NothingAcknowledged() bool {
 	c.sending.Lock()
 	defer c.sending.Unlock()
-	return c.unheeded
+	return c.nothingAcknowledged
 }
 
 // noteAcknowledged notes what is acknowledged of the last request. The kernel counts the bytes of a
@@ -107,7 +107,7 @@
 	c.sending.Lock()
 	defer c.sending.Unlock()
 	const firstPacket = 1
-	c.unheeded = c.last > 0 && info.Bytes_acked == c.sent+firstPacket
+	c.nothingAcknowledged = c.last > 0 && info.Bytes_acked == c.sent+firstPacket
 }
 
 // noteSending notes that a request of so many bytes is about to be sent.
