A look that asks a stager is waited for as virtual time allows

It is a channel now. Outside of a bubble nothing changes: the end of an attempt waits for a look under way, 0.12 s at the most.

--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -13,7 +13,6 @@
 package gateway
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -41,13 +40,13 @@
 	lapsed   atomic.Bool  // it was taken back for its version
 	lateBy   atomic.Int64 // and how late, in nanoseconds: for the log
 
-	mu   sync.Mutex // held by a look, so that none is under way once it is over
-	over bool       // the connection is not the attempt's any more
-	due  time.Time  // when the look should come that is set; one brought forward is early
+	looking chan struct{} // holds a value during a look, so that none is under way once it is over
+	over    bool          // the connection is not the attempt's any more
+	due     time.Time     // when the look should come that is set; one brought forward is early
 }
 
 func newWatchdog(x *exchange) *watchdog {
-	w := &watchdog{exchange: x, served: x.request.lapse.served}
+	w := &watchdog{exchange: x, served: x.request.lapse.served, looking: make(chan struct{}, 1)}
 	if !x.request.route.Idempotent() {
 		return w
 	}
@@ -64,8 +63,8 @@
 		return
 	}
 	w.exchange.gateway.waiting.remove(w)
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.looking <- struct{}{}
+	defer func() { <-w.looking }()
 	w.over = true
 	w.timer.Stop()
 }
@@ -100,8 +99,8 @@
 }
 
 func (w *watchdog) look() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
+	w.looking <- struct{}{}
+	defer func() { <-w.looking }()
 	if w.over || w.exchange.request.ctx.Err() != nil || w.takeBackLapsed() {
 		return
 	}
