A stream that stalls alone is moved also when its caller should have left

What callers saw: a stream at the one server that stood still ended at its deadline, without its rest.

Now a caller who is there for longer than is known of callers does not hold the stream back.

--- a/pkg/gateway/interrupt.go
+++ b/pkg/gateway/interrupt.go
@@ -172,6 +172,9 @@
 // will do. It waits for answers, so it is for the attempt's own looks and not for those at all attempts.
 func (x *exchange) reservesPlace(w wanted, now time.Time) bool {
 	g, q := x.gateway, x.request
+	if w.engine.Slots() == 0 {
+		return x.hasPlace(w)
+	}
 	w.tried = maps.Clone(w.tried)
 	for range placesAsked {
 		b := x.place(w)
@@ -252,9 +255,11 @@
 	if x.backend.load(now).lost {
 		return !x.isLast && x.hasPlace(x.elsewhere)
 	}
-	w := x.elsewhereAsSlow(now)
+	w, silent := x.elsewhereAsSlow(now), x.watch.silentFor(now)
 	w.wait = noWait
-	if x.isLast || x.outlastsCaller(w, x.watch.silentFor(now)) || x.gateway.silences.areAllSilent(x.listening) {
+	// A caller who is there for longer than is known of callers gets nothing by waiting on.
+	tooLate := silent < x.gateway.patienceOf(x.request) && x.outlastsCaller(w, silent)
+	if x.isLast || tooLate || x.gateway.silences.areAllSilent(x.listening) {
 		return false
 	}
 	return x.reservesPlace(w, now)
--- a/pkg/gateway/stall_test.go
+++ b/pkg/gateway/stall_test.go
@@ -31,17 +31,19 @@
 // A stream without progress is left where it would begin elsewhere after its caller has given it
 // up, and where no other server has a free place: on such a move it was refused, and lost.
 func TestStalledStreamMovesOnlyWhereItsCallerGetsMore(t *testing.T) {
+	const stalled = gapPatience + lookAfter/2
 	for name, c := range map[string]struct {
-		begins time.Duration
-		full   bool
-		moves  bool
+		silent, begins time.Duration
+		full           bool
+		moves          bool
 	}{
-		"a free place":            {50 * time.Millisecond, false, true},
-		"others are full":         {50 * time.Millisecond, true, false},
-		"begins after its caller": {1500 * time.Millisecond, false, false},
+		"a free place":                {stalled, 50 * time.Millisecond, false, true},
+		"others are full":             {stalled, 50 * time.Millisecond, true, false},
+		"begins after its caller":     {stalled, 1500 * time.Millisecond, false, false},
+		"its caller should have left": {stalled + time.Second, 1500 * time.Millisecond, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f, x := newStalled(t, gapPatience+lookAfter/2)
+			f, x := newStalled(t, c.silent)
 			for range fewestValues {
 				f.gateway.silences.learn(usualKey{"menu", usualWait}, time.Now(), c.begins)
 			}
