Feed: a follower keeps the stream that a requested document is still to come over

Cause: two fallback nodes answer at the same moment, and the document is requested from one of them. The other is promoted, and its next Update as a regular node proves contact with the leader. Run then drops all fallbacks, and with them the stream over which the document is on its way. The request is not repeated before the next Update of another node, 0.2 to 0.8 s later, and the answer takes a round trip more. In virtual time the document and that Update arrive at one instant, so the schedule of goroutines decided which was first. By reading, a node that is replaced while a document is expected from it was closed in the same way.

Change: the stream of the last request is kept until its node has sent the document, the stream ends, or the document is requested from another node; Run then closes it. Why it works: the old answer is let go only for a new request or after its arrival, whatever else the selection finds.

--- a/pkg/feed/fallback.go
+++ b/pkg/feed/fallback.go
@@ -4,7 +4,7 @@
 // A change that the other nodes agree on must be in force within seconds, and the detection of two
 // lost nodes takes as long, so a gateway does not wait for it. It uses the shorter update interval
 // of its primary as the timeout, and drops the fallback nodes as soon as one of the two is in
-// contact with the leader again.
+// contact with the leader again, except one that it has requested a document from.
 //
 // A fallback node sends documents and versions only. Registrations and peers are many, and in a
 // partition all gateways look for fallback nodes at the same moment.
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -82,9 +82,10 @@
 	inventory       receivedInventory
 	requestedNumber uint64
 	requestedAt     time.Time
-	lastUpdateAt    time.Time   // last Update of a node that is not a fallback
-	lastQuorumAt    time.Time   // last such Update of a node in contact with the leader
-	fallbackTimer   *time.Timer // wakes Run to add fallback nodes; nil before Run
+	requestedFrom   *link.Stream // the stream whose node has not answered the last request; nil if it has
+	lastUpdateAt    time.Time    // last Update of a node that is not a fallback
+	lastQuorumAt    time.Time    // last such Update of a node in contact with the leader
+	fallbackTimer   *time.Timer  // wakes Run to add fallback nodes; nil before Run
 }
 
 // followedNode is a node that a stream is kept to.
@@ -121,8 +122,8 @@
 // ----------------------------------------------------------------
 // Selection of nodes
 
-// adjust opens a stream to each selected node, closes the others, and notifies the nodes of a
-// change of the primary.
+// adjust opens a stream to each selected node, closes the others unless a document is expected from
+// them, and notifies the nodes of a change of the primary.
 func (f *Follower) adjust(ctx context.Context) {
 	f.mu.Lock()
 	now := time.Now()
@@ -136,7 +137,7 @@
 		}
 	}
 	for address, s := range f.streams {
-		if slices.Contains(wanted, address) || slices.Contains(fallbacks, address) {
+		if slices.Contains(wanted, address) || slices.Contains(fallbacks, address) || f.awaitsDocument(s) {
 			continue
 		}
 		s.cancel()
@@ -326,6 +327,9 @@
 			f.sendKnownRecords(stream)
 		}
 		f.OnUpdate(address, u)
+		if u.document != nil {
+			f.recordDocument(stream)
+		}
 		if u.documentNumber > f.DocumentNumber() {
 			f.requestDocument(stream, u.documentNumber)
 		}
--- a/pkg/feed/follower_document.go
+++ b/pkg/feed/follower_document.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/link"
 )
 
@@ -25,7 +26,7 @@
 // has arrived. The receiving goroutine handles a failure to send.
 func (f *Follower) requestDocument(stream *link.Stream, number uint64) {
 	send := func() {
-		if f.claimDocumentRequest(number) {
+		if f.claimDocumentRequest(stream, number) {
 			_ = stream.Send(FollowerMessage{requestDocument: true})
 		}
 	}
@@ -38,7 +39,7 @@
 
 // claimDocumentRequest reports whether the document may be requested now: it is newer than the one
 // in force, and was not requested from another node within documentRetryDelay.
-func (f *Follower) claimDocumentRequest(number uint64) bool {
+func (f *Follower) claimDocumentRequest(stream *link.Stream, number uint64) bool {
 	if number <= f.DocumentNumber() {
 		return false
 	}
@@ -48,10 +49,27 @@
 	if number <= f.requestedNumber && now.Sub(f.requestedAt) < documentRetryDelay {
 		return false
 	}
-	f.requestedNumber, f.requestedAt = number, now
+	f.requestedNumber, f.requestedAt, f.requestedFrom = number, now, stream
 	return true
 }
 
+// awaitsDocument reports whether a requested document is still to come from a node. Closing its
+// stream would lose it, and the next request waits for an Update of another node. The caller holds
+// the lock.
+func (f *Follower) awaitsDocument(s *followedNode) bool {
+	return s.stream != nil && s.stream == f.requestedFrom
+}
+
+// recordDocument records that a node has sent a document.
+func (f *Follower) recordDocument(stream *link.Stream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if stream == f.requestedFrom {
+		f.requestedFrom = nil
+		daemon.Wake(f.wake)
+	}
+}
+
 func (f *Follower) isLocalDomain(stream *link.Stream) bool {
 	return stream.Peer().Domain() == f.Hello.Self().Domain()
 }
--- a/pkg/feed/node_silence_test.go
+++ b/pkg/feed/node_silence_test.go
@@ -47,7 +47,8 @@
 	address        string
 	publisher      *Publisher
 	documentNumber atomic.Uint64
-	isolated       atomic.Bool // partitioned from the other nodes: it has no leader
+	isolated       atomic.Bool  // partitioned from the other nodes: it has no leader
+	documentDelay  atomic.Int64 // time until a requested document is sent
 }
 
 // memGateway is a gateway that follows the nodes.
@@ -119,6 +120,7 @@
 	n.publisher = NewPublisher(PublisherConfig{
 		Self: identity, DocumentNumber: n.documentNumber.Load, NamedVersions: func() []NamedVersion { return nil }, Registrations: table.All,
 		Document: func() *serviceconfig.Document {
+			time.Sleep(time.Duration(n.documentDelay.Load()))
 			d := serviceconfig.NewDocument(n.documentNumber.Load(), nil, nil, nil, serviceconfig.Limits{})
 			return &d
 		},
@@ -174,6 +176,13 @@
 	return all
 }
 
+// hasRequested reports whether a gateway has requested a document.
+func (g *memGateway) hasRequested(number uint64) bool {
+	g.follower.mu.Lock()
+	defer g.follower.mu.Unlock()
+	return g.follower.requestedNumber >= number
+}
+
 // silenceNodes disconnects nodes from all other nodes and gateways.
 func (m *memCluster) silenceNodes(silent map[string]bool) {
 	for address := range silent {
@@ -310,3 +319,42 @@
 		}
 	})
 }
+
+// A requested document still arrives if a regular node makes the fallback that sends it superfluous.
+func TestDocumentArrivesFromADroppedFallback(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		m := newMemCluster(t, 5, 1, 20*time.Millisecond)
+		defer m.stop()
+		g := m.gateways[0]
+		pair := g.followedNodes()
+		m.isolateNodes(pair)
+		for _, n := range m.nodes {
+			if !pair[n.address] {
+				n.documentDelay.Store(int64(adjustInterval + adjustInterval/2))
+				n.applyDocument(2)
+			}
+		}
+		for !g.hasRequested(2) {
+			time.Sleep(time.Millisecond)
+		}
+		requested := time.Now()
+		m.network.RestoreAll()
+		for _, n := range m.nodes {
+			if pair[n.address] {
+				n.isolated.Store(false)
+				n.publisher.NotifyChange()
+			}
+		}
+		time.Sleep(2 * updateInterval)
+		at, ok := g.appliedAt.Load(uint64(2))
+		if !ok {
+			t.Fatalf("the requested document was not received; the gateway follows %v", g.followedNodes())
+		}
+		if delay := at.(time.Time).Sub(requested); delay > updateInterval {
+			t.Errorf("the document was received %s after its request", delay)
+		}
+		if all := g.followedNodes(); len(all) != 2 {
+			t.Errorf("the gateway follows %v after its nodes responded", all)
+		}
+	})
+}
