Feed: a document request over a closed stream does not hold back the next one

Cause: a request to a node of another failure domain waits 150 ms, and its stream may be closed by then. The request was recorded as made although it could not be sent, and for documentRetryDelay no other node was asked; after that the next Update had to be waited for.

Change: where sending fails the record is taken back. Why it works: an Update of any other node may then request the document at once.

--- a/pkg/feed/follower_document.go
+++ b/pkg/feed/follower_document.go
@@ -23,11 +23,11 @@
 
 // requestDocument requests the document from a node: at once if the node is in the follower's own
 // failure domain or no such node is connected, else after remoteRequestDelay unless the document
-// has arrived. The receiving goroutine handles a failure to send.
+// has arrived. The stream may have been closed by then; its receiving goroutine handles that.
 func (f *Follower) requestDocument(stream *link.Stream, number uint64) {
 	send := func() {
-		if f.claimDocumentRequest(stream, number) {
-			_ = stream.Send(FollowerMessage{requestDocument: true})
+		if f.claimDocumentRequest(stream, number) && stream.Send(FollowerMessage{requestDocument: true}) != nil {
+			f.releaseDocumentRequest(stream)
 		}
 	}
 	if f.isLocalDomain(stream) || !f.hasLocalNode() {
@@ -53,6 +53,15 @@
 	return true
 }
 
+// releaseDocumentRequest lets another node be asked at once, because a request was not sent.
+func (f *Follower) releaseDocumentRequest(stream *link.Stream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if stream == f.requestedFrom {
+		f.requestedFrom, f.requestedAt = nil, time.Time{}
+	}
+}
+
 // awaitsDocument reports whether a requested document is still to come from a node. Closing its
 // stream would lose it, and the next request waits for an Update of another node. The caller holds
 // the lock.
--- a/pkg/feed/node_silence_test.go
+++ b/pkg/feed/node_silence_test.go
@@ -358,3 +358,29 @@
 		}
 	})
 }
+
+// A request over a stream that was closed does not delay the request to another node.
+func TestDocumentIsRequestedElsewhereIfTheStreamWasClosed(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		m := newMemCluster(t, 5, 1, 20*time.Millisecond)
+		defer m.stop()
+		f := m.gateways[0].follower
+		f.mu.Lock()
+		closed := f.primary
+		f.mu.Unlock()
+		closed.Close()
+		f.requestDocument(closed, 2)
+		for _, n := range m.nodes {
+			n.applyDocument(2)
+		}
+		changed := time.Now()
+		time.Sleep(2 * updateInterval)
+		at, ok := m.gateways[0].appliedAt.Load(uint64(2))
+		if !ok {
+			t.Fatal("the document was not received")
+		}
+		if delay := at.(time.Time).Sub(changed); delay >= documentRetryDelay {
+			t.Errorf("the document was received %s after the change", delay)
+		}
+	})
+}
