Gateway: a stream's attempt is kept until another one has begun

What callers saw: half an answer, though their engine would have continued.

Cause: the gateway closed the old attempt on the expectation that another server does better.

Change: where the table lets a started stream resume elsewhere (stall, silent connection, unreachable server), the gateway starts a standby attempt behind the last event and keeps the running one. The first new event of either decides: the standby is canceled, or it takes over and the old attempt is closed. A wrong expectation costs a retry and a slot for a moment. What the stall rule compares is progress in the second half of the silence, servers whose streams stall as well are no candidates, and the last server that a route allows no longer keeps a stream: it may return to an earlier one. A standby needs more than resumeLatency to the caller's deadline.

Tests: the order of events is forced in virtual time, judged by what callers and engines see. In the check of these new tests, a run without an event counts as replaced also by an event of the same instant.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/quarantine"
@@ -29,44 +30,37 @@
 
 // try makes one attempt at a backend server and reports whether the request is answered.
 func (g *Gateway) try(q *request, b *backend) (answered bool) {
-	q.tried[b] = true
-	registration := b.latestRegistration()
-	q.lastBackend, q.liveness = registration.Incarnation(), probeNotRun
-	pooled, err := b.pool.Get(q.ctx, min(dialTimeout, q.remaining()))
-	if err != nil {
-		if q.ctx.Err() == nil {
-			b.recordFailure(time.Now())
-			g.startDials(b)
-			g.recordAttempt(q, attemptUnreachable, err.Error())
-		}
+	x := g.startAttempt(q, b)
+	if x == nil {
 		return false
 	}
-	conn := &attemptConn{Connection: pooled}
-	// A connection that has not been released by then is in an unknown state.
-	defer conn.Abort()
+	defer x.close()
+	return x.run()
+}
+
+// startAttempt connects to a backend server for one attempt; it returns nil if none can be made there.
+// The caller closes the attempt.
+func (g *Gateway) startAttempt(q *request, b *backend) *exchange {
+	conn := g.connect(q, b)
+	if conn == nil {
+		return nil
+	}
 	q.versionExpiry = g.versionExpiryOf(q, b, 0)
 	q.knownCrashes = g.quarantine.Crashes(q.fingerprint)
 	q.build = b.build(q.modelAndLayers())
 	if !q.mayRun(q.knownCrashes) || !quarantine.MayBeFixed(q.build, q.avoidBuilds) || q.remaining() < minAttemptTime || q.versionExpiry.mustCancel() {
 		conn.Close()
-		return false
+		return nil
 	}
 	permit, permitted := q.takePermit(b)
 	if !permitted {
 		// The server advertised a limit after it was chosen; the next choice asks for a permit.
 		conn.Close()
 		delete(q.tried, b)
-		return false
-	}
-	if q.sent == 0 {
-		g.budget.countRequest(q.service.Name())
+		return nil
 	}
-	q.retryTaken.Store(false)
-	q.uncharged = false
-	q.sent++
-	q.timeToLastSend = time.Since(q.started)
-	work := q.work
-	x := &exchange{gateway: g, request: q, backend: b, conn: conn, permit: permit, isLastServer: q.isLastServerAt(b), resumes: q.headWritten, failoverRequirements: g.requirementsFor(q)}
+	g.countAttempt(q)
+	x := &exchange{gateway: g, request: q, backend: b, conn: conn, permit: permit, work: q.work, isLastServer: q.isLastServerAt(b), resumes: q.headWritten, failoverRequirements: g.requirementsFor(q)}
 	x.failoverRequirements.tried, x.failoverRequirements.only = maps.Clone(q.tried), maps.Clone(x.failoverRequirements.only)
 	if x.isLastServer {
 		x.failoverRequirements.only = maps.Clone(q.ranAt)
@@ -76,15 +70,39 @@
 	if q.route.Idempotent() {
 		abort, abortWaiting = conn.Abort, x.abortWaiting
 	}
-	x.waitEntry = b.startRequest(work, abortWaiting)
-	defer b.finishRequest(work)
-	defer b.finishWaiting(x.waitEntry, false)
+	x.waitEntry = b.startRequest(x.work, abortWaiting)
 	q.versionExpiry.boundsDeadline = x.mayInterrupt(interruptDeadline, x.stage(false), time.Now())
 	x.silenceMonitor = g.monitorAttempt(x, abort)
-	defer g.silenceDetector.remove(x.silenceMonitor)
-	stop := context.AfterFunc(q.ctx, conn.Abort)
-	defer stop()
-	return x.run()
+	x.detach = context.AfterFunc(q.ctx, conn.Abort)
+	return x
+}
+
+// connect returns a connection to a backend server, or nil.
+func (g *Gateway) connect(q *request, b *backend) *attemptConn {
+	q.tried[b] = true
+	registration := b.latestRegistration()
+	q.lastBackend, q.liveness = registration.Incarnation(), probeNotRun
+	pooled, err := b.pool.Get(q.ctx, min(dialTimeout, q.remaining()))
+	if err == nil {
+		return &attemptConn{Connection: pooled}
+	}
+	if q.ctx.Err() == nil {
+		b.recordFailure(time.Now())
+		g.startDials(b)
+		g.recordAttempt(q, attemptUnreachable, err.Error())
+	}
+	return nil
+}
+
+// countAttempt counts an attempt that is about to be sent.
+func (g *Gateway) countAttempt(q *request) {
+	if q.sent == 0 {
+		g.budget.countRequest(q.service.Name())
+	}
+	q.retryTaken.Store(false)
+	q.uncharged = false
+	q.sent++
+	q.timeToLastSend = time.Since(q.started)
 }
 
 // exchange is one attempt in flight.
@@ -93,56 +111,85 @@
 	request   *request
 	backend   *backend
 	conn      *attemptConn
+	work      time.Duration // engine time that is counted for it at the backend server
+	detach    func() bool   // keeps the end of the request from aborting the connection
 	watch     *watchdog
 	started   time.Time
 	waitEntry *waitingRequest
 	// silenceMonitor detects that the attempt's connection has gone silent.
 	silenceMonitor *attemptMonitor
-	permit         *permit // nil if the backend server advertises no limit
-	isLastServer   bool    // no further backend server may be tried after it
-	resumes        bool    // the caller already has part of the stream
+	standby        standbySlot
+	isStandby      atomic.Bool // it has not taken over yet
+	permit         *permit     // nil if the backend server advertises no limit
+	isLastServer   bool        // no further backend server may be tried after it
+	resumes        bool        // the caller already has part of the stream
 	// failoverRequirements are what another backend server must satisfy. Their maps are copies,
 	// since other goroutines evaluate them while the request proceeds.
 	failoverRequirements requirements
 }
 
+// close releases what the attempt holds. Its connection is aborted unless it was returned to the pool:
+// it is in an unknown state.
+func (x *exchange) close() {
+	if x.watch != nil {
+		x.watch.stop()
+	}
+	x.request.standby = x.standby.latest()
+	x.detach()
+	x.gateway.silenceDetector.remove(x.silenceMonitor)
+	x.backend.finishWaiting(x.waitEntry, false)
+	x.backend.finishRequest(x.work)
+	x.conn.Abort()
+}
+
 // abortWaiting ends an attempt that waits at a backend server which appears unreachable.
 func (x *exchange) abortWaiting() {
-	if stage := x.stage(false); x.mayInterrupt(interruptUnreachable, stage, time.Now()) {
-		x.gateway.recordInterrupted(x.request, interruptUnreachable, stage)
-		x.conn.Abort()
-	}
+	x.interrupt(interruptUnreachable, x.stage(false), nil, time.Now(), x.conn.Abort)
 }
 
 // run sends the request and handles the response.
 func (x *exchange) run() (answered bool) {
+	response, ok := x.send()
+	if !ok {
+		return false
+	}
+	if isStream(x.request, response) {
+		return x.relayStream(response)
+	}
+	x.silenceMonitor.receivedAnswer(time.Now())
+	return x.relayPlain(response)
+}
+
+// send sends the request and returns the response with its head checked; ok is false if the attempt
+// has ended.
+func (x *exchange) send() (response *http.Response, ok bool) {
 	q := x.request
 	x.started = time.Now()
 	x.watch = newWatchdog(x)
-	defer x.watch.stop()
-	response, err := x.conn.Exchange(q.ctx, x.outgoing(), q.localDeadline())
+	outgoing := x.outgoing()
+	if x.resumes {
+		x.standby.beginReceiving()
+	}
+	response, err := x.conn.Exchange(q.ctx, outgoing, q.localDeadline())
+	x.standby.endReceiving(err != nil)
 	if err != nil {
-		return x.recordBroken("no response", err)
+		return nil, x.recordBroken("no response", err)
 	}
 	x.watch.recordProgress()
 	x.silenceMonitor.receivedBytes(time.Now())
 	head := x.gateway.protocol.ReadResponse(response.StatusCode, response.Header)
 	if head.ID != "" && head.ID != q.head.ID {
-		return x.recordBroken("the response carries the id of request "+head.ID, nil)
+		return nil, x.recordBroken("the response carries the id of request "+head.ID, nil)
 	}
 	x.updateLimit(head)
 	if head.NotRun {
-		return x.recordNotRun(response, head)
+		return nil, x.recordNotRun(response, head)
 	}
 	if !head.FromBackend && response.StatusCode < http.StatusMultipleChoices {
-		return x.recordBroken("the response does not come from the backend server itself", nil)
+		return nil, x.recordBroken("the response does not come from the backend server itself", nil)
 	}
 	x.backend.recordVersion(head.Version)
-	if isStream(q, response) {
-		return x.relayStream(response)
-	}
-	x.silenceMonitor.receivedAnswer(time.Now())
-	return x.relayPlain(response)
+	return response, true
 }
 
 // outgoing returns the request as this attempt sends it.
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -103,6 +103,10 @@
 	return ""
 }
 
+// isNewEvent reports whether a caller whose last event has an id lacks an event with another. One
+// without an id always counts as new.
+func isNewEvent(id, lastEvent string) bool { return id == "" || isLaterID(id, lastEvent) }
+
 // isLaterID reports whether an event id comes after another. Ids that are not numbers always
 // count as later.
 func isLaterID(id, after string) bool {
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -191,6 +191,7 @@
 func (g *Gateway) forward(q *request) {
 	defer g.returnPermit(q)
 	defer g.returnRetry(q)
+	defer g.endStandby(q)
 	for dials := 0; ; dials++ {
 		if q.ctx.Err() != nil {
 			g.endCancelled(q)
@@ -217,6 +218,10 @@
 		if g.try(q, b) {
 			return
 		}
+		if s := g.awaitStandby(q); s != nil {
+			g.forwardStandby(s)
+			return
+		}
 		if f := g.backOff(q, q.unknownOutcomes == unknownBefore); f != nil {
 			g.giveUp(q, f)
 			return
--- a/pkg/gateway/interrupt.go
+++ b/pkg/gateway/interrupt.go
@@ -1,8 +1,9 @@
 // ================================================================
 // Interruptions: the cases in which a gateway itself ends an active attempt. All code that may do
 // so asks mayInterrupt, and one table gives the condition for each reason and stage of the
-// answer. An answer that its caller has part of is interrupted only where it can be resumed or a
-// rule requires it, because a partial answer is of no use to the caller.
+// answer. An attempt whose caller has part of the answer is not ended on the expectation that another
+// server does better: a standby is started there, and the attempt ends once that has taken over
+// (standby.go). Only a rule of versions and the end of a planned stop interrupt such an attempt at once.
 // ================================================================
 
 package gateway
@@ -59,8 +60,8 @@
 type interruptCondition struct {
 	name  string
 	holds func(x *exchange, now time.Time) bool
-	// resumes says that the request resumes on another attempt: it is interrupted only with a
-	// retry reserved for that.
+	// resumes says that the request resumes on a standby, which needs a retry. The attempt continues
+	// until the standby has begun.
 	resumes bool
 }
 
@@ -91,11 +92,11 @@
 var interruptRules = []interruptRule{
 	{interruptDeadline, [...]interruptCondition{singleRun, singleRun, singleRun}, "the server ends the answer"},
 	{interruptExpiry, [...]interruptCondition{always, always, never}, "retried on another server; a resumed answer waits for one as long as its caller does"},
-	{interruptStall, [...]interruptCondition{always, stalledAlone, stalledAlone}, "retried on another server, with the retry taken from the budget"},
-	{interruptSilence, [...]interruptCondition{always, resumable, resumable}, "retried on any server, with the retry taken from the budget"},
-	{interruptAllSilent, [...]interruptCondition{always, overdueResumable, longSilent}, "retried on any server, with the retry taken from the budget"},
+	{interruptStall, [...]interruptCondition{always, stalledAlone, stalledAlone}, "retried on another server, a started answer on a standby"},
+	{interruptSilence, [...]interruptCondition{always, resumable, resumable}, "retried on any server, a started answer on a standby"},
+	{interruptAllSilent, [...]interruptCondition{always, overdueResumable, longSilent}, "retried on any server, a started answer on a standby"},
 	{interruptNewerSilent, [...]interruptCondition{always, never, never}, "retried on any server"},
-	{interruptUnreachable, [...]interruptCondition{always, notLastServer, never}, "retried on another server, with the retry taken from the budget"},
+	{interruptUnreachable, [...]interruptCondition{always, notLastServer, never}, "retried on another server, a started answer on a standby"},
 	{interruptStop, [...]interruptCondition{always, always, always}, "the answer ends"},
 }
 
@@ -109,8 +110,8 @@
 	return interruptRule{reason: reason, stages: [...]interruptCondition{never, never, never}}
 }
 
-// mayInterrupt reports whether the attempt may be interrupted now. Where the request is to resume, it
-// takes the retry for that from the budget.
+// mayInterrupt reports whether the attempt may be interrupted now, at once or by a standby. It takes
+// the standby's retry from the budget.
 func (x *exchange) mayInterrupt(reason interruptReason, stage answerStage, now time.Time) bool {
 	c := interruptRuleFor(reason).stages[stage]
 	if !c.holds(x, now) {
@@ -123,6 +124,19 @@
 	return true
 }
 
+// interrupt ends the attempt with abort if the table allows it, at once where its caller has nothing
+// yet. An attempt whose request resumes on another one continues until that has begun.
+func (x *exchange) interrupt(reason interruptReason, stage answerStage, silence *detectedSilence, now time.Time, abort func()) {
+	if interruptRuleFor(reason).stages[stage].resumes {
+		x.startStandby(reason, stage, silence, now)
+		return
+	}
+	if x.mayInterrupt(reason, stage, now) {
+		x.gateway.recordInterrupted(x.request, reason, stage)
+		abort()
+	}
+}
+
 // stage returns how far the answer has come, by whether this attempt streams events.
 func (x *exchange) stage(streaming bool) answerStage {
 	switch {
@@ -153,8 +167,7 @@
 }
 
 // takeRetryToResume takes from the budget the retry with which a request resumes, and reports whether
-// there is one. An attempt is not interrupted without it: the answer would end there, whereas on a
-// busy machine all servers may stall together for a moment and then continue.
+// there is one.
 func (x *exchange) takeRetryToResume() bool {
 	q := x.request
 	if q.retryTaken.Load() {
@@ -186,11 +199,9 @@
 			return false
 		}
 		switch o := g.reserve(q, b, 0, now.Add(maxInterruptReservations*reserveTimeout)); {
-		case o.granted:
+		case o.granted || o.unanswered:
 			q.reserved.Store(b)
 			return true
-		case o.unanswered:
-			return true
 		}
 		w.tried[b] = true
 	}
@@ -253,20 +264,22 @@
 	return silent > x.longestEventGap() && !x.outlastsCaller(w, silent) && x.hasCandidate(w)
 }
 
-// isStalledAlone reports whether an answer without progress would do better elsewhere: at a free
-// slot, where it resumes before the version there expires and before its caller leaves. A full
-// server rejects it, and returning to the first server takes another retry. Where its own server
-// is unreachable any other will do.
+// isStalledAlone reports whether an answer without progress is expected to do better elsewhere: at a
+// free slot, where it resumes before the version there expires and before its caller leaves. Elsewhere
+// a standby would only use up a retry. Where its own server is unreachable any other will do.
 func (x *exchange) isStalledAlone(now time.Time) bool {
 	if x.backend.load(now).unreachable {
-		return !x.isLastServer && x.hasCandidate(x.failoverRequirements)
+		return x.hasCandidate(x.failoverRequirements)
 	}
 	w, silent := x.elsewhereWithRecentWait(now), x.watch.silentFor(now)
 	w.maxWait = noWait
 	// A caller that has already waited longer than callerTimeout gains nothing from further waiting.
 	tooLate := silent < x.gateway.callerTimeout(x.request) && x.outlastsCaller(w, silent)
-	if x.isLastServer || tooLate || x.gateway.silenceDetector.allStreamsSilent(x.silenceMonitor) {
+	if tooLate {
 		return false
 	}
-	return x.reserveCandidate(w, now)
+	elsewhere, stalled := x.gateway.silenceDetector.progressElsewhere(x.silenceMonitor, now)
+	w.tried = maps.Clone(w.tried)
+	maps.Copy(w.tried, stalled)
+	return elsewhere != progressNone && x.reserveCandidate(w, now)
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -73,6 +73,7 @@
 	longestEventGap    time.Duration // the longest gap between two relayed events
 	firstEventForecast time.Duration // time to the first event, from the stager that reserved a slot
 	runLostAt          time.Time     // when a run was lost on a silent connection; zero if none was
+	standby            *standby      // of the last attempt; nil if there was none
 	versionExpiry      versionExpiry // of the weights' version at the last backend server, as known when the attempt was made
 }
 
--- a/pkg/gateway/silence_actions.go
+++ b/pkg/gateway/silence_actions.go
@@ -25,7 +25,7 @@
 		g.backends.each(func(b *backend, _ string) { g.closeSilentIdle(b, globalSince, now, evidenceManyAddresses) })
 	}
 	found := detectSilent(now, globalSince, all)
-	var waits, streams []func()
+	var waits []func()
 	for _, f := range found {
 		m, a := active[f.index], all[f.index]
 		b := m.exchange.backend
@@ -39,21 +39,14 @@
 			continue
 		}
 		reason, stage := silenceReason(now, f.evidence, a, all), m.exchange.stage(a.streaming)
-		if !m.exchange.mayInterrupt(reason, stage, now) {
-			continue
-		}
-		g.recordInterrupted(m.exchange.request, reason, stage)
-		m.detected.Store(&detectedSilence{f.evidence, a.silentFor(now), a.silenceLimit})
-		g.metrics.silentConnections.WithLabelValues(string(f.evidence)).Inc()
-		if a.streaming {
-			streams = append(streams, m.abort)
-		} else {
+		silence := &detectedSilence{f.evidence, a.silentFor(now), a.silenceLimit}
+		m.exchange.interrupt(reason, stage, silence, now, func() {
+			m.detected.Store(silence)
+			g.metrics.silentConnections.WithLabelValues(string(f.evidence)).Inc()
 			waits = append(waits, m.abort)
-		}
+		})
 	}
-	// The retry budget is limited. Attempts that still wait come first: their requests can be in
-	// time.
-	for _, abort := range append(waits, streams...) {
+	for _, abort := range waits {
 		abort()
 	}
 }
--- a/pkg/gateway/silence_detector.go
+++ b/pkg/gateway/silence_detector.go
@@ -206,23 +206,43 @@
 	return active, all
 }
 
-// allStreamsSilent reports whether there are streams in other failure domains than that of an
-// attempt, and none anywhere received an event more than minSilence after the attempt's last one.
-func (s *silenceDetector) allStreamsSilent(m *attemptMonitor) bool {
-	own, domain, elsewhere := m.snapshot(), m.domain(), false
+// progress is what the streams of a gateway show of other backend servers.
+type progress int
+
+const (
+	// progressUnknown means that all its streams in one failure domain are silent, and that it has
+	// none in others.
+	progressUnknown progress = iota
+	// progressSeen means that other streams receive events.
+	progressSeen
+	// progressNone means that streams in several failure domains are silent.
+	progressNone
+)
+
+// progressElsewhere returns whether streams at other addresses than that of an attempt received events in
+// the second half of the attempt's silence, and the backend servers whose streams received none. Streams
+// of slow servers receive events at different times, so one that came soon after the attempt's last one
+// does not show that the others make progress.
+func (s *silenceDetector) progressElsewhere(m *attemptMonitor, now time.Time) (found progress, silent map[*backend]bool) {
+	own, domain := m.snapshot(), m.domain()
+	recent := now.Add(-own.silentFor(now) / 2)
+	silent = map[*backend]bool{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for other := range s.active {
 		a := other.snapshot()
-		if a.address == own.address || !a.streaming {
-			continue
-		}
-		if a.silentSince.After(own.silentSince.Add(minSilence)) {
-			return false
+		switch {
+		case a.address == own.address || !a.streaming:
+		case a.silentSince.After(recent):
+			found = progressSeen
+		default:
+			silent[a.backend] = true
+			if found == progressUnknown && other.domain() != domain {
+				found = progressNone
+			}
 		}
-		elsewhere = elsewhere || other.domain() != domain
 	}
-	return elsewhere
+	return found, silent
 }
 
 // scheduleNext schedules the next check while any attempt is active. It runs at the end of a
--- /dev/null
+++ b/pkg/gateway/standby.go
@@ -0,0 +1,378 @@
+// ================================================================
+// Standby attempts. A stream whose attempt seems stuck may do better at another backend server, but
+// whether a server takes the request and begins it in time is known only once it has. So the gateway
+// keeps the running attempt and starts a second one, the standby, which resumes behind the last event
+// that the caller has. The first new event decides: if it comes from the running attempt, the standby
+// is canceled; if it comes from the standby, that takes over and the running attempt is aborted.
+//
+// Events of one attempt only reach the caller: a standby resumes behind the event that the caller
+// has, and no longer fits once the running attempt has relayed a later one.
+// ================================================================
+
+package gateway
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// standbyRetryInterval is the least time from a standby that was sent to the next one of the same
+// attempt. One that found no server costs no retry, and another may follow after yieldRetryInterval.
+const standbyRetryInterval = watchdogInterval
+
+// standbyState is the state of a standby attempt.
+type standbyState = int32
+
+const (
+	// standbyPending is a standby without an event.
+	standbyPending standbyState = iota
+	// standbyTookOver is one whose first event came before the next one of the running attempt.
+	standbyTookOver
+	// standbyCanceled is one that the running attempt has preceded, or that is not needed any more.
+	standbyCanceled
+)
+
+// standby is a second attempt of a request whose running attempt is kept.
+type standby struct {
+	running *exchange
+	reason  interruptReason
+	stage   answerStage
+	silence *detectedSilence // of the running attempt's connection; nil for other reasons
+	request *request         // a fork of the running attempt's request
+	cancel  context.CancelFunc
+	started time.Time
+	silent  time.Duration // how long the running attempt had been silent then
+	state   atomic.Int32
+	done    chan struct{} // closed once it has taken over or ended
+	sent    bool          // valid once done is closed
+
+	// exchange, response and first are set if it has taken over, and valid once done is closed.
+	exchange *exchange
+	response *http.Response
+	first    streamPart
+}
+
+// isOver reports whether the standby has ended or taken over.
+func (s *standby) isOver() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// mayRepeat reports whether another standby may follow this one.
+func (s *standby) mayRepeat(now time.Time) bool {
+	if !s.isOver() {
+		return false
+	}
+	interval := yieldRetryInterval
+	if s.sent {
+		interval = standbyRetryInterval
+	}
+	return now.Sub(s.started) >= interval
+}
+
+// stop cancels the standby and reports whether it did; false if it has taken over.
+func (s *standby) stop() bool {
+	if !s.state.CompareAndSwap(standbyPending, standbyCanceled) {
+		return s.state.Load() == standbyCanceled
+	}
+	s.cancel()
+	return true
+}
+
+// takeOver makes the standby the attempt that answers the request, and aborts the running one. It
+// returns false if that has preceded it.
+func (s *standby) takeOver() bool {
+	if !s.state.CompareAndSwap(standbyPending, standbyTookOver) {
+		return false
+	}
+	x := s.running
+	if !x.standby.hasEnded() {
+		x.gateway.recordInterrupted(x.request, s.reason, s.stage)
+	}
+	if s.silence != nil {
+		x.silenceMonitor.detected.Store(s.silence)
+		x.gateway.metrics.silentConnections.WithLabelValues(string(s.silence.evidence)).Inc()
+	} else {
+		x.watch.fired.Store(true)
+	}
+	x.conn.Abort()
+	return true
+}
+
+// standbySlot holds the standby of a running attempt. The zero value has none and allows none.
+type standbySlot struct {
+	deciding atomic.Bool // a check decides whether to start one
+
+	mu sync.Mutex
+	// receiving says that the request's goroutine waits for bytes of the backend server. A standby
+	// starts only then, because the state of the request does not change meanwhile.
+	receiving bool
+	ended     bool // the attempt has ended
+	current   *standby
+	since     time.Time // when the first one started
+}
+
+// beginReceiving allows a standby to start.
+func (s *standbySlot) beginReceiving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.receiving = true
+}
+
+// endReceiving keeps further ones from starting. ended says that the attempt has ended.
+func (s *standbySlot) endReceiving(ended bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.receiving, s.ended = false, ended
+}
+
+// hasEnded reports whether the attempt has ended.
+func (s *standbySlot) hasEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
+// latest returns the current or last standby; nil if there was none.
+func (s *standbySlot) latest() *standby {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+// precede cancels a pending standby because the attempt has received something. It returns false if
+// the standby has taken over.
+func (s *standbySlot) precede() bool {
+	current := s.latest()
+	return current == nil || current.stop()
+}
+
+// allowsLocked reports whether a standby may start now. The caller holds s.mu.
+func (s *standbySlot) allowsLocked(now time.Time) bool {
+	return s.receiving && (s.current == nil || s.current.mayRepeat(now))
+}
+
+// mayHaveStandby reports whether a standby may start now. If so, the request learns first what the
+// one before it did: the servers where a request may run are limited.
+func (x *exchange) mayHaveStandby(now time.Time) bool {
+	slot, q := &x.standby, x.request
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	if !slot.allowsLocked(now) || q.remaining() <= resumeLatency {
+		return false
+	}
+	if slot.current != nil {
+		q.absorb(slot.current.request)
+		if len(q.ranAt) >= q.route.MaxAttempts() {
+			x.failoverRequirements.only = maps.Clone(q.ranAt)
+		}
+	}
+	return true
+}
+
+// startStandby starts a standby if the table of interruptions allows it for a reason. silence is set
+// where the connection of the attempt seems silent: the standby may then use the same server.
+func (x *exchange) startStandby(reason interruptReason, stage answerStage, silence *detectedSilence, now time.Time) {
+	if x.isStandby.Load() || !x.standby.deciding.CompareAndSwap(false, true) {
+		return
+	}
+	defer x.standby.deciding.Store(false)
+	if !x.mayHaveStandby(now) || !x.mayInterrupt(reason, stage, now) {
+		return
+	}
+	b := x.request.reserved.Swap(nil)
+	x.request.retryTaken.Store(false)
+	s := x.newStandby(reason, stage, silence, now)
+	if s == nil {
+		x.gateway.budget.refund(x.request.service.Name())
+		return
+	}
+	s.request.reserved.Store(b)
+	s.request.retryTaken.Store(true)
+	go s.run()
+}
+
+// newStandby forks the request for a standby; nil if the attempt has received something meanwhile.
+func (x *exchange) newStandby(reason interruptReason, stage answerStage, silence *detectedSilence, now time.Time) *standby {
+	slot := &x.standby
+	slot.mu.Lock()
+	defer slot.mu.Unlock()
+	state := x.silenceMonitor.snapshot()
+	if !slot.allowsLocked(now) || state.silentSince.After(now) {
+		return nil
+	}
+	if slot.since.IsZero() {
+		slot.since = now
+	}
+	ctx, cancel := context.WithCancel(x.request.ctx)
+	q := x.request.fork(ctx)
+	q.ranAt[x.backend] = true
+	if silence != nil {
+		// Only the connection is at fault. Its run may still hold a slot at the server.
+		delete(q.tried, x.backend)
+		if stage == stageStreaming {
+			q.runLostAt = slot.since
+		}
+	}
+	slot.current = &standby{
+		running: x, reason: reason, stage: stage, silence: silence, request: q, cancel: cancel,
+		started: now, silent: state.silentFor(now), done: make(chan struct{}),
+	}
+	return slot.current
+}
+
+// run makes the standby attempt up to its first event.
+func (s *standby) run() {
+	g, q := s.running.gateway, s.request
+	defer close(s.done)
+	defer s.log()
+	defer g.returnPermit(q)
+	defer g.returnRetry(q)
+	defer s.recoverPanic()
+	if f := g.checkMayAttempt(q, 0); f != nil {
+		return
+	}
+	b := g.chooseForStandby(q)
+	if b == nil {
+		return
+	}
+	x := g.startAttempt(q, b)
+	if x == nil {
+		return
+	}
+	s.sent = true
+	if !s.begin(x) {
+		x.close()
+	}
+}
+
+// begin sends the request, waits for the first event and takes over. It returns false if the attempt
+// ended, or the running one preceded it.
+func (s *standby) begin(x *exchange) bool {
+	x.isStandby.Store(true)
+	response, ok := x.send()
+	if !ok {
+		return false
+	}
+	if !isStream(s.request, response) {
+		x.recordBroken("a resumed stream was answered with "+response.Status, nil)
+		return false
+	}
+	first := x.receiveNew(newEventReader(response.Body))
+	if first.err != nil && !first.isEnd() {
+		x.recordBroken("the stream was cut short", first.err)
+		return false
+	}
+	s.exchange, s.response, s.first = x, response, first
+	if !s.takeOver() {
+		s.exchange = nil
+		x.recordBroken("the running attempt continued", nil)
+		return false
+	}
+	x.isStandby.Store(false)
+	return true
+}
+
+// log logs how the standby ended.
+func (s *standby) log() {
+	x, outcome := s.running, "failed"
+	switch s.state.Load() {
+	case standbyTookOver:
+		outcome = "took over"
+	case standbyCanceled:
+		outcome = "canceled"
+	}
+	_ = level.Info(x.gateway.process.Logger).Log("msg", "standby attempt", "request", s.request.head.ID, "outcome", outcome, "reason", string(s.reason),
+		"running", x.backend.latestRegistration().Incarnation(), "backend", s.request.lastBackend, "sent", s.sent, "silent_ms", s.silent.Milliseconds(),
+		"ms", time.Since(s.started).Milliseconds(), "left_ms", s.request.remaining().Milliseconds())
+}
+
+// recoverPanic logs a panic of the standby, which then counts as failed.
+func (s *standby) recoverPanic() {
+	if cause := recover(); cause != nil {
+		_ = level.Error(s.running.gateway.process.Logger).Log("msg", "panic", "request", s.request.head.ID, "cause", cause, "stack", string(debug.Stack()))
+	}
+}
+
+// chooseForStandby chooses the backend server of a standby. It doesn't wait for one, since the running
+// attempt continues meanwhile.
+func (g *Gateway) chooseForStandby(q *request) *backend {
+	if b := q.reserved.Swap(nil); b != nil && g.acquirePermit(q, b) {
+		return b
+	}
+	w := g.requirementsFor(q)
+	if q.yields(time.Now()) {
+		w.maxWait = q.maxWait()
+	}
+	b, _ := g.chooseBeforeExpiry(q, w)
+	return b
+}
+
+// awaitStandby waits for the standby of a request whose attempt has ended, if there is one. It returns
+// the standby if that has taken over.
+func (g *Gateway) awaitStandby(q *request) *standby {
+	s := q.standby
+	if s == nil {
+		return nil
+	}
+	q.standby = nil
+	<-s.done
+	delete(s.request.tried, s.running.backend) // q.tried has it if it may not be tried again
+	if s.exchange == nil {
+		s.cancel()
+		q.absorb(s.request)
+		return nil
+	}
+	s.request.absorb(q)
+	if q.uncharged {
+		// The attempt that it replaced never reached its server, so this one is no retry.
+		g.budget.refund(q.service.Name())
+	}
+	return s
+}
+
+// endStandby cancels the standby of a request that is over.
+func (g *Gateway) endStandby(q *request) {
+	s := q.standby
+	if s == nil {
+		return
+	}
+	s.stop()
+	<-s.done
+	if s.exchange != nil {
+		s.exchange.close()
+	}
+	s.cancel()
+}
+
+// forwardStandby relays the stream of a standby that has taken over, and continues the request from
+// there.
+func (g *Gateway) forwardStandby(s *standby) {
+	defer s.cancel()
+	defer g.endStandby(s.request)
+	if s.relay() {
+		return
+	}
+	if next := g.awaitStandby(s.request); next != nil {
+		g.forwardStandby(next)
+		return
+	}
+	g.forward(s.request)
+}
+
+// relay relays the rest of the stream, and reports whether the request is over.
+func (s *standby) relay() (answered bool) {
+	defer s.exchange.close()
+	return s.exchange.relayParts(s.response, s.first)
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -1,7 +1,7 @@
 // ================================================================
 // Relays event streams, whole events only. The response head goes to the caller with the first
 // event. Until then the request can be retried at another backend server without the caller noticing;
-// afterwards the stream can resume there behind the last event.
+// afterwards the stream can resume there behind the last event, also on a standby (standby.go).
 // ================================================================
 
 package gateway
@@ -10,20 +10,68 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
+// errSuperseded ends an attempt whose standby has taken over.
+var errSuperseded = errors.New("another attempt has taken over")
+
+// streamPart is what a read of a stream returned: whole events, or why there are no more.
+type streamPart struct {
+	reader *eventReader
+	events []byte
+	err    error // io.EOF after a complete stream
+}
+
+// isEnd reports whether the stream is complete.
+func (p streamPart) isEnd() bool { return p.err == io.EOF }
+
+// receive waits for the next events of a stream. A standby may start meanwhile.
+func (x *exchange) receive(reader *eventReader) streamPart {
+	x.standby.beginReceiving()
+	events, err := reader.next()
+	x.standby.endReceiving(err != nil)
+	return streamPart{reader, events, err}
+}
+
+// receiveNew waits for the first events that the caller does not have yet.
+func (x *exchange) receiveNew(reader *eventReader) streamPart {
+	for {
+		part := x.receive(reader)
+		if part.err != nil || hasNewEvent(part.events, x.request.lastEvent) {
+			return part
+		}
+	}
+}
+
+// hasNewEvent reports whether a caller that has the events up to an id lacks any of the given ones.
+func hasNewEvent(events []byte, lastEvent string) (found bool) {
+	eachEvent(events, func(_ []byte, id string) bool {
+		found = isNewEvent(id, lastEvent)
+		return !found
+	})
+	return found
+}
+
 // relayStream relays a stream and reports whether the request is over.
 func (x *exchange) relayStream(response *http.Response) (answered bool) {
+	return x.relayParts(response, x.receive(newEventReader(response.Body)))
+}
+
+// relayParts relays a stream from its first part on.
+func (x *exchange) relayParts(response *http.Response, part streamPart) (answered bool) {
 	q := x.request
-	reader := newEventReader(response.Body)
 	var gaps eventGapMeter
-	for {
-		events, err := reader.next()
-		if err == io.EOF {
-			return x.streamEnded(response, &gaps)
+	for ; ; part = x.receive(part.reader) {
+		if part.err != nil && !part.isEnd() {
+			return x.streamBroken(part.err)
 		}
-		if err != nil {
-			return x.streamBroken(err)
+		if !x.standby.precede() {
+			return x.streamBroken(errSuperseded)
+		}
+		if part.isEnd() {
+			return x.streamEnded(response, &gaps)
 		}
 		if gaps.count == 0 {
 			x.watch.startStreaming()
@@ -36,7 +84,7 @@
 		gaps.record()
 		x.silenceMonitor.receivedEvent(time.Now())
 		q.recordEvents(time.Now())
-		if err := q.relayEvents(response, events); err != nil {
+		if err := q.relayEvents(response, part.events); err != nil {
 			x.conn.Abort()
 			o, reason := x.gateway.stopOutcomeOr(q, outcomeCallerLeft, "the caller left the stream: "+err.Error())
 			x.gateway.recordOutcome(q, o, reason)
@@ -76,7 +124,7 @@
 		unsent = unsent[:0:0]
 	}
 	eachEvent(events, func(event []byte, id string) bool {
-		if q.headWritten && (id == "" || isLaterID(id, q.lastEvent)) {
+		if q.headWritten && isNewEvent(id, q.lastEvent) {
 			unsent = append(unsent, event...)
 		}
 		if id != "" {
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -120,11 +120,11 @@
 		w.exchange.gateway.startDials(b)
 	}
 	now, stage := time.Now(), w.exchange.stage(w.streaming.Load())
-	if w.silentFor(now) > w.silenceLimit() && w.exchange.mayInterrupt(interruptStall, stage, now) {
-		w.exchange.gateway.recordInterrupted(w.exchange.request, interruptStall, stage)
-		w.fired.Store(true)
-		w.exchange.conn.Abort()
-		return
+	if w.silentFor(now) > w.silenceLimit() {
+		w.exchange.interrupt(interruptStall, stage, nil, now, func() {
+			w.fired.Store(true)
+			w.exchange.conn.Abort()
+		})
 	}
 	w.scheduleCheck()
 }
