Feed: a document from any node ends the wait for the node that was asked

Found by reading: a node that was asked and does not answer, because it is lost, kept its stream although another node had sent the document. No harm to callers was seen; the stream was one more than needed until the node was found lost.

TestDroppedNodeIsKeptOnlyUntilItsDocumentArrives, case 'another node, the same', fails before.

--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -328,7 +328,7 @@
 		}
 		f.OnUpdate(address, u)
 		if u.document != nil {
-			f.recordDocument(stream)
+			f.recordDocument(stream, u.document.Number())
 		}
 		if u.documentNumber > f.DocumentNumber() {
 			f.requestDocument(stream, u.documentNumber)
--- a/pkg/feed/follower_document.go
+++ b/pkg/feed/follower_document.go
@@ -69,11 +69,12 @@
 	return s.stream != nil && s.stream == f.requestedFrom
 }
 
-// recordDocument records that a node has sent a document.
-func (f *Follower) recordDocument(stream *link.Stream) {
+// recordDocument records that a node has sent a document: the one that was asked, or another one that
+// sent what was requested.
+func (f *Follower) recordDocument(stream *link.Stream, number uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if stream == f.requestedFrom {
+	if f.requestedFrom != nil && (stream == f.requestedFrom || number >= f.requestedNumber) {
 		f.requestedFrom = nil
 		daemon.Wake(f.wake)
 	}
--- a/pkg/feed/node_silence_test.go
+++ b/pkg/feed/node_silence_test.go
@@ -384,3 +384,27 @@
 		}
 	})
 }
+
+// A node is kept for a requested document only until any node has sent it.
+func TestDroppedNodeIsKeptOnlyUntilItsDocumentArrives(t *testing.T) {
+	const number = 2
+	asked, other := &link.Stream{}, &link.Stream{}
+	for name, c := range map[string]struct {
+		from   *link.Stream
+		number uint64
+		kept   bool
+	}{
+		"the asked node, an older one": {asked, number - 1, false},
+		"another node, the same":       {other, number, false},
+		"another node, an older one":   {other, number - 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &Follower{wake: make(chan struct{}, 1), DocumentNumber: func() uint64 { return 0 }}
+			f.claimDocumentRequest(asked, number)
+			f.recordDocument(c.from, c.number)
+			if kept := f.awaitsDocument(&followedNode{stream: asked}); kept != c.kept {
+				t.Errorf("kept: %t", kept)
+			}
+		})
+	}
+}
