soak: the share of used limits ends with the load and is capped at each limit

Cause: the check measured the last limit of a server until the report, 4.4 s after the callers' last requests; nobody sends in that time.

Change: measured limits end with the callers' load, and a limit counts for no more requests than it allows. The delay of 1 s, the target, the shortest time, the measured limits and the check for exceeded limits stay. The check is as strict: while callers send, each permit counts as before, and requests above one limit no longer make up for another that was left unused.

--- a/soak/limits_series_test.go
+++ b/soak/limits_series_test.go
@@ -92,7 +92,8 @@
 	l := &keepAliveLoad{cluster: cl, streams: int(streams + 0.5), plain: 8, pause: 50 * time.Millisecond}
 	l.run(ctx, seed(t))
 	faults.running.Wait()
-	cl.reportLimits(t, servers, cl.evaluate(l.finished, faults.stops), faults.counts)
+	loadEnd, _ := ctx.Deadline()
+	cl.reportLimits(t, servers, loadEnd, cl.evaluate(l.finished, faults.stops), faults.counts)
 }
 
 // limitedServers returns the servers that advertise limits: a third of each kind, or all.
@@ -135,22 +136,17 @@
 
 // reportLimits prints how limits were kept and used, and fails if one was exceeded, if too
 // little of the limits was used in a run without fault series, or if a response was wrong or
-// missing.
-func (cl *cluster) reportLimits(t *testing.T, servers []limitedServer, v verdict, counts map[string]int) {
-	maxCount, received, allowed := 0, 0.0, 0.0
+// missing. Callers send requests until loadEnd.
+func (cl *cluster) reportLimits(t *testing.T, servers []limitedServer, loadEnd time.Time, v verdict, counts map[string]int) {
+	maxCount := 0
 	for _, s := range servers {
 		lines, count := cl.limitViolations(s)
 		maxCount = max(maxCount, count)
 		for _, line := range lines {
 			t.Errorf("%s", line)
 		}
-		for _, p := range limitPeriods(s.limit) {
-			if seconds := (p.to.Sub(p.from) - limitUseDelay).Seconds(); p.to.Sub(p.from) >= minLimitTime && p.perSecond >= minMeasuredLimit && p.perSecond <= maxMeasuredLimit {
-				received += usedShare(s, p) * p.perSecond * seconds
-				allowed += p.perSecond * seconds
-			}
-		}
 	}
+	received, allowed := usedLimits(servers, loadEnd)
 	share := 1.0
 	if allowed > 0 {
 		share = received / allowed
@@ -168,17 +164,31 @@
 	}
 }
 
-// usedShare returns the share of a limit that gateways used, from limitUseDelay after its
-// advertisement on.
-func usedShare(s limitedServer, p limitPeriod) float64 {
-	from := p.from.Add(limitUseDelay)
-	received := 0
-	for _, a := range s.limit.Arrivals() {
-		if !a.At.Before(from) && a.At.Before(p.to) {
-			received++
+// usedLimits returns how many of the requests that measured limits allowed servers received, and
+// how many were allowed. Requests above the limit in one period don't make up for another one. A
+// server advertises its last limit until the programs have stopped, but callers send nothing after
+// loadEnd.
+func usedLimits(servers []limitedServer, loadEnd time.Time) (received, allowed float64) {
+	for _, s := range servers {
+		for _, p := range limitPeriods(s.limit) {
+			if p.to.After(loadEnd) {
+				p.to = loadEnd
+			}
+			if !p.isMeasured() {
+				continue
+			}
+			from := p.from.Add(limitUseDelay)
+			permits := p.perSecond * p.to.Sub(from).Seconds()
+			received += min(float64(arrivalsBetween(s.limit, from, p.to)), permits)
+			allowed += permits
 		}
 	}
-	return float64(received) / (p.perSecond * p.to.Sub(from).Seconds())
+	return received, allowed
+}
+
+// isMeasured returns whether the use of the limit is measured.
+func (p limitPeriod) isMeasured() bool {
+	return p.to.Sub(p.from) >= minLimitTime && p.perSecond >= minMeasuredLimit && p.perSecond <= maxMeasuredLimit
 }
 
 // killGateways kills one gateway after the other and starts it again.
