Gateway: a resuming attempt gets a standby before its version expires

What callers saw: half an answer. An order cut the stream, it resumed where the version was about to expire, waited there for its first event and was canceled at the expiry, as a rule requires; then 'no other backend server'.

The server that had a slot a second before was full by then, or its caller's patience over.

Change: a resuming attempt whose version expires before streams usually begin gets a standby elsewhere, by a new row of the table of interruptions. The expiry itself still ends the wait.

--- a/pkg/gateway/interrupt.go
+++ b/pkg/gateway/interrupt.go
@@ -21,6 +21,9 @@
 	interruptDeadline interruptReason = "version deadline"
 	// interruptExpiry keeps a request from starting on an expired version.
 	interruptExpiry interruptReason = "version expiry"
+	// interruptExpiringSoon is an attempt that may have to end for interruptExpiry before its first
+	// event.
+	interruptExpiringSoon interruptReason = "version expires soon"
 	// interruptStall is an attempt without progress for too long.
 	interruptStall interruptReason = "stall"
 	// interruptSilence is a connection that seems permanently silent while its server works.
@@ -74,10 +77,11 @@
 	// overloaded link or on a machine short of processor time: the answer would stall again.
 	stalledAlone = interruptCondition{name: "free slot granted elsewhere, and other streams make progress", holds: (*exchange).isStalledAlone, resumes: true}
 	// resumable also allows the attempt's own server, since that works.
-	resumable        = interruptCondition{name: "resumable here or elsewhere", holds: (*exchange).resumesInTime, resumes: true}
-	overdueResumable = interruptCondition{name: "overdue, and resumable here or elsewhere", holds: (*exchange).isOverdue, resumes: true}
-	longSilent       = interruptCondition{name: "silent as long as a stall, and resumable at a free slot", holds: (*exchange).isSilentAsStall, resumes: true}
-	notLastServer    = interruptCondition{name: "not the last server", holds: func(x *exchange, _ time.Time) bool { return !x.isLastServer }, resumes: true}
+	resumable          = interruptCondition{name: "resumable here or elsewhere", holds: (*exchange).resumesInTime, resumes: true}
+	overdueResumable   = interruptCondition{name: "overdue, and resumable here or elsewhere", holds: (*exchange).isOverdue, resumes: true}
+	longSilent         = interruptCondition{name: "silent as long as a stall, and resumable at a free slot", holds: (*exchange).isSilentAsStall, resumes: true}
+	resumableElsewhere = interruptCondition{name: "resumable elsewhere", holds: (*exchange).resumesElsewhere, resumes: true}
+	notLastServer      = interruptCondition{name: "not the last server", holds: func(x *exchange, _ time.Time) bool { return !x.isLastServer }, resumes: true}
 )
 
 // interruptRule is the condition for one reason at each stage, and what happens to the request
@@ -92,6 +96,7 @@
 var interruptRules = []interruptRule{
 	{interruptDeadline, [...]interruptCondition{singleRun, singleRun, singleRun}, "the server ends the answer"},
 	{interruptExpiry, [...]interruptCondition{always, always, never}, "retried on another server; a resumed answer waits for one as long as its caller does"},
+	{interruptExpiringSoon, [...]interruptCondition{never, resumableElsewhere, never}, "retried on a standby"},
 	{interruptStall, [...]interruptCondition{always, stalledAlone, stalledAlone}, "retried on another server, a started answer on a standby"},
 	{interruptSilence, [...]interruptCondition{always, resumable, resumable}, "retried on any server, a started answer on a standby"},
 	{interruptAllSilent, [...]interruptCondition{always, overdueResumable, longSilent}, "retried on any server, a started answer on a standby"},
@@ -251,6 +256,12 @@
 	return x.hasCandidate(x.includeOwnServer(x.elsewhereWithRecentWait(now)))
 }
 
+// resumesElsewhere reports whether another backend server could begin the request before the version
+// there expires.
+func (x *exchange) resumesElsewhere(now time.Time) bool {
+	return x.hasCandidate(x.elsewhereWithRecentWait(now))
+}
+
 // includeOwnServer also allows the attempt's own server.
 func (x *exchange) includeOwnServer(w requirements) requirements {
 	w.tried = maps.Clone(w.tried)
--- a/pkg/gateway/resuming_streams_kept_test.go
+++ b/pkg/gateway/resuming_streams_kept_test.go
@@ -122,3 +122,23 @@
 		w.checkComplete(s)
 	})
 }
+
+// A resuming stream that waits at an engine whose version expires begins elsewhere while there is a slot:
+// once it is canceled there, the other engines are full.
+func TestResumingStreamMovesBeforeTheVersionExpires(t *testing.T) {
+	const left = 2500 * time.Millisecond
+	runScripted(t, "a", "abb", func(w *scriptedWorld) {
+		s, own, broken := w.resume("s", 1290*time.Millisecond)
+		next := w.awaitSecondRun(s, broken).engine
+		next.standStill(30 * time.Second)
+		w.nameVersion(left)
+		for _, e := range w.engines {
+			e.set(func() { e.full = e != own })
+		}
+		time.Sleep(engineLoadTime)
+		w.reload(own)
+		time.Sleep(left - defaultCancelMargin - engineLoadTime - 100*time.Millisecond)
+		own.set(func() { own.full = true })
+		w.checkComplete(s)
+	})
+}
--- a/pkg/gateway/standby.go
+++ b/pkg/gateway/standby.go
@@ -100,10 +100,13 @@
 	if !x.standby.hasEnded() {
 		x.gateway.recordInterrupted(x.request, s.reason, s.stage)
 	}
-	if s.silence != nil {
+	switch {
+	case s.silence != nil:
 		x.silenceMonitor.detected.Store(s.silence)
 		x.gateway.metrics.silentConnections.WithLabelValues(string(s.silence.evidence)).Inc()
-	} else {
+	case s.reason == interruptExpiringSoon:
+		x.watch.versionExpired.Store(true)
+	default:
 		x.watch.fired.Store(true)
 	}
 	x.conn.Abort()
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -120,6 +120,9 @@
 		w.exchange.gateway.startDials(b)
 	}
 	now, stage := time.Now(), w.exchange.stage(w.streaming.Load())
+	if left, expires := w.untilCancel(); expires && left < w.exchange.standbyLead(now) {
+		w.exchange.interrupt(interruptExpiringSoon, stage, nil, now, nil)
+	}
 	if w.silentFor(now) > w.silenceLimit() {
 		w.exchange.interrupt(interruptStall, stage, nil, now, func() {
 			w.fired.Store(true)
@@ -129,6 +132,12 @@
 	w.scheduleCheck()
 }
 
+// standbyLead returns how long before a waiting attempt must end a standby is started, so that it begins
+// by then.
+func (x *exchange) standbyLead(now time.Time) time.Duration {
+	return max(x.gateway.silenceDetector.longestResponseWait(x.request.service.Name(), now), resumeLatency) + watchdogInterval
+}
+
 // silentFor returns how long the attempt has been without progress.
 func (w *watchdog) silentFor(now time.Time) time.Duration {
 	return now.Sub(w.exchange.started) - time.Duration(w.lastProgress.Load())
