Gateway: a started stream queues where its forecast is in time though forecasts are late

What callers saw: half an answer. An order cut the stream; engines had slots a little later, and the gateway waited until the caller's patience was over.

Cause: a stream may queue for as long as its caller waits, less the time by which recent first events came after their forecasts.

Change: where the lateness leaves no time at all it decides nothing, and the forecast alone is compared.

TestStartedStreamQueuesWhereForecastsAreLate fails before (5 of 5) and passes (5 of 5).

--- a/pkg/gateway/reserve.go
+++ b/pkg/gateway/reserve.go
@@ -106,8 +106,7 @@
 		within = q.remaining()
 	}
 	if q.headWritten && !q.lastEventAt.IsZero() {
-		// Forecasts of engines are off by as much as recent starts were late.
-		within = min(within, g.callerTimeoutLeft(q, time.Now())-g.silenceDetector.maxForecastError(q.service.Name(), time.Now()))
+		within = min(within, g.maxQueueTime(q, time.Now()))
 	}
 	if best.startDelay > within || !g.acquirePermit(q, best.backend) {
 		return nil
@@ -120,6 +119,17 @@
 	return best.backend
 }
 
+// maxQueueTime returns how long a started stream may queue by an engine's forecast. Forecasts are off by
+// as much as recent starts were late. Where that leaves no time at all, the stream queues by the forecast
+// alone: without a slot it ends.
+func (g *Gateway) maxQueueTime(q *request, now time.Time) time.Duration {
+	left := g.callerTimeoutLeft(q, now)
+	if lateness := g.silenceDetector.maxForecastError(q.service.Name(), now); lateness < left {
+		return left - lateness
+	}
+	return left
+}
+
 // hasShare reports whether the gateway's share of the slots at an engine without a responding
 // stager allows one more request.
 func (g *Gateway) hasShare(w requirements, b *backend) bool {
--- a/pkg/gateway/reserve_test.go
+++ b/pkg/gateway/reserve_test.go
@@ -177,3 +177,21 @@
 		t.Fatalf("picked %v, refused with %v, asked %v", b, refused, s.requestedFrom)
 	}
 }
+
+// A started stream queues at an engine whose forecast is in time, although recent starts were later than
+// their forecasts by more than its caller still waits: it ended while engines had slots.
+func TestStartedStreamQueuesWhereForecastsAreLate(t *testing.T) {
+	const callerWaits, forecast = time.Second, 200 * time.Millisecond
+	s := &fakeStager{idleDelay: idleStartDelay, delays: map[string]time.Duration{"127.0.0.11:1": forecast, "127.0.0.12:1": 2 * forecast, "127.0.0.13:1": 2 * forecast}}
+	g, q := newReservingGateway(t, s)
+	g.protocol.StreamIdleTimeout = func(time.Duration, time.Duration) time.Duration { return callerWaits }
+	q.sent, q.headWritten, q.lastEventAt = 1, true, time.Now()
+	for _, lateness := range []time.Duration{callerWaits / 4, callerWaits + forecast} {
+		for range minSamples {
+			g.silenceDetector.record(timingKey{"menu", timingForecastError}, time.Now(), lateness)
+		}
+		if b, _ := g.chooseWithReservation(q, g.requirementsFor(q)); b == nil || b.address != "127.0.0.11:9" {
+			t.Errorf("forecasts late by %s: it queues at %v", lateness, b)
+		}
+	}
+}
