Gateway: a long plain response is no part of a resumed stream

Cause: a response of 256 KiB or more was passed on before it was asked whether the caller has part of a stream.

Change: that is asked first. TestLongPlainResponseIsNoPartOfAStream fails before (3 of 3) and passes (3 of 3).

--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -36,6 +36,9 @@
 	if err != nil {
 		return x.recordBroken("the response was cut short", err)
 	}
+	if x.request.headWritten {
+		return x.recordBroken("a resumed stream was answered with "+response.Status, nil)
+	}
 	if len(body) == maxBuffered {
 		return x.passThrough(response, body)
 	}
@@ -43,9 +46,6 @@
 	x.recordCompletion(response)
 	x.recordPlainRun()
 	buffered := &bufferedResponse{response.StatusCode, response.Header, body}
-	if x.request.headWritten {
-		return x.recordBroken("a resumed stream was answered with "+response.Status, nil)
-	}
 	if response.StatusCode >= http.StatusInternalServerError {
 		return x.recordFailedAnswer(buffered)
 	}
--- a/pkg/gateway/resume_test.go
+++ b/pkg/gateway/resume_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,3 +100,20 @@
 		t.Errorf("it was sent %d times", n)
 	}
 }
+
+// A plain response to a resumed stream does not reach its caller, however long it is.
+func TestLongPlainResponseIsNoPartOfAStream(t *testing.T) {
+	var other *fakeBackend
+	other = newFakeBackend(t, "i-other", func(w *bufio.Writer, r *http.Request) bool {
+		if len(other.requests()) > 1 {
+			return streamAfter(1)(w, r)
+		}
+		writeResponse(w, r, "200 OK", "Content-Type: text/plain\r\n", strings.Repeat("x", maxBuffered+1))
+		return true
+	})
+	f := newFixtureWithBrokenStream(t, other)
+	_, _, body, _ := f.do(t, f.draftRequest(t))
+	if !strings.HasPrefix(events(1, 3), body) {
+		t.Errorf("the caller received %d bytes that begin with %.60q", len(body), body)
+	}
+}
