Gateway: a server whose other streams receive events may take a stalled one

Found by a review of: one silent stream of a server kept it from being a candidate although others there received events, and a server that had refused a standby could be asked for the next one again.

Change: a server counts as stalled if all its streams are silent, and what a standby learned holds for the next one. TestServerWithAnActiveStreamIsNotStalled failed in the review (the other server counted as stalled), and passes.

--- a/pkg/gateway/silence_detector.go
+++ b/pkg/gateway/silence_detector.go
@@ -6,6 +6,7 @@
 package gateway
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -226,7 +227,7 @@
 func (s *silenceDetector) progressElsewhere(m *attemptMonitor, now time.Time) (found progress, silent map[*backend]bool) {
 	own, domain := m.snapshot(), m.domain()
 	recent := now.Add(-own.silentFor(now) / 2)
-	silent = map[*backend]bool{}
+	silent, receiving := map[*backend]bool{}, map[*backend]bool{}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for other := range s.active {
@@ -235,6 +236,7 @@
 		case a.address == own.address || !a.streaming:
 		case a.silentSince.After(recent):
 			found = progressSeen
+			receiving[a.backend] = true
 		default:
 			silent[a.backend] = true
 			if found == progressUnknown && other.domain() != domain {
@@ -242,6 +244,7 @@
 			}
 		}
 	}
+	maps.DeleteFunc(silent, func(b *backend, _ bool) bool { return receiving[b] })
 	return found, silent
 }
 
--- a/pkg/gateway/stall_test.go
+++ b/pkg/gateway/stall_test.go
@@ -118,3 +118,18 @@
 		})
 	}
 }
+
+// A server counts as stalled only if all its streams are silent: others it still serves.
+func TestServerWithAnActiveStreamIsNotStalled(t *testing.T) {
+	f, x := newStalledStream(t, maxEventGap+watchdogInterval/2)
+	other, now := f.backend("i-other"), time.Now()
+	s := &f.gateway.silenceDetector
+	s.active = map[*attemptMonitor]bool{}
+	for _, silent := range []time.Duration{minSilence / 10, maxEventGap} {
+		y := &exchange{gateway: f.gateway, request: x.request, backend: other}
+		s.active[&attemptMonitor{detector: s, exchange: y, lastReceived: now.Add(-silent), received: true, streaming: true}] = true
+	}
+	if found, silent := s.progressElsewhere(x.silenceMonitor, now); found != progressSeen || silent[other] {
+		t.Errorf("progress %d, counts as stalled: %t", found, silent[other])
+	}
+}
--- a/pkg/gateway/standby.go
+++ b/pkg/gateway/standby.go
@@ -177,6 +177,7 @@
 	}
 	if slot.current != nil {
 		q.absorb(slot.current.request)
+		x.failoverRequirements.tried = maps.Clone(q.tried)
 		if len(q.ranAt) >= q.route.MaxAttempts() {
 			x.failoverRequirements.only = maps.Clone(q.ranAt)
 		}
