Gateway: the end of a standby is recorded once

A standby that had taken over could be replaced while the attempt that it replaced had not noticed yet: its run would be left at the engine and the older attempt relayed on. A losing standby and a replaced attempt could count as a failure of a healthy server, as their reason was stored after they ended, and a retry that the request had used could be refunded.

TestStandbyThatTookOverIsNotReplaced fails before and passes.

--- a/pkg/gateway/standby.go
+++ b/pkg/gateway/standby.go
@@ -71,7 +71,7 @@
 
 // mayRepeat reports whether another standby may follow this one.
 func (s *standby) mayRepeat(now time.Time) bool {
-	if !s.isOver() {
+	if !s.isOver() || s.state.Load() == standbyTookOver {
 		return false
 	}
 	interval := yieldRetryInterval
@@ -158,7 +158,11 @@
 // the standby has taken over.
 func (s *standbySlot) precede() bool {
 	current := s.latest()
-	return current == nil || current.stop()
+	if current == nil || current.stop() {
+		return true
+	}
+	<-current.done // by then takeOver has recorded why the attempt ends
+	return false
 }
 
 // allowsLocked reports whether a standby may start now. The caller holds s.mu.
@@ -196,10 +200,12 @@
 		return
 	}
 	b := x.request.reserved.Swap(nil)
-	x.request.retryTaken.Store(false)
+	taken := x.request.retryTaken.Swap(false) // false if the request's goroutine has used it meanwhile
 	s := x.newStandby(reason, stage, silence, now)
 	if s == nil {
-		x.gateway.budget.refund(x.request.service.Name())
+		if taken {
+			x.gateway.budget.refund(x.request.service.Name())
+		}
 		return
 	}
 	s.request.reserved.Store(b)
@@ -281,6 +287,7 @@
 	s.exchange, s.response, s.first = x, response, first
 	if !x.endWait() || !s.takeOver() {
 		s.exchange = nil
+		<-s.request.ctx.Done() // stop cancels it, so this does not count as a failure of the server
 		x.recordBroken("the running attempt continued", nil)
 		return false
 	}
@@ -352,6 +359,7 @@
 	if s == nil {
 		return
 	}
+	q.standby = nil
 	s.stop()
 	<-s.done
 	if s.exchange != nil {
