Gateway: a standby that stalls or falls silent is ended, and another may follow

What callers saw: half an answer.

Change: a standby without an event is ended where the table would let it resume elsewhere. The attempt that it was started for is kept or has ended already, so nothing is lost by that. Its own request's attempts no longer count as other streams.

TestStreamWithASilentStandbyIsMoved and TestStreamOfTwoHungEnginesIsMoved fail before (5 of 5 each) and pass (8 of 8, 4 of 4); the other tests of streams that are kept or moved pass (4 of 4).

--- a/pkg/gateway/interrupt.go
+++ b/pkg/gateway/interrupt.go
@@ -130,13 +130,18 @@
 }
 
 // interrupt ends the attempt with abort if the table allows it, at once where its caller has nothing
-// yet. An attempt whose request resumes on another one continues until that has begun.
+// yet. An attempt whose request resumes on another one continues until that has begun. A standby without
+// an event is ended at once: another one may follow.
 func (x *exchange) interrupt(reason interruptReason, stage answerStage, silence *detectedSilence, now time.Time, abort func()) {
-	if interruptRuleFor(reason).stages[stage].resumes {
+	c := interruptRuleFor(reason).stages[stage]
+	switch {
+	case c.resumes && x.isStandby.Load():
+		if c.holds(x, now) && x.abandonWait() {
+			abort()
+		}
+	case c.resumes:
 		x.startStandby(reason, stage, silence, now)
-		return
-	}
-	if x.mayInterrupt(reason, stage, now) && x.abandonWait() {
+	case x.mayInterrupt(reason, stage, now) && x.abandonWait():
 		x.gateway.recordInterrupted(x.request, reason, stage)
 		abort()
 	}
--- a/pkg/gateway/request_fork.go
+++ b/pkg/gateway/request_fork.go
@@ -37,3 +37,8 @@
 	q.unknownOutcomes = max(q.unknownOutcomes, other.unknownOutcomes)
 	q.mayHaveRun = q.mayHaveRun || other.mayHaveRun
 }
+
+// isCopyOf reports whether both are copies of one request.
+func (q *request) isCopyOf(other *request) bool {
+	return q.incoming != nil && q.incoming == other.incoming
+}
--- a/pkg/gateway/silence_detector.go
+++ b/pkg/gateway/silence_detector.go
@@ -233,7 +233,7 @@
 	for other := range s.active {
 		a := other.snapshot()
 		switch {
-		case a.address == own.address || !a.streaming:
+		case a.address == own.address || !a.streaming || other.exchange.request.isCopyOf(m.exchange.request):
 		case a.silentSince.After(recent):
 			found = progressSeen
 			receiving[a.backend] = true
--- a/pkg/gateway/standby.go
+++ b/pkg/gateway/standby.go
@@ -24,7 +24,7 @@
 )
 
 // standbyRetryInterval is the least time from a standby that was sent to the next one of the same
-// attempt. One that found no server costs no retry, and another may follow after yieldRetryInterval.
+// attempt. One that found no server costs no retry, and another may follow soon.
 const standbyRetryInterval = watchdogInterval
 
 // standbyState is the state of a standby attempt.
@@ -48,6 +48,7 @@
 	request *request         // a fork of the running attempt's request
 	cancel  context.CancelFunc
 	started time.Time
+	pause   time.Duration // until the next one may start, if this one is not sent
 	silent  time.Duration // how long the running attempt had been silent then
 	state   atomic.Int32
 	done    chan struct{} // closed once it has taken over or ended
@@ -74,11 +75,11 @@
 	if !s.isOver() || s.state.Load() == standbyTookOver {
 		return false
 	}
-	interval := yieldRetryInterval
+	pause := s.pause
 	if s.sent {
-		interval = standbyRetryInterval
+		pause = standbyRetryInterval
 	}
-	return now.Sub(s.started) >= interval
+	return now.Sub(s.started) >= pause
 }
 
 // stop cancels the standby and reports whether it did; false if it has taken over.
@@ -237,7 +238,7 @@
 	}
 	slot.current = &standby{
 		running: x, reason: reason, stage: stage, silence: silence, request: q, cancel: cancel,
-		started: now, silent: state.silentFor(now), done: make(chan struct{}),
+		started: now, pause: time.Duration((1 + x.gateway.random()/2) * float64(yieldRetryInterval)), silent: state.silentFor(now), done: make(chan struct{}),
 	}
 	return slot.current
 }
@@ -253,8 +254,10 @@
 	if f := g.checkMayAttempt(q, 0); f != nil {
 		return
 	}
+	// Others may need the retry while a server is chosen, and one that is held for long can't be put back.
+	g.returnRetry(q)
 	b := g.chooseForStandby(q)
-	if b == nil {
+	if b == nil || !s.takeRetry() {
 		return
 	}
 	x := g.startAttempt(q, b)
@@ -267,6 +270,13 @@
 	}
 }
 
+// takeRetry takes the retry of the standby from the budget again.
+func (s *standby) takeRetry() bool {
+	g, q := s.running.gateway, s.request
+	q.retryTaken.Store(g.budget.takeRetry(q.service.Name(), g.countGateways()))
+	return q.retryTaken.Load()
+}
+
 // begin sends the request, waits for the first event and takes over. It returns false if the attempt
 // ended, or the running one preceded it.
 func (s *standby) begin(x *exchange) bool {
@@ -295,8 +305,11 @@
 	return true
 }
 
-// log logs how the standby ended.
+// log logs how the standby ended. One that found no server is no attempt.
 func (s *standby) log() {
+	if !s.sent {
+		return
+	}
 	x, outcome := s.running, "failed"
 	switch s.state.Load() {
 	case standbyTookOver:
@@ -305,7 +318,7 @@
 		outcome = "canceled"
 	}
 	_ = level.Info(x.gateway.process.Logger).Log("msg", "standby attempt", "request", s.request.head.ID, "outcome", outcome, "reason", string(s.reason),
-		"running", x.backend.latestRegistration().Incarnation(), "backend", s.request.lastBackend, "sent", s.sent, "silent_ms", s.silent.Milliseconds(),
+		"running", x.backend.latestRegistration().Incarnation(), "backend", s.request.lastBackend, "silent_ms", s.silent.Milliseconds(),
 		"ms", time.Since(s.started).Milliseconds(), "left_ms", s.request.remaining().Milliseconds())
 }
 
--- a/pkg/gateway/streams_moved_test.go
+++ b/pkg/gateway/streams_moved_test.go
@@ -78,6 +78,31 @@
 	}
 }
 
+// A stream whose engine hangs, and whose next engine hangs as well, is completed at a third one.
+func TestStreamOfTwoHungEnginesIsMoved(t *testing.T) {
+	runScripted(t, "ab", "abcd", func(w *scriptedWorld) {
+		for _, g := range w.gateways {
+			g.index.Advance(documentWithAttempts(w.t, simEngineConfig, true, 3))
+		}
+		hung := false
+		for _, e := range w.engines[1:] {
+			e.set(func() {
+				e.onRequest = func() {
+					if hung || time.Since(w.started) < time.Second {
+						return
+					}
+					hung = true
+					e.standStill(30 * time.Second)
+					e.set(func() { e.reports = false })
+				}
+			})
+		}
+		c := w.hang(30*time.Second, 12*time.Second)
+		w.checkComplete(c)
+		w.callers["other"].leave()
+	})
+}
+
 // A caller leaves while its stream is open at a hung engine and at the next one: no run continues.
 func TestNoRunContinuesAfterItsCallerLeft(t *testing.T) {
 	runScripted(t, "ab", "abc", func(w *scriptedWorld) {
@@ -118,3 +143,40 @@
 		})
 	}
 }
+
+// Connections to all servers drop all bytes, and later those of the standbys do so too before their first
+// event: the streams move once more.
+func TestStreamWithASilentStandbyIsMoved(t *testing.T) {
+	runScripted(t, "ab", "abc", func(w *scriptedWorld) {
+		var streams []*streamCaller
+		for i := range 3 {
+			streams = append(streams, w.ask(0, fmt.Sprintf("s-%d", i), 12, 10*time.Second))
+			w.sleepUntil(time.Duration(i+1) * 200 * time.Millisecond)
+		}
+		w.sleepUntil(time.Second)
+		for _, e := range w.engines {
+			e.set(func() { e.silencedAt = time.Now() })
+		}
+		time.Sleep(100 * time.Millisecond)
+		w.ask(0, "newer", 12, 10*time.Second)
+		time.Sleep(50 * time.Millisecond)
+		silenced := map[*scriptedEngine]bool{}
+		for _, e := range w.engines {
+			e.set(func() {
+				e.onRequest = func() {
+					if !silenced[e] {
+						silenced[e] = true
+						e.silencedAt = time.Now()
+					}
+				}
+			})
+		}
+		for i := range 5 {
+			time.Sleep(400 * time.Millisecond)
+			w.ask(0, fmt.Sprintf("newer-%d", i), 6, 10*time.Second)
+		}
+		for _, c := range streams {
+			w.checkComplete(c)
+		}
+	})
+}
--- a/pkg/gateway/version_expiry_test.go
+++ b/pkg/gateway/version_expiry_test.go
@@ -50,10 +50,16 @@
 
 // documentOf has one route to engines of the given kind.
 func documentOf(t *testing.T, e serviceconfig.Engine, resumable bool) serviceconfig.Document {
+	t.Helper()
+	return documentWithAttempts(t, e, resumable, 2)
+}
+
+// documentWithAttempts is documentOf with the most servers that a request may be sent to.
+func documentWithAttempts(t *testing.T, e serviceconfig.Engine, resumable bool, attempts int) serviceconfig.Document {
 	t.Helper()
 	route := serviceconfig.NewRoute("r", "menus.example", "/draft/", serviceconfig.Stream, time.Minute, 400*time.Millisecond, 400*time.Millisecond, 1,
-		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, 2, false, resumable)
-	d := serviceconfig.NewDocument(2, []serviceconfig.Route{route},
+		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, attempts, false, resumable)
+	d := serviceconfig.NewDocument(uint64(attempts), []serviceconfig.Route{route},
 		[]serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", e, false)},
 		[]serviceconfig.Organisation{serviceconfig.NewOrganisation("larder", []string{"k1"}, 0, false)}, serviceconfig.Limits{})
 	if err := d.Check(); err != nil {
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -120,7 +120,7 @@
 		w.exchange.gateway.startDials(b)
 	}
 	now, stage := time.Now(), w.exchange.stage(w.streaming.Load())
-	if left, expires := w.untilCancel(); expires && left < w.exchange.standbyLead(now) {
+	if left, expires := w.untilCancel(); expires && left < w.exchange.standbyLead(now) && !w.exchange.isStandby.Load() {
 		w.exchange.interrupt(interruptExpiringSoon, stage, nil, now, nil)
 	}
 	if w.silentFor(now) > w.silenceLimit() {
