Gateway: a standby that is ended as its first event arrives does not wait for its request to end

Found by reading before the landing: such a standby waited for a cancellation that comes only from the running attempt or the end of the request, and blocked every further one. A panic in a standby now releases its connection too.

--- a/pkg/gateway/abandoned_wait_test.go
+++ b/pkg/gateway/abandoned_wait_test.go
@@ -10,16 +10,17 @@
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
-// newWaitingAttempt returns an attempt that waits for its first event, and its caller's response.
-func newWaitingAttempt(t *testing.T) (x *exchange, caller *httptest.ResponseRecorder) {
+// newWaitingAttempt returns an attempt that waits for its first event at a server with a script, and its
+// caller's response.
+func newWaitingAttempt(t *testing.T, script responseScript) (x *exchange, caller *httptest.ResponseRecorder) {
 	t.Helper()
 	f := newFixture(t, serviceconfig.Stream, true)
 	f.gateway.index.Advance(engineDocument(t))
-	f.registerVersion(newFakeBackend(t, "i-own", closeWithoutResponse), 1)
+	f.registerVersion(newFakeBackend(t, "i-own", script), 1)
 	route, _ := f.gateway.index.Load().Route("menus.example", "/draft/x")
 	caller = httptest.NewRecorder()
 	q := &request{
-		ctx: t.Context(), writer: caller, incoming: f.draftRequest(t), route: route, service: f.service(t), model: "menu", stop: f.gateway.stop,
+		ctx: t.Context(), writer: caller, incoming: f.draftRequest(t), header: http.Header{}, route: route, service: f.service(t), model: "menu", stop: f.gateway.stop,
 		started: time.Now(), deadline: time.Now().Add(time.Minute), tried: map[*backend]bool{}, ranAt: map[*backend]bool{}, detachFromStop: func() bool { return true },
 	}
 	x = f.gateway.startAttempt(q, f.backend("i-own"))
@@ -39,7 +40,7 @@
 // Events that arrive as a waiting attempt is aborted don't reach the caller: it would have an answer
 // that its own gateway cuts short.
 func TestAbortedWaitDeliversNothing(t *testing.T) {
-	x, caller := newWaitingAttempt(t)
+	x, caller := newWaitingAttempt(t, closeWithoutResponse)
 	x.interrupt(interruptStall, stageWaiting, nil, time.Now(), x.conn.Abort)
 	if x.relayParts(&http.Response{StatusCode: http.StatusOK}, firstPart()) {
 		t.Error("the request counts as answered")
@@ -51,7 +52,7 @@
 
 // An attempt is not aborted as one that waits once its first events have reached the caller.
 func TestStartedStreamIsNotAbortedAsWaiting(t *testing.T) {
-	x, caller := newWaitingAttempt(t)
+	x, caller := newWaitingAttempt(t, closeWithoutResponse)
 	part := firstPart()
 	if !x.relayParts(&http.Response{StatusCode: http.StatusOK, Status: "200 OK"}, part) {
 		t.Fatal("the stream was not relayed")
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -118,7 +118,7 @@
 	waitEntry *waitingRequest
 	// silenceMonitor detects that the attempt's connection has gone silent.
 	silenceMonitor *attemptMonitor
-	standby        standbySlot
+	standbys       standbyTracker
 	wait           atomic.Int32 // a waitState
 	isStandby      atomic.Bool  // it has not taken over yet
 	permit         *permit      // nil if the backend server advertises no limit
@@ -135,7 +135,7 @@
 	if x.watch != nil {
 		x.watch.stop()
 	}
-	x.request.standby = x.standby.latest()
+	x.request.standby = x.standbys.latest()
 	x.detach()
 	x.gateway.silenceDetector.remove(x.silenceMonitor)
 	x.backend.finishWaiting(x.waitEntry, false)
@@ -169,10 +169,10 @@
 	x.watch = newWatchdog(x)
 	outgoing := x.outgoing()
 	if x.resumes {
-		x.standby.beginReceiving()
+		x.standbys.beginReceiving()
 	}
 	response, err := x.conn.Exchange(q.ctx, outgoing, q.localDeadline())
-	x.standby.endReceiving(err != nil)
+	x.standbys.endReceiving(err != nil)
 	if err != nil {
 		return nil, x.recordBroken("no response", err)
 	}
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -310,7 +310,7 @@
 // pick chooses a backend server for the next attempt. A request that no engine would begin in
 // time is refused at once, since it is more likely to succeed when its caller retries.
 func (g *Gateway) pick(q *request) (*backend, *failure.Failure) {
-	if b := q.reserved.Swap(nil); b != nil && g.acquirePermit(q, b) {
+	if b := g.takeReserved(q); b != nil {
 		return b, nil
 	}
 	w := g.requirementsFor(q)
@@ -330,6 +330,14 @@
 	return nil, failure.New(failure.Overloaded, "no backend server of %s serves now", q.service.Name()).WithRetryAfter(time.Duration(retryAfterShare * float64(q.remaining())))
 }
 
+// takeReserved returns the backend server that a check has chosen for the next attempt, or nil.
+func (g *Gateway) takeReserved(q *request) *backend {
+	if b := q.reserved.Swap(nil); b != nil && g.acquirePermit(q, b) {
+		return b
+	}
+	return nil
+}
+
 // randomRetryAfter returns the Retry-After of a caller refused because of load. It is
 // randomised so that callers refused together do not retry together.
 func (g *Gateway) randomRetryAfter() time.Duration {
--- a/pkg/gateway/interrupt.go
+++ b/pkg/gateway/interrupt.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// interruptReason is the reason for which a gateway ends an attempt.
+// interruptReason is the reason for which a gateway ends an attempt, or starts a standby for it.
 type interruptReason string
 
 const (
@@ -75,7 +75,7 @@
 	singleRun = interruptCondition{name: "not idempotent, and expected to end before the version expires", holds: (*exchange).needsVersionDeadline}
 	// stalledAlone does not hold where all other streams are stalled as well, as behind an
 	// overloaded link or on a machine short of processor time: the answer would stall again.
-	stalledAlone = interruptCondition{name: "free slot granted elsewhere, and other streams make progress", holds: (*exchange).isStalledAlone, resumes: true}
+	stalledAlone = interruptCondition{name: "free slot expected elsewhere, and not all other streams are silent", holds: (*exchange).isStalledAlone, resumes: true}
 	// resumable also allows the attempt's own server, since that works.
 	resumable          = interruptCondition{name: "resumable here or elsewhere", holds: (*exchange).resumesInTime, resumes: true}
 	overdueResumable   = interruptCondition{name: "overdue, and resumable here or elsewhere", holds: (*exchange).isOverdue, resumes: true}
--- a/pkg/gateway/silence_actions.go
+++ b/pkg/gateway/silence_actions.go
@@ -1,6 +1,6 @@
 // ================================================================
-// The actions on silence that silence.go detects: attempts on silent connections are interrupted,
-// idle connections of the same age closed, and addresses dialed.
+// The actions on silence that silence.go detects: attempts on silent connections are interrupted or get
+// a standby, idle connections of the same age closed, and addresses dialed.
 // ================================================================
 
 package gateway
--- a/pkg/gateway/standby.go
+++ b/pkg/gateway/standby.go
@@ -13,20 +13,14 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"runtime/debug"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
 )
 
-// standbyRetryInterval is the least time from a standby that was sent to the next one of the same
-// attempt. One that found no server costs no retry, and another may follow soon.
-const standbyRetryInterval = watchdogInterval
-
 // standbyState is the state of a standby attempt.
 type standbyState = int32
 
@@ -70,18 +64,6 @@
 	}
 }
 
-// mayRepeat reports whether another standby may follow this one.
-func (s *standby) mayRepeat(now time.Time) bool {
-	if !s.isOver() || s.state.Load() == standbyTookOver {
-		return false
-	}
-	pause := s.pause
-	if s.sent {
-		pause = standbyRetryInterval
-	}
-	return now.Sub(s.started) >= pause
-}
-
 // stop cancels the standby and reports whether it did; false if it has taken over.
 func (s *standby) stop() bool {
 	if !s.state.CompareAndSwap(standbyPending, standbyCanceled) {
@@ -98,7 +80,7 @@
 		return false
 	}
 	x := s.running
-	if !x.standby.hasEnded() {
+	if !x.standbys.hasEnded() {
 		x.gateway.recordInterrupted(x.request, s.reason, s.stage)
 	}
 	switch {
@@ -114,135 +96,6 @@
 	return true
 }
 
-// standbySlot holds the standby of a running attempt. The zero value has none and allows none.
-type standbySlot struct {
-	deciding atomic.Bool // a check decides whether to start one
-
-	mu sync.Mutex
-	// receiving says that the request's goroutine waits for bytes of the backend server. A standby
-	// starts only then, because the state of the request does not change meanwhile.
-	receiving bool
-	ended     bool // the attempt has ended
-	current   *standby
-	since     time.Time // when the first one started
-}
-
-// beginReceiving allows a standby to start.
-func (s *standbySlot) beginReceiving() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.receiving = true
-}
-
-// endReceiving keeps further ones from starting. ended says that the attempt has ended.
-func (s *standbySlot) endReceiving(ended bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.receiving, s.ended = false, ended
-}
-
-// hasEnded reports whether the attempt has ended.
-func (s *standbySlot) hasEnded() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.ended
-}
-
-// latest returns the current or last standby; nil if there was none.
-func (s *standbySlot) latest() *standby {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.current
-}
-
-// precede cancels a pending standby because the attempt has received something. It returns false if
-// the standby has taken over.
-func (s *standbySlot) precede() bool {
-	current := s.latest()
-	if current == nil || current.stop() {
-		return true
-	}
-	<-current.done // by then takeOver has recorded why the attempt ends
-	return false
-}
-
-// allowsLocked reports whether a standby may start now. The caller holds s.mu.
-func (s *standbySlot) allowsLocked(now time.Time) bool {
-	return s.receiving && (s.current == nil || s.current.mayRepeat(now))
-}
-
-// mayHaveStandby reports whether a standby may start now. If so, the request learns first what the
-// one before it did: the servers where a request may run are limited.
-func (x *exchange) mayHaveStandby(now time.Time) bool {
-	slot, q := &x.standby, x.request
-	slot.mu.Lock()
-	defer slot.mu.Unlock()
-	if !slot.allowsLocked(now) || q.remaining() <= resumeLatency {
-		return false
-	}
-	if slot.current != nil {
-		q.absorb(slot.current.request)
-		x.failoverRequirements.tried = maps.Clone(q.tried)
-		if len(q.ranAt) >= q.route.MaxAttempts() {
-			x.failoverRequirements.only = maps.Clone(q.ranAt)
-		}
-	}
-	return true
-}
-
-// startStandby starts a standby if the table of interruptions allows it for a reason. silence is set
-// where the connection of the attempt seems silent: the standby may then use the same server.
-func (x *exchange) startStandby(reason interruptReason, stage answerStage, silence *detectedSilence, now time.Time) {
-	if x.isStandby.Load() || !x.standby.deciding.CompareAndSwap(false, true) {
-		return
-	}
-	defer x.standby.deciding.Store(false)
-	if !x.mayHaveStandby(now) || !x.mayInterrupt(reason, stage, now) {
-		return
-	}
-	b := x.request.reserved.Swap(nil)
-	taken := x.request.retryTaken.Swap(false) // false if the request's goroutine has used it meanwhile
-	s := x.newStandby(reason, stage, silence, now)
-	if s == nil {
-		if taken {
-			x.gateway.budget.refund(x.request.service.Name())
-		}
-		return
-	}
-	s.request.reserved.Store(b)
-	s.request.retryTaken.Store(true)
-	go s.run()
-}
-
-// newStandby forks the request for a standby; nil if the attempt has received something meanwhile.
-func (x *exchange) newStandby(reason interruptReason, stage answerStage, silence *detectedSilence, now time.Time) *standby {
-	slot := &x.standby
-	slot.mu.Lock()
-	defer slot.mu.Unlock()
-	state := x.silenceMonitor.snapshot()
-	if !slot.allowsLocked(now) || state.silentSince.After(now) {
-		return nil
-	}
-	if slot.since.IsZero() {
-		slot.since = now
-	}
-	ctx, cancel := context.WithCancel(x.request.ctx)
-	q := x.request.fork(ctx)
-	q.ranAt[x.backend] = true
-	if silence != nil {
-		// Only the connection is at fault. Its run may still hold a slot at the server.
-		delete(q.tried, x.backend)
-		if stage == stageStreaming {
-			q.runLostAt = slot.since
-		}
-	}
-	slot.current = &standby{
-		running: x, reason: reason, stage: stage, silence: silence, request: q, cancel: cancel,
-		started: now, pause: time.Duration((1 + x.gateway.random()/2) * float64(yieldRetryInterval)), silent: state.silentFor(now), done: make(chan struct{}),
-	}
-	return slot.current
-}
-
 // run makes the standby attempt up to its first event.
 func (s *standby) run() {
 	g, q := s.running.gateway, s.request
@@ -265,8 +118,13 @@
 		return
 	}
 	s.sent = true
-	if !s.begin(x) {
-		x.close()
+	defer func() {
+		if s.exchange == nil {
+			x.close()
+		}
+	}()
+	if s.begin(x) {
+		s.exchange = x
 	}
 }
 
@@ -294,9 +152,12 @@
 		x.recordBroken("the stream was cut short", first.err)
 		return false
 	}
-	s.exchange, s.response, s.first = x, response, first
-	if !x.endWait() || !s.takeOver() {
-		s.exchange = nil
+	if !x.endWait() {
+		x.recordBroken("the stream was cut short", errAbandoned)
+		return false
+	}
+	s.response, s.first = response, first
+	if !s.takeOver() {
 		<-s.request.ctx.Done() // stop cancels it, so this does not count as a failure of the server
 		x.recordBroken("the running attempt continued", nil)
 		return false
@@ -332,7 +193,7 @@
 // chooseForStandby chooses the backend server of a standby. It doesn't wait for one, since the running
 // attempt continues meanwhile.
 func (g *Gateway) chooseForStandby(q *request) *backend {
-	if b := q.reserved.Swap(nil); b != nil && g.acquirePermit(q, b) {
+	if b := g.takeReserved(q); b != nil {
 		return b
 	}
 	w := g.requirementsFor(q)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -32,9 +32,9 @@
 
 // receive waits for the next events of a stream. A standby may start meanwhile.
 func (x *exchange) receive(reader *eventReader) streamPart {
-	x.standby.beginReceiving()
+	x.standbys.beginReceiving()
 	events, err := reader.next()
-	x.standby.endReceiving(err != nil)
+	x.standbys.endReceiving(err != nil)
 	return streamPart{reader, events, err}
 }
 
@@ -70,7 +70,7 @@
 		if part.err != nil && !part.isEnd() {
 			return x.streamBroken(part.err)
 		}
-		if !x.standby.precede() {
+		if !x.standbys.cancelPending() {
 			return x.streamBroken(errSuperseded)
 		}
 		if !x.endWait() {
--- a/pkg/gateway/watchdog.go
+++ b/pkg/gateway/watchdog.go
@@ -1,6 +1,7 @@
 // ================================================================
-// The watchdog of an attempt aborts its connection when the backend server makes no progress for
-// too long and the request may be retried elsewhere.
+// The watchdog of an attempt acts when the backend server makes no progress for too long and the
+// request may be retried elsewhere: it aborts the connection, or starts a standby where the caller has
+// part of the answer.
 //
 // An engine under load is slow to begin, and a request that is aborted there loses its position in
 // the queue. So before the first event an attempt is aborted early only when the backend server is
