--- a/pkg/control/cluster_test.go
+++ b/pkg/control/cluster_test.go
@@ -182,7 +182,7 @@
 }
 
 func newTestConfiguration(number uint64) Configuration {
-	d := serviceconfig.NewDocument(number, nil, []serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", serviceconfig.Engine{}, false)}, nil, serviceconfig.Limits{})
+	d := serviceconfig.NewDocument(number, nil, []serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", serviceconfig.Engine{}, false, 0)}, nil, serviceconfig.Limits{})
 	return NewConfiguration(d, []byte(fmt.Sprintf(`{"number": %d}`, number)))
 }
 
--- a/pkg/control/late_apply_test.go
+++ b/pkg/control/late_apply_test.go
@@ -13,7 +13,7 @@
 // two late nodes (by more than 0.6 s) withdraws requests too late. Nodes have to take the age from
 // each other, also after a later version was named.
 func TestNodeApplyingLateGetsVersionAgeFromAnother(t *testing.T) {
-	update := feed.NewUpdate(0, nil, []feed.NamedVersion{feed.NewNamedVersion("menu", 2, clockAdvance)}, nil, true, nil, 0, false, nil, nil, nil, nil, nil, nil)
+	update := feed.NewUpdate(0, nil, []feed.NamedVersion{feed.NewNamedVersion("menu", 2, clockAdvance)}, nil, true, nil, 0, false, nil, nil, nil, nil, nil, nil, nil)
 	receive := func(n *testNode) { n.node.receiveNodeUpdate("10.0.0.9:7700", update) }
 	name := func(c *cluster) {
 		c.eventually("name", func() error { return c.nodes[0].node.service.NameVersion(context.Background(), "menu", 2) })
--- a/pkg/control/native_protocol.go
+++ b/pkg/control/native_protocol.go
@@ -6,14 +6,19 @@
 //	PUT    /v1/weights/MODEL/VERSION    name a version
 //	PUT    /v1/backends/INCARNATION     heartbeat of a backend server
 //	DELETE /v1/backends/INCARNATION     deregister a backend server
+//	PUT    /v1/evacuations/DOMAIN       evacuate a failure domain
+//	DELETE /v1/evacuations/DOMAIN       end its evacuation
+//	GET    /v1/evacuations              list the evacuated failure domains that this node knows
 // ================================================================
 
 package control
 
 import (
+	"bytes"
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -60,6 +65,24 @@
 	r.Delete("/v1/backends/{incarnation}", Handle(maxHeartbeatBody, func(r *http.Request, _ []byte) (any, error) {
 		return nil, s.Deregister(chi.URLParam(r, "incarnation"))
 	}))
+	r.Put("/v1/evacuations/{domain}", HandleEvacuation(s, "domain", true))
+	r.Delete("/v1/evacuations/{domain}", HandleEvacuation(s, "domain", false))
+	r.Get("/v1/evacuations", Handle(0, func(*http.Request, []byte) (any, error) { return s.EvacuatedDomains(), nil }))
+}
+
+// HandleEvacuation returns an HTTP handler that evacuates the failure domain in a path parameter, or ends
+// its evacuation. It refuses a body, which could only name something that is not obeyed.
+func HandleEvacuation(s *Service, parameter string, evacuated bool) http.HandlerFunc {
+	return Handle(maxHeartbeatBody, func(r *http.Request, body []byte) (any, error) {
+		if len(bytes.TrimSpace(body)) > 0 {
+			return nil, failure.New(failure.BadRequest, "an evacuation takes no body, and this one has %d bytes", len(body))
+		}
+		domain, err := url.PathUnescape(chi.URLParam(r, parameter))
+		if err != nil {
+			return nil, failure.New(failure.BadRequest, "failure domain: %v", err)
+		}
+		return nil, s.SetEvacuated(r.Context(), domain, evacuated)
+	})
 }
 
 // heartbeatBody is the JSON body of a heartbeat.
--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -93,17 +93,19 @@
 	n.seeds = daemon.NewSeeds(path, s, settings.LoadControl, process.Logger)
 	n.service = &Service{
 		registry: registry.NewTable(nil), quarantine: quarantine.NewTable(nil), endpoint: process.Endpoint, logger: process.Logger,
-		metrics: newMetrics(process.Registry),
+		metrics: newMetrics(process.Registry), regions: s.Regions(),
 	}
 	n.service.state = NewState(n.stateChanged)
 	n.service.state.onVersionChanges = func(changes []feed.VersionChange, source, from string) {
 		feed.LogVersionChanges(process.Logger, changes, source, from)
 	}
+	n.service.state.onEvacuations = n.evacuationsChanged
 	n.service.publisher = feed.NewPublisher(feed.PublisherConfig{
 		Self:            process.Identity,
 		DocumentNumber:  n.service.state.DocumentNumber,
 		Document:        n.service.state.Document,
 		NamedVersions:   n.service.state.NamedVersions,
+		Evacuations:     n.service.state.Evacuations,
 		OnHello:         n.mergeFollowerAges,
 		Registrations:   n.service.registry.All,
 		Records:         n.service.quarantine.Records,
--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -18,6 +18,7 @@
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 )
@@ -53,6 +54,8 @@
 	configuration *Configuration
 	// number is, for a read, the number of the newest configuration; 0 if there is none.
 	number uint64
+	// evacuation is the outcome of a command that changes whether a failure domain is evacuated.
+	evacuation placement.Outcome
 }
 
 // Service implements the operations of a control node. It is safe for concurrent use.
@@ -65,6 +68,7 @@
 	// onRecordsChanged is called with the quarantine records that changed.
 	onRecordsChanged func(changed []quarantine.Record)
 	publisher        *feed.Publisher
+	regions          map[string]string // of the failure domains in the settings
 	endpoint         *link.Endpoint
 	logger           log.Logger
 	metrics          *metrics
@@ -82,7 +86,7 @@
 		s.logChange("configuration", c.document.Number(), "held already", nil)
 		return nil
 	}
-	err := s.propose(ctx, command{configuration: &c})
+	_, err := s.propose(ctx, command{configuration: &c})
 	s.logChange("configuration", c.document.Number(), "agreed", err)
 	return err
 }
@@ -97,7 +101,7 @@
 		s.logChange("weights", version, "held already", nil)
 		return nil
 	}
-	err := s.propose(ctx, command{version: &ModelVersion{model, version}})
+	_, err := s.propose(ctx, command{version: &ModelVersion{model, version}})
 	s.logChange("weights", version, "agreed", err)
 	return err
 }
@@ -171,13 +175,12 @@
 // Calls to the leader
 
 // propose commits a command through the leader.
-func (s *Service) propose(ctx context.Context, c command) error {
+func (s *Service) propose(ctx context.Context, c command) (leaderResponse, error) {
 	data, err := msgpack.Marshal(c)
 	if err != nil {
-		return failure.New(failure.Internal, "a command cannot be encoded: %v", err)
+		return leaderResponse{}, failure.New(failure.Internal, "a command cannot be encoded: %v", err)
 	}
-	_, err = s.callLeader(ctx, leaderRequest{data: data})
-	return err
+	return s.callLeader(ctx, leaderRequest{data: data})
 }
 
 // callLeader sends a request to the leader, and retries until it succeeds or requestTimeout ends.
@@ -222,8 +225,9 @@
 		return leaderResponse{}, failure.New(failure.NotLeader, "the control log does not run on this node")
 	}
 	if len(r.data) > 0 {
-		_, err := runner.Propose(ctx, r.data)
-		return leaderResponse{}, err
+		applied, err := runner.Propose(ctx, r.data)
+		outcome, _ := applied.(placement.Outcome) // other commands have none
+		return leaderResponse{evacuation: outcome}, err
 	}
 	if err := runner.ConfirmedRead(ctx); err != nil {
 		return leaderResponse{}, err
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -1,7 +1,8 @@
 // ================================================================
-// The replicated state of the control nodes: the newest service configuration and the named
-// versions of each model's weights, of which the newest is in force. Numbers and versions only
-// increase, so a command that is applied twice or late changes nothing.
+// The replicated state of the control nodes: the newest service configuration, the named versions of
+// each model's weights, of which the newest is in force, and the evacuated failure domains. Numbers,
+// versions and the revisions of domains only increase, so a command that is applied twice or late
+// changes nothing.
 // ================================================================
 
 // Package control implements the control node. Control nodes replicate the service configuration
@@ -20,6 +21,7 @@
 
 	"github.com/tidepost/tidepost/pkg/controllog"
 	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
@@ -51,6 +53,8 @@
 	configuration *Configuration
 	// version becomes the newest named version if it is higher than the current one.
 	version *ModelVersion
+	// evacuation changes whether a failure domain is evacuated.
+	evacuation *placement.Change
 }
 
 // snapshotData is the content of a snapshot: the whole state.
@@ -62,6 +66,8 @@
 	// versions are the named versions with their ages, by model and oldest first. Earlier releases
 	// wrote only the newest version of each model, without an age.
 	versions []feed.NamedVersion
+	// evacuations are the states of the failure domains that were ever evacuated.
+	evacuations []placement.DomainState
 }
 
 // State is the replicated state on one node. It is safe for concurrent use.
@@ -77,9 +83,12 @@
 	// onVersionChanges receives changes of versions and their ages, with the kind of their source
 	// and its address.
 	onVersionChanges func(changes []feed.VersionChange, source, from string)
+	// onEvacuations receives the failure domains that have been evacuated, or not any more.
+	onEvacuations func(changed []placement.DomainState)
 
-	named    *feed.VersionTable // versions that the log has named
-	reported *feed.VersionTable // versions that other processes reported, possibly before the log names them
+	evacuations placement.Evacuations
+	named       *feed.VersionTable // versions that the log has named
+	reported    *feed.VersionTable // versions that other processes reported, possibly before the log names them
 
 	mu            sync.RWMutex
 	configuration *Configuration
@@ -97,7 +106,8 @@
 func NewState(onChange func()) *State {
 	return &State{
 		onChange: onChange, now: time.Now, onVersionChanges: func([]feed.VersionChange, string, string) {},
-		named: feed.NewVersionTable(), reported: feed.NewVersionTable(),
+		onEvacuations: func([]placement.DomainState) {},
+		named:         feed.NewVersionTable(), reported: feed.NewVersionTable(),
 	}
 }
 
@@ -120,9 +130,21 @@
 	if changed {
 		s.onChange()
 	}
+	if c.evacuation != nil {
+		return s.applyEvacuation(*c.evacuation)
+	}
 	return nil
 }
 
+// applyEvacuation applies the change of a failure domain and returns its outcome.
+func (s *State) applyEvacuation(c placement.Change) placement.Outcome {
+	outcome := s.evacuations.Apply(c)
+	if outcome.Result() == placement.Applied {
+		s.onEvacuations([]placement.DomainState{s.evacuations.Get(c.Domain())})
+	}
+	return outcome
+}
+
 // applyConfiguration stores a configuration if it is newer, and reports whether it was.
 func (s *State) applyConfiguration(c *Configuration) bool {
 	s.mu.Lock()
@@ -174,7 +196,7 @@
 }
 
 func (s *State) snapshot() ([]byte, error) {
-	return msgpack.Marshal(snapshotData{configuration: s.Configuration(), versions: s.NamedVersions()})
+	return msgpack.Marshal(snapshotData{configuration: s.Configuration(), versions: s.NamedVersions(), evacuations: s.evacuations.All()})
 }
 
 // restore merges a snapshot into the state. Newer state is kept: a node that reopens its disk has
@@ -188,6 +210,9 @@
 	if s.mergeNamed(d.versions, sourceSnapshot) || changed {
 		s.onChange()
 	}
+	if evacuations := s.evacuations.Merge(d.evacuations); len(evacuations) > 0 {
+		s.onEvacuations(evacuations)
+	}
 	return nil
 }
 
@@ -220,6 +245,9 @@
 	return nil
 }
 
+// Evacuations returns the states of the failure domains that were ever evacuated.
+func (s *State) Evacuations() []placement.DomainState { return s.evacuations.All() }
+
 // NewestVersion returns the newest named version of a model; 0 if there is none.
 func (s *State) NewestVersion(model string) uint64 { return s.named.Newest(model).Version() }
 
--- a/pkg/control/wire_generated.go
+++ b/pkg/control/wire_generated.go
@@ -7,6 +7,7 @@
 
 	"github.com/tidepost/tidepost/pkg/controllog"
 	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
@@ -90,16 +91,16 @@
 }
 
 // newCommand returns a command with the given fields.
-func newCommand(configuration *Configuration, version *ModelVersion) command {
-	return command{configuration: configuration, version: version}
+func newCommand(configuration *Configuration, version *ModelVersion, evacuation *placement.Change) command {
+	return command{configuration: configuration, version: version, evacuation: evacuation}
 }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (c command) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(2); err != nil {
+	if err := enc.EncodeArrayLen(3); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(c.configuration, c.version)
+	return enc.EncodeMulti(c.configuration, c.version, c.evacuation)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -108,7 +109,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&c.configuration, &c.version}
+	fields := []any{&c.configuration, &c.version, &c.evacuation}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -222,16 +223,16 @@
 }
 
 // newLeaderResponse returns a leaderResponse with the given fields.
-func newLeaderResponse(configuration *Configuration, number uint64) leaderResponse {
-	return leaderResponse{configuration: configuration, number: number}
+func newLeaderResponse(configuration *Configuration, number uint64, evacuation placement.Outcome) leaderResponse {
+	return leaderResponse{configuration: configuration, number: number, evacuation: evacuation}
 }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (l leaderResponse) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(2); err != nil {
+	if err := enc.EncodeArrayLen(3); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(l.configuration, l.number)
+	return enc.EncodeMulti(l.configuration, l.number, l.evacuation)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -240,7 +241,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&l.configuration, &l.number}
+	fields := []any{&l.configuration, &l.number, &l.evacuation}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -255,16 +256,16 @@
 }
 
 // newSnapshotData returns a snapshotData with the given fields.
-func newSnapshotData(configuration *Configuration, versions []feed.NamedVersion) snapshotData {
-	return snapshotData{configuration: configuration, versions: versions}
+func newSnapshotData(configuration *Configuration, versions []feed.NamedVersion, evacuations []placement.DomainState) snapshotData {
+	return snapshotData{configuration: configuration, versions: versions, evacuations: evacuations}
 }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (s snapshotData) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(2); err != nil {
+	if err := enc.EncodeArrayLen(3); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(s.configuration, s.versions)
+	return enc.EncodeMulti(s.configuration, s.versions, s.evacuations)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -273,7 +274,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&s.configuration, &s.versions}
+	fields := []any{&s.configuration, &s.versions, &s.evacuations}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/event/recorder.go
+++ b/pkg/event/recorder.go
@@ -49,6 +49,8 @@
 	ClaimSettled      Kind = "claim_settled"
 	InvariantBroken   Kind = "invariant_broken"
 	CoordinatorChosen Kind = "coordinator_chosen"
+	DomainEvacuated   Kind = "domain_evacuated"
+	DomainReturned    Kind = "domain_returned"
 )
 
 // Event is an event in one process.
--- a/pkg/failure/kinds.go
+++ b/pkg/failure/kinds.go
@@ -52,6 +52,7 @@
 	SourceRefused       Kind = "source_refused"
 	StaleOrder          Kind = "stale_order"
 	InvariantBroken     Kind = "invariant_broken"
+	NotAllowed          Kind = "not_allowed"
 	CrashesServers      Kind = "ends_servers"
 	Internal            Kind = "internal"
 )
@@ -103,6 +104,7 @@
 	{SourceRefused, http.StatusServiceUnavailable, time.Second, "The origin or the weight store refused a request or failed.", "check the source; the copy resumes after the verified chunks"},
 	{StaleOrder, http.StatusConflict, 0, "The engine has accepted an order with a later fence.", "no action is needed, the later order is in force"},
 	{InvariantBroken, http.StatusInternalServerError, 0, "The check of an invariant has failed.", "report it with the timeline: `tidepost timeline -o json`"},
+	{NotAllowed, http.StatusServiceUnavailable, time.Second, "No backend server that is in service may receive the request: the regions that its route or organisation allows have none, or all are in evacuated failure domains.", "retry later; check allowed_regions in the configuration and the evacuated failure domains"},
 	{CrashesServers, http.StatusServiceUnavailable, time.Minute, "Several backend servers terminated while they ran this request, and none completed it, so it is quarantined.", "send a different request; find the cause in the backend servers' logs by the fingerprint in the message, and fix it"},
 	{Internal, http.StatusInternalServerError, 0, "An unexpected error of no other kind.", "report it with the log lines around it"},
 }
--- a/pkg/feed/messages.go
+++ b/pkg/feed/messages.go
@@ -27,6 +27,7 @@
 import (
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
@@ -208,6 +209,9 @@
 	// retryUsage is the retry usage of the gateway that last shut down gracefully at the follower's
 	// address; nil if there is none, or another gateway has started there since.
 	retryUsage *RetryUsage
+	// evacuations are the states of all failure domains that were ever evacuated, for gateways only:
+	// in the first Update and after each change.
+	evacuations []placement.DomainState
 }
 
 // RetryUsage is how much of its retry budget a gateway had used when it shut down gracefully. The
--- a/pkg/feed/next_update.go
+++ b/pkg/feed/next_update.go
@@ -31,6 +31,9 @@
 	if d.sendNodes {
 		u.nodes = p.controlNodes()
 	}
+	if d.sendEvacuations && s.hello.role == RoleGateway && p.source.Evacuations != nil {
+		u.evacuations = p.source.Evacuations()
+	}
 	if d.primary {
 		p.addInventory(&u, s, d)
 	}
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -17,6 +17,7 @@
 
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
@@ -54,6 +55,9 @@
 	Document func() *serviceconfig.Document
 	// NamedVersions returns the named versions.
 	NamedVersions func() []NamedVersion
+	// Evacuations returns the states of the failure domains that were ever evacuated; nil if the node
+	// keeps none.
+	Evacuations func() []placement.DomainState
 	// OnHello handles the Hello of a follower, with the named versions that it knows, before any
 	// Update is sent to it; nil to ignore it.
 	OnHello func(hello Hello)
@@ -131,6 +135,11 @@
 // NodesChanged sends the list of control nodes to every follower.
 func (p *Publisher) NodesChanged() { p.changeAll(func(s *subscriber) { s.sendNodes = true }) }
 
+// EvacuationsChanged sends the evacuated failure domains to every gateway.
+func (p *Publisher) EvacuationsChanged() {
+	p.changeAll(func(s *subscriber) { s.sendEvacuations = true })
+}
+
 func (p *Publisher) changeAll(change func(*subscriber)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/feed/subscriber.go
+++ b/pkg/feed/subscriber.go
@@ -21,24 +21,25 @@
 	wakeNow     chan struct{} // sends an Update at once
 	wakeBatched chan struct{} // sends an Update after batchDelay
 
-	mu            sync.Mutex
-	primary       bool // loads, demands and peers are sent
-	registrations map[string]registry.Registration
-	records       map[quarantine.Fingerprint]quarantine.Record
-	loads         map[string]Load   // by engine
-	peers         map[string]*Peer  // changes by link address; nil for a removed peer
-	sendAllPeers  bool              // the next Update has all peers
-	sendNodes     bool              // the next Update has the control nodes
-	sendDocument  bool              // the next Update has the document
-	demand        float64           // requests for engines per second, of a gateway
-	retryUsage    *storedRetryUsage // of the gateway's predecessor, to be sent
-	fallback      bool              // only documents and versions are sent
+	mu              sync.Mutex
+	primary         bool // loads, demands and peers are sent
+	registrations   map[string]registry.Registration
+	records         map[quarantine.Fingerprint]quarantine.Record
+	loads           map[string]Load   // by engine
+	peers           map[string]*Peer  // changes by link address; nil for a removed peer
+	sendAllPeers    bool              // the next Update has all peers
+	sendNodes       bool              // the next Update has the control nodes
+	sendDocument    bool              // the next Update has the document
+	sendEvacuations bool              // the next Update has the evacuated failure domains
+	demand          float64           // requests for engines per second, of a gateway
+	retryUsage      *storedRetryUsage // of the gateway's predecessor, to be sent
+	fallback        bool              // only documents and versions are sent
 }
 
 func newSubscriber(hello Hello) *subscriber {
 	return &subscriber{
 		hello: hello, fallback: hello.fallback, wakeNow: make(chan struct{}, 1), wakeBatched: make(chan struct{}, 1),
-		primary: hello.role == RoleNode, sendAllPeers: hello.role == RoleNode, sendNodes: !hello.fallback,
+		primary: hello.role == RoleNode, sendAllPeers: hello.role == RoleNode, sendNodes: !hello.fallback, sendEvacuations: true,
 		records:       map[quarantine.Fingerprint]quarantine.Record{},
 		registrations: map[string]registry.Registration{}, loads: map[string]Load{}, peers: map[string]*Peer{},
 	}
@@ -152,23 +153,24 @@
 
 // dequeued is the content of a queue that was removed for an Update.
 type dequeued struct {
-	registrations map[string]registry.Registration
-	loads         map[string]Load
-	peers         map[string]*Peer
-	sendAllPeers  bool
-	sendNodes     bool
-	sendDocument  bool
-	primary       bool
-	records       []quarantine.Record
-	retryUsage    *storedRetryUsage
+	registrations   map[string]registry.Registration
+	loads           map[string]Load
+	peers           map[string]*Peer
+	sendAllPeers    bool
+	sendNodes       bool
+	sendDocument    bool
+	primary         bool
+	records         []quarantine.Record
+	retryUsage      *storedRetryUsage
+	sendEvacuations bool
 }
 
 // dequeue empties the queue.
 func (s *subscriber) dequeue() dequeued {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d := dequeued{s.registrations, s.loads, s.peers, s.sendAllPeers, s.sendNodes, s.sendDocument, s.primary, s.dequeueRecords(), s.retryUsage}
+	d := dequeued{s.registrations, s.loads, s.peers, s.sendAllPeers, s.sendNodes, s.sendDocument, s.primary, s.dequeueRecords(), s.retryUsage, s.sendEvacuations}
 	s.registrations, s.loads, s.peers = map[string]registry.Registration{}, map[string]Load{}, map[string]*Peer{}
-	s.sendAllPeers, s.sendNodes, s.sendDocument, s.retryUsage = false, false, false, nil
+	s.sendAllPeers, s.sendNodes, s.sendDocument, s.sendEvacuations, s.retryUsage = false, false, false, false, nil
 	return d
 }
--- a/pkg/feed/wire_generated.go
+++ b/pkg/feed/wire_generated.go
@@ -7,6 +7,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
@@ -442,8 +443,8 @@
 }
 
 // NewUpdate returns a Update with the given fields.
-func NewUpdate(documentNumber uint64, document *serviceconfig.Document, namedVersions []NamedVersion, registrations []registry.Registration, quorumConfirmed bool, nodes []Node, gateways int, allPeers bool, peers []Peer, removedPeers []string, loads []Load, demands []Demand, records []quarantine.Record, retryUsage *RetryUsage) Update {
-	return Update{documentNumber: documentNumber, document: document, namedVersions: namedVersions, registrations: registrations, quorumConfirmed: quorumConfirmed, nodes: nodes, gateways: gateways, allPeers: allPeers, peers: peers, removedPeers: removedPeers, loads: loads, demands: demands, records: records, retryUsage: retryUsage}
+func NewUpdate(documentNumber uint64, document *serviceconfig.Document, namedVersions []NamedVersion, registrations []registry.Registration, quorumConfirmed bool, nodes []Node, gateways int, allPeers bool, peers []Peer, removedPeers []string, loads []Load, demands []Demand, records []quarantine.Record, retryUsage *RetryUsage, evacuations []placement.DomainState) Update {
+	return Update{documentNumber: documentNumber, document: document, namedVersions: namedVersions, registrations: registrations, quorumConfirmed: quorumConfirmed, nodes: nodes, gateways: gateways, allPeers: allPeers, peers: peers, removedPeers: removedPeers, loads: loads, demands: demands, records: records, retryUsage: retryUsage, evacuations: evacuations}
 }
 
 // DocumentNumber is the number of the newest document applied at the node; 0 if there is none.
@@ -493,12 +494,16 @@
 // address; nil if there is none, or another gateway has started there since.
 func (u Update) RetryUsage() *RetryUsage { return u.retryUsage }
 
+// Evacuations are the states of all failure domains that were ever evacuated, for gateways only:
+// in the first Update and after each change.
+func (u Update) Evacuations() []placement.DomainState { return u.evacuations }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (u Update) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(14); err != nil {
+	if err := enc.EncodeArrayLen(15); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(u.documentNumber, u.document, u.namedVersions, u.registrations, u.quorumConfirmed, u.nodes, u.gateways, u.allPeers, u.peers, u.removedPeers, u.loads, u.demands, u.records, u.retryUsage)
+	return enc.EncodeMulti(u.documentNumber, u.document, u.namedVersions, u.registrations, u.quorumConfirmed, u.nodes, u.gateways, u.allPeers, u.peers, u.removedPeers, u.loads, u.demands, u.records, u.retryUsage, u.evacuations)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -507,7 +512,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&u.documentNumber, &u.document, &u.namedVersions, &u.registrations, &u.quorumConfirmed, &u.nodes, &u.gateways, &u.allPeers, &u.peers, &u.removedPeers, &u.loads, &u.demands, &u.records, &u.retryUsage}
+	fields := []any{&u.documentNumber, &u.document, &u.namedVersions, &u.registrations, &u.quorumConfirmed, &u.nodes, &u.gateways, &u.allPeers, &u.peers, &u.removedPeers, &u.loads, &u.demands, &u.records, &u.retryUsage, &u.evacuations}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -41,6 +41,9 @@
 // startAttempt connects to a backend server for one attempt; it returns nil if none can be made there.
 // The caller closes the attempt.
 func (g *Gateway) startAttempt(q *request, b *backend) *exchange {
+	if !g.mayReceive(q, b) {
+		return nil
+	}
 	conn := g.connect(q, b)
 	if conn == nil {
 		return nil
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
@@ -67,6 +68,8 @@
 	maxWait time.Duration
 	// avoidBuilds are builds whose servers crashed while they ran the request.
 	avoidBuilds []string
+	// constraint restricts the regions of the servers.
+	constraint placement.Constraint
 	// excludeLimited excludes backend servers that advertise a rate limit.
 	excludeLimited bool
 	// tried holds the servers that must not get the request again; only, if not nil, holds those
@@ -114,12 +117,12 @@
 	load    load
 }
 
-// candidates returns the backend servers that are in service and hold the weights, including
-// those already tried.
+// candidates returns the backend servers that are in service, may receive the request and hold the
+// weights, including those already tried.
 func (g *Gateway) candidates(w requirements, now time.Time) []candidate {
 	var all []candidate
 	for _, b := range g.backends.forService(w.service) {
-		if l := b.load(now); l.serves() && w.allows(b, now) {
+		if l := b.load(now); l.serves() && g.placement.Decide(w.constraint, l.domain) == placement.Allowed && w.allows(b, now) {
 			all = append(all, candidate{b, l})
 		}
 	}
--- a/pkg/gateway/fake_backend_test.go
+++ b/pkg/gateway/fake_backend_test.go
@@ -180,12 +180,12 @@
 	// The result of a dial must not depend on how busy the machine is.
 	g.crashProbeWait = func(int) time.Duration { return time.Minute }
 	route := serviceconfig.NewRoute("r", "menus.example", "/draft/", kind, 3*time.Second, 400*time.Millisecond, 400*time.Millisecond, 1,
-		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, 2, false, resumable)
+		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, 2, false, resumable, nil)
 	d := serviceconfig.NewDocument(1, []serviceconfig.Route{route},
-		[]serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", serviceconfig.Engine{}, false)},
+		[]serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", serviceconfig.Engine{}, false, 0)},
 		[]serviceconfig.Organisation{
-			serviceconfig.NewOrganisation("larder", []string{"k1"}, 0, false),
-			serviceconfig.NewOrganisation("lamps", []string{"k2"}, 0, false),
+			serviceconfig.NewOrganisation("larder", []string{"k1"}, 0, false, nil),
+			serviceconfig.NewOrganisation("lamps", []string{"k2"}, 0, false, nil),
 		}, serviceconfig.Limits{})
 	if err := d.Check(); err != nil {
 		t.Fatal(err)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/reservation"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
@@ -57,6 +58,7 @@
 	follower     *feed.Follower
 	backends     *backends
 	versions     *feed.VersionTable
+	placement    placement.Rules
 	watchdogs    *watchdogSet
 	gatewayCount gatewayCounter
 	budget       *retryBudget
@@ -117,6 +119,7 @@
 		quarantine: quarantine.NewTable(nil), publishLimiter: rate.NewLimiter(crashReportRate, crashReportBurst),
 		tester: quarantine.TesterID(process.Identity), trialLimiter: rate.NewLimiter(trialRequestRate, 1),
 		limitLogLimiter: rate.NewLimiter(limitLogRate, limitLogBurst),
+		placement:       placement.Rules{Regions: s.Regions, Evacuations: &placement.Evacuations{}},
 	}
 	g.seeds = daemon.NewSeeds(settingsPath, s, settings.LoadGateway, process.Logger)
 	g.follower = &feed.Follower{
@@ -156,6 +159,7 @@
 		feed.LogVersionChanges(g.process.Logger, changes, string(feed.RoleNode), address)
 		g.watchdogs.checkNow()
 	}
+	g.mergeEvacuations(u.Evacuations(), address)
 	g.mergeRecords(u.Records())
 	g.inheritBudget(u.RetryUsage())
 	d := u.Document()
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -134,17 +134,17 @@
 	return r.URL.RequestURI()
 }
 
-// authenticate sets the organisation that owns the request's key. It fails if the key is
+// authenticate sets the organisation that owns the request's key, and what follows from it. It fails if the key is
 // unknown and the route requires one.
 func (q *request) authenticate(index *serviceconfig.Index) error {
-	q.urgency = q.route.Priority()
+	q.urgency, q.constraint = q.route.Priority(), constraintOf(q.route, nil)
 	if !index.RequiresKey() {
 		return nil
 	}
 	o, known := index.OrganisationOf(q.head.Key)
 	switch {
 	case known:
-		q.organisation = o.Name()
+		q.organisation, q.constraint = o.Name(), constraintOf(q.route, o)
 		if o.HasPriority() {
 			q.urgency = o.Priority()
 		}
@@ -283,7 +283,7 @@
 
 // requirementsFor returns the requirements on the backend server of the next attempt.
 func (g *Gateway) requirementsFor(q *request) requirements {
-	w := requirements{service: q.service.Name(), work: q.work, tried: q.tried, engine: q.service.Engine(), avoidBuilds: q.avoidBuilds}
+	w := requirements{service: q.service.Name(), work: q.work, tried: q.tried, engine: q.service.Engine(), avoidBuilds: q.avoidBuilds, constraint: q.constraint}
 	if len(q.ranAt) >= q.route.MaxAttempts() {
 		w.only = q.ranAt
 	}
@@ -324,10 +324,13 @@
 	if f := g.exhaustedLimits(q, w); f != nil {
 		return nil, f
 	}
+	if f := g.unplaceable(q); f != nil {
+		return nil, f
+	}
 	if loaded {
 		return nil, failure.New(failure.Overloaded, "every backend server of %s is full", q.service.Name()).WithRetryAfter(g.randomRetryAfter())
 	}
-	return nil, failure.New(failure.Overloaded, "no backend server of %s serves now", q.service.Name()).WithRetryAfter(time.Duration(retryAfterShare * float64(q.remaining())))
+	return nil, failure.New(failure.Overloaded, "no backend server of %s serves now", q.service.Name()).WithRetryAfter(q.retryAfterOutage())
 }
 
 // takeReserved returns the backend server that a check has chosen for the next attempt, or nil.
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -26,6 +26,7 @@
 	interrupted       *prometheus.CounterVec
 	borrowed          prometheus.Counter
 	uncounted         prometheus.Counter
+	evacuatedDomains  prometheus.Gauge
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -44,7 +45,8 @@
 		interrupted:       metric.NewCounters(metric.GatewayStreamsInterrupted, "reason"),
 		borrowed:          metric.NewCounter(metric.GatewayRetriesBorrowed),
 		uncounted:         metric.NewCounter(metric.GatewayRetriesUncounted),
+		evacuatedDomains:  metric.NewGauge(metric.GatewayEvacuatedDomains),
 	}
-	r.MustRegister(m.requests, m.attempts, m.reservations, m.silentConnections, m.firstEvent, m.inFlight, m.configNumber, m.serverCrashes, m.quarantined, m.limitedServers, m.limitSkips, m.interrupted, m.borrowed, m.uncounted)
+	r.MustRegister(m.requests, m.attempts, m.reservations, m.silentConnections, m.firstEvent, m.inFlight, m.configNumber, m.serverCrashes, m.quarantined, m.limitedServers, m.limitSkips, m.interrupted, m.borrowed, m.uncounted, m.evacuatedDomains)
 	return m
 }
--- a/pkg/gateway/named_versions_test.go
+++ b/pkg/gateway/named_versions_test.go
@@ -16,7 +16,7 @@
 		{feed.NewNamedVersion("menu", 2, 0), feed.NewNamedVersion("menu", 3, 0)},
 		{feed.NewNamedVersion("menu", 2, time.Hour), feed.NewNamedVersion("menu", 3, time.Minute)},
 	} {
-		g.applyUpdate("10.0.0.9:7700", feed.NewUpdate(0, nil, versions, nil, true, nil, 0, false, nil, nil, nil, nil, nil, nil))
+		g.applyUpdate("10.0.0.9:7700", feed.NewUpdate(0, nil, versions, nil, true, nil, 0, false, nil, nil, nil, nil, nil, nil, nil))
 	}
 	kept := g.follower.NamedVersions()
 	if len(kept) != 2 || kept[0].Version() != 2 || kept[0].Age() < time.Hour || kept[1].Age() < time.Minute {
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -43,6 +43,7 @@
 	attemptRejected         attemptEnd = "refused"
 	attemptWrongIncarnation attemptEnd = "elsewhere"
 	attemptFailed           attemptEnd = "failed"
+	attemptNotAllowed       attemptEnd = "not allowed" // the server may not receive the request
 )
 
 // recordAttempt logs and counts an attempt that did not answer the request.
--- a/pkg/gateway/path_bench_test.go
+++ b/pkg/gateway/path_bench_test.go
@@ -32,10 +32,10 @@
 		return reservation.NewResponse(true, 100*time.Millisecond, feed.NewLoad("menu", "", "menu", 1, 3, 0, 1, false, false)), nil
 	}
 	route := serviceconfig.NewRoute("r", "menus.example", "/draft/", serviceconfig.Stream, 3*time.Second, 400*time.Millisecond, 400*time.Millisecond, 1,
-		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, 2, false, true)
+		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, 2, false, true, nil)
 	g.index.Advance(serviceconfig.NewDocument(2, []serviceconfig.Route{route},
-		[]serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", testEngine(), true)},
-		[]serviceconfig.Organisation{serviceconfig.NewOrganisation("larder", []string{"k1"}, 0, false)}, serviceconfig.Limits{}))
+		[]serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", testEngine(), true, 0)},
+		[]serviceconfig.Organisation{serviceconfig.NewOrganisation("larder", []string{"k1"}, 0, false, nil)}, serviceconfig.Limits{}))
 	for i := range engines {
 		g.backends.applyRegistration(registry.NewRegistration(fmt.Sprintf("i-%d", i), "menu", s.listener.Addr().String(), "hall-a", "v1", 16, registry.Ready, 0, nil, 1, 0))
 	}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 	"github.com/tidepost/tidepost/pkg/suspension"
@@ -26,6 +27,7 @@
 	route          *serviceconfig.Route
 	service        *serviceconfig.Service
 	organisation   string
+	constraint     placement.Constraint // on the regions where it may be served
 	urgency        int
 	header         http.Header // the headers to forward
 	body           []byte
--- a/pkg/gateway/reserve_test.go
+++ b/pkg/gateway/reserve_test.go
@@ -44,8 +44,8 @@
 	for _, host := range []string{"127.0.0.11", "127.0.0.12", "127.0.0.13"} {
 		f.addEngineAt(host+":9", "hall-a", 3)
 	}
-	route := serviceconfig.NewRoute("r", "h", "/", serviceconfig.Stream, time.Minute, 400*time.Millisecond, 400*time.Millisecond, 1, nil, 2, false, true)
-	service := serviceconfig.NewService("menu", "", 0, "", testEngine(), false)
+	route := serviceconfig.NewRoute("r", "h", "/", serviceconfig.Stream, time.Minute, 400*time.Millisecond, 400*time.Millisecond, 1, nil, 2, false, true, nil)
+	service := serviceconfig.NewService("menu", "", 0, "", testEngine(), false, 0)
 	q := &request{ctx: t.Context(), route: &route, service: &service, started: time.Now(), deadline: time.Now().Add(time.Minute), tried: map[*backend]bool{}}
 	q.head.Model, q.model = "menu", "menu"
 	return g, q
@@ -171,7 +171,7 @@
 	for _, b := range g.backends.forService("menu") {
 		b.reported.rounding = 0
 	}
-	route := serviceconfig.NewRoute("r", "h", "/", serviceconfig.Stream, time.Minute, reserveTimeout, 0, 1, nil, 2, false, true)
+	route := serviceconfig.NewRoute("r", "h", "/", serviceconfig.Stream, time.Minute, reserveTimeout, 0, 1, nil, 2, false, true, nil)
 	q.route = &route
 	if b, refused := g.pick(q); b != nil || refused == nil || len(s.requestedFrom) != 1 {
 		t.Fatalf("picked %v, refused with %v, asked %v", b, refused, s.requestedFrom)
--- a/pkg/gateway/slot_share_test.go
+++ b/pkg/gateway/slot_share_test.go
@@ -141,8 +141,8 @@
 // requests did, most were refused nevertheless, and the others were served later.
 func TestRequestWithoutFreeSlotIsRefusedImmediately(t *testing.T) {
 	f := newFixture(t, serviceconfig.Stream, true)
-	route := serviceconfig.NewRoute("r", "h", "/", serviceconfig.Stream, time.Hour, time.Hour, 0, 1, nil, 2, false, true)
-	service := serviceconfig.NewService("menu", "", 0, "", testEngine(), false)
+	route := serviceconfig.NewRoute("r", "h", "/", serviceconfig.Stream, time.Hour, time.Hour, 0, 1, nil, 2, false, true, nil)
+	service := serviceconfig.NewService("menu", "", 0, "", testEngine(), false, 0)
 	f.addEngine("hall-a", 40)
 	q := &request{ctx: t.Context(), route: &route, service: &service, started: time.Now(), deadline: time.Now().Add(time.Hour), tried: map[*backend]bool{}}
 	q.head.Model, q.model = "menu", "menu"
--- a/pkg/gateway/version_expiry_test.go
+++ b/pkg/gateway/version_expiry_test.go
@@ -58,10 +58,10 @@
 func documentWithAttempts(t *testing.T, e serviceconfig.Engine, resumable bool, attempts int) serviceconfig.Document {
 	t.Helper()
 	route := serviceconfig.NewRoute("r", "menus.example", "/draft/", serviceconfig.Stream, time.Minute, 400*time.Millisecond, 400*time.Millisecond, 1,
-		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, attempts, false, resumable)
+		[]serviceconfig.Target{serviceconfig.NewTarget("menu", 1)}, attempts, false, resumable, nil)
 	d := serviceconfig.NewDocument(uint64(attempts), []serviceconfig.Route{route},
-		[]serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", e, false)},
-		[]serviceconfig.Organisation{serviceconfig.NewOrganisation("larder", []string{"k1"}, 0, false)}, serviceconfig.Limits{})
+		[]serviceconfig.Service{serviceconfig.NewService("menu", "", 0, "", e, false, 0)},
+		[]serviceconfig.Organisation{serviceconfig.NewOrganisation("larder", []string{"k1"}, 0, false, nil)}, serviceconfig.Limits{})
 	if err := d.Check(); err != nil {
 		t.Fatal(err)
 	}
@@ -83,7 +83,7 @@
 // namedUpdate returns an update from a control node with the same content.
 func (f *fixture) namedUpdate(left time.Duration) feed.Update {
 	named := []feed.NamedVersion{feed.NewNamedVersion("menu", 2, f.gateway.settings.RolloutLimit()-left)}
-	return feed.NewUpdate(0, nil, named, nil, true, nil, 0, false, nil, nil, nil, nil, nil, nil)
+	return feed.NewUpdate(0, nil, named, nil, true, nil, 0, false, nil, nil, nil, nil, nil, nil, nil)
 }
 
 func (f *fixture) draftRequest(t *testing.T) *http.Request {
--- a/pkg/metric/table.go
+++ b/pkg/metric/table.go
@@ -39,6 +39,7 @@
 	GatewayLimitSkips         = "tidepost_gateway_held_back_total"
 	GatewayRetriesBorrowed    = "tidepost_gateway_repeats_borrowed_total"
 	GatewayRetriesUncounted   = "tidepost_gateway_repeats_uncounted_total"
+	GatewayEvacuatedDomains   = "tidepost_gateway_evacuated_domains"
 	GatewayStreamsInterrupted = "tidepost_gateway_streams_interrupted_total"
 	GatewayConfigNumber       = "tidepost_gateway_configuration_number"
 	StagerChunks              = "tidepost_stager_chunks_total"
@@ -88,6 +89,7 @@
 	{GatewayStreamsInterrupted, "gateway", "Running streams of which the caller had received a part when the gateway ended the attempt, even if they continued elsewhere, by reason, version deadline, version expiry, version expires soon, stall, silent connection, unreachable server, stop deadline.", "if it grows for a reason other than stop deadline, servers or their VMs are overloaded, or links lose packets"},
 	{GatewayLimitSkips, "gateway", "Times that the gateway skipped a backend server because of the server's own limit, by why: spent, or no owner of the limit answered.", "spent: add backend servers, or find out why the limited ones are overloaded; no owner: gateways cannot reach each other over their links"},
 	{GatewayRetriesUncounted, "gateway", "Attempts on silent connections on which no data was acknowledged; the attempt after such a one does not count as a retry.", "if more than a few, connections go silent without a reset; check the network between the VMs"},
+	{GatewayEvacuatedDomains, "gateway", "Failure domains that are evacuated: their backend servers receive no new requests from this gateway.", "if gateways differ for more than 2 s, one is partitioned from the control nodes"},
 	{GatewayConfigNumber, "gateway", "Number of the service configuration in force on this gateway.", "if gateways differ for more than 2 s, one is partitioned from the control nodes"},
 	{StagerChunks, "stager", "Chunks by source: origin, peer or engine, and corrupt ones as spoilt.", "if many come from the origin, peers are unreachable; if many are spoilt, check the source"},
 	{StagerVersionServed, "stager", "Version that the engine of this VM serves.", "if it is behind the target version, read the stager's log lines"},
--- a/pkg/serviceconfig/check.go
+++ b/pkg/serviceconfig/check.go
@@ -5,6 +5,7 @@
 package serviceconfig
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/tidepost/tidepost/pkg/failure"
@@ -18,6 +19,9 @@
 		if s.name == "" || services[s.name] {
 			return badDocument("service name %q is empty or not unique", s.name)
 		}
+		if !(s.warmupRate >= 0) { // also false for NaN
+			return badDocument("service %q: %v requests a second while warming up", s.name, s.warmupRate)
+		}
 		services[s.name] = true
 	}
 	keys := map[string]bool{}
@@ -31,7 +35,7 @@
 		}
 		keys[key] = true
 	}
-	return checkKeys(d.organisations)
+	return checkOrganisations(d.organisations)
 }
 
 func (r Route) check(services map[string]bool) error {
@@ -51,13 +55,19 @@
 	if sum == 0 {
 		return badDocument("route %q: the weights of its targets sum to 0", r.name)
 	}
+	if slices.Contains(r.allowedRegions, "") {
+		return badDocument("route %q: an allowed region has no name", r.name)
+	}
 	return nil
 }
 
-// checkKeys refuses a key that two organisations hold.
-func checkKeys(organisations []Organisation) error {
+// checkOrganisations refuses a key that two organisations hold, and allowed regions without a name.
+func checkOrganisations(organisations []Organisation) error {
 	holders := map[string]string{}
 	for _, o := range organisations {
+		if slices.Contains(o.allowedRegions, "") {
+			return badDocument("organisation %q: an allowed region has no name", o.name)
+		}
 		for _, key := range o.keys {
 			if holder, taken := holders[key]; taken && holder != o.name {
 				return badDocument("organisations %q and %q share a key", holder, o.name)
--- a/pkg/serviceconfig/document.go
+++ b/pkg/serviceconfig/document.go
@@ -81,6 +81,8 @@
 	anonymous bool
 	// resumable streams may continue at another backend server.
 	resumable bool
+	// allowedRegions are the regions where its requests may be served; empty for all.
+	allowedRegions []string
 }
 
 // Target is one service of a route and its weight.
@@ -112,6 +114,9 @@
 	// backend server when one fails. Only ForEngines sets it, for processes on engine VMs,
 	// which get no routes.
 	interruptible bool
+	// warmupRate is the number of requests per second that one backend server accepts from all
+	// gateways together while it warms up; 0 for no limit.
+	warmupRate float64
 }
 
 // Engine describes the model engines of a service.
@@ -157,6 +162,8 @@
 	priority int
 	// hasPriority is whether priority is set.
 	hasPriority bool
+	// allowedRegions are the regions where its requests may be served; empty for all.
+	allowedRegions []string
 }
 
 // Limits bound the requests of clients. A zero field leaves the gateway's own limit.
--- a/pkg/serviceconfig/engines_test.go
+++ b/pkg/serviceconfig/engines_test.go
@@ -6,16 +6,16 @@
 )
 
 func routeTo(service string, kind Kind, resumable bool) Route {
-	return NewRoute("r", "h", "/", kind, time.Second, time.Second, 0, 1, []Target{NewTarget(service, 1)}, 1, false, resumable)
+	return NewRoute("r", "h", "/", kind, time.Second, time.Second, 0, 1, []Target{NewTarget(service, 1)}, 1, false, resumable, nil)
 }
 
 // Processes on engine VMs get no routes, but must know whether the requests of a service may
 // continue at another backend server.
 func TestForEnginesMarksInterruptibleServices(t *testing.T) {
 	services := []Service{
-		NewService("streams", "", 0, "", Engine{}, false),
-		NewService("mixed", "", 0, "", Engine{}, false),
-		NewService("unused", "", 0, "", Engine{}, false),
+		NewService("streams", "", 0, "", Engine{}, false, 0),
+		NewService("mixed", "", 0, "", Engine{}, false, 0),
+		NewService("unused", "", 0, "", Engine{}, false, 0),
 	}
 	d := NewDocument(3, []Route{
 		routeTo("streams", Stream, true), routeTo("streams", Repeatable, false),
--- a/pkg/serviceconfig/json.go
+++ b/pkg/serviceconfig/json.go
@@ -38,6 +38,7 @@
 	Attempts     int          `json:"attempts"`
 	Anonymous    bool         `json:"anonymous"`
 	Resumable    bool         `json:"resumable"`
+	Regions      []string     `json:"allowed_regions"`
 }
 
 type targetJSON struct {
@@ -51,6 +52,7 @@
 	MaxConnections int         `json:"max_connections"`
 	Origin         string      `json:"origin"`
 	Engine         *engineJSON `json:"engine"`
+	WarmupRate     float64     `json:"warmup_per_second"`
 }
 
 type engineJSON struct {
@@ -68,6 +70,7 @@
 	Name     string   `json:"name"`
 	Keys     []string `json:"keys"`
 	Priority *int     `json:"priority"`
+	Regions  []string `json:"allowed_regions"`
 }
 
 type limitsJSON struct {
@@ -98,10 +101,10 @@
 		document.routes = append(document.routes, r.route())
 	}
 	for _, s := range d.Services {
-		document.services = append(document.services, Service{s.Name, s.HealthPath, s.MaxConnections, s.Origin, s.Engine.engine(), false})
+		document.services = append(document.services, Service{s.Name, s.HealthPath, s.MaxConnections, s.Origin, s.Engine.engine(), false, s.WarmupRate})
 	}
 	for _, o := range d.Organisations {
-		organisation := Organisation{name: o.Name, keys: o.Keys, hasPriority: o.Priority != nil}
+		organisation := Organisation{name: o.Name, keys: o.Keys, hasPriority: o.Priority != nil, allowedRegions: o.Regions}
 		if o.Priority != nil {
 			organisation.priority = *o.Priority
 		}
@@ -119,6 +122,7 @@
 		name: r.Name, host: r.Host, prefix: r.Prefix, kind: r.Kind,
 		timeout: milliseconds(r.Timeout), responseObjective: milliseconds(r.Objective), gapObjective: milliseconds(r.GapObjective),
 		priority: r.Priority, targets: targets, maxAttempts: max(r.Attempts, 1), anonymous: r.Anonymous, resumable: r.Resumable,
+		allowedRegions: r.Regions,
 	}
 }
 
--- a/pkg/serviceconfig/wire_generated.go
+++ b/pkg/serviceconfig/wire_generated.go
@@ -172,8 +172,8 @@
 }
 
 // NewOrganisation returns a Organisation with the given fields.
-func NewOrganisation(name string, keys []string, priority int, hasPriority bool) Organisation {
-	return Organisation{name: name, keys: keys, priority: priority, hasPriority: hasPriority}
+func NewOrganisation(name string, keys []string, priority int, hasPriority bool, allowedRegions []string) Organisation {
+	return Organisation{name: name, keys: keys, priority: priority, hasPriority: hasPriority, allowedRegions: allowedRegions}
 }
 
 // Name is unique among organisations.
@@ -188,12 +188,15 @@
 // HasPriority is whether priority is set.
 func (o Organisation) HasPriority() bool { return o.hasPriority }
 
+// AllowedRegions are the regions where its requests may be served; empty for all.
+func (o Organisation) AllowedRegions() []string { return o.allowedRegions }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (o Organisation) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(4); err != nil {
+	if err := enc.EncodeArrayLen(5); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(o.name, o.keys, o.priority, o.hasPriority)
+	return enc.EncodeMulti(o.name, o.keys, o.priority, o.hasPriority, o.allowedRegions)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -202,7 +205,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&o.name, &o.keys, &o.priority, &o.hasPriority}
+	fields := []any{&o.name, &o.keys, &o.priority, &o.hasPriority, &o.allowedRegions}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -217,8 +220,8 @@
 }
 
 // NewRoute returns a Route with the given fields.
-func NewRoute(name string, host string, prefix string, kind Kind, timeout time.Duration, responseObjective time.Duration, gapObjective time.Duration, priority int, targets []Target, maxAttempts int, anonymous bool, resumable bool) Route {
-	return Route{name: name, host: host, prefix: prefix, kind: kind, timeout: timeout, responseObjective: responseObjective, gapObjective: gapObjective, priority: priority, targets: targets, maxAttempts: maxAttempts, anonymous: anonymous, resumable: resumable}
+func NewRoute(name string, host string, prefix string, kind Kind, timeout time.Duration, responseObjective time.Duration, gapObjective time.Duration, priority int, targets []Target, maxAttempts int, anonymous bool, resumable bool, allowedRegions []string) Route {
+	return Route{name: name, host: host, prefix: prefix, kind: kind, timeout: timeout, responseObjective: responseObjective, gapObjective: gapObjective, priority: priority, targets: targets, maxAttempts: maxAttempts, anonymous: anonymous, resumable: resumable, allowedRegions: allowedRegions}
 }
 
 // Name identifies the route in logs and metrics.
@@ -257,12 +260,15 @@
 // Resumable streams may continue at another backend server.
 func (r Route) Resumable() bool { return r.resumable }
 
+// AllowedRegions are the regions where its requests may be served; empty for all.
+func (r Route) AllowedRegions() []string { return r.allowedRegions }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (r Route) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(12); err != nil {
+	if err := enc.EncodeArrayLen(13); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(r.name, r.host, r.prefix, r.kind, r.timeout, r.responseObjective, r.gapObjective, r.priority, r.targets, r.maxAttempts, r.anonymous, r.resumable)
+	return enc.EncodeMulti(r.name, r.host, r.prefix, r.kind, r.timeout, r.responseObjective, r.gapObjective, r.priority, r.targets, r.maxAttempts, r.anonymous, r.resumable, r.allowedRegions)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -271,7 +277,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&r.name, &r.host, &r.prefix, &r.kind, &r.timeout, &r.responseObjective, &r.gapObjective, &r.priority, &r.targets, &r.maxAttempts, &r.anonymous, &r.resumable}
+	fields := []any{&r.name, &r.host, &r.prefix, &r.kind, &r.timeout, &r.responseObjective, &r.gapObjective, &r.priority, &r.targets, &r.maxAttempts, &r.anonymous, &r.resumable, &r.allowedRegions}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -286,8 +292,8 @@
 }
 
 // NewService returns a Service with the given fields.
-func NewService(name string, healthPath string, maxConnections int, origin string, engine Engine, interruptible bool) Service {
-	return Service{name: name, healthPath: healthPath, maxConnections: maxConnections, origin: origin, engine: engine, interruptible: interruptible}
+func NewService(name string, healthPath string, maxConnections int, origin string, engine Engine, interruptible bool, warmupRate float64) Service {
+	return Service{name: name, healthPath: healthPath, maxConnections: maxConnections, origin: origin, engine: engine, interruptible: interruptible, warmupRate: warmupRate}
 }
 
 // Name is unique among services.
@@ -311,12 +317,16 @@
 // which get no routes.
 func (s Service) Interruptible() bool { return s.interruptible }
 
+// WarmupRate is the number of requests per second that one backend server accepts from all
+// gateways together while it warms up; 0 for no limit.
+func (s Service) WarmupRate() float64 { return s.warmupRate }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (s Service) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(6); err != nil {
+	if err := enc.EncodeArrayLen(7); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(s.name, s.healthPath, s.maxConnections, s.origin, s.engine, s.interruptible)
+	return enc.EncodeMulti(s.name, s.healthPath, s.maxConnections, s.origin, s.engine, s.interruptible, s.warmupRate)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -325,7 +335,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&s.name, &s.healthPath, &s.maxConnections, &s.origin, &s.engine, &s.interruptible}
+	fields := []any{&s.name, &s.healthPath, &s.maxConnections, &s.origin, &s.engine, &s.interruptible, &s.warmupRate}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/settings/common.go
+++ b/pkg/settings/common.go
@@ -8,6 +8,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"maps"
 	"net"
 	"os"
 	"strings"
@@ -102,6 +103,16 @@
 	return nil
 }
 
+// withOwnRegion returns the regions of failure domains with that of the own one, which vm.region names.
+func (c Common) withOwnRegion(regions map[string]string) map[string]string {
+	all := maps.Clone(regions)
+	if all == nil {
+		all = map[string]string{}
+	}
+	all[c.domain] = c.region
+	return all
+}
+
 // WithoutDataFolder returns the settings without the data folder, for a process that opens its data
 // folder itself, later and possibly more than once.
 func (c Common) WithoutDataFolder() Common {
--- a/pkg/settings/control.go
+++ b/pkg/settings/control.go
@@ -28,6 +28,8 @@
 	cache bool
 	// memory is the memory limit of the process in bytes.
 	memory int64
+	// regions holds the region of each failure domain.
+	regions map[string]string
 }
 
 func controlCommon(s *Control) *Common { return &s.common }
@@ -51,6 +53,7 @@
 			set: duration(10*time.Millisecond, time.Minute, func(s *Control) *time.Duration { return &s.heartbeat })},
 		{Path: "weights.cache", Default: "true", ValueKind: kindFlag, Doc: "keep the newest weights, also in the data folder, and serve them to the stagers",
 			set: flag(func(s *Control) *bool { return &s.cache })},
+		regionsKey(func(s *Control) *map[string]string { return &s.regions }),
 		memoryKey(func(s *Control) *int64 { return &s.memory }),
 	}...)
 }
@@ -64,5 +67,6 @@
 	if err := s.common.check(path); err != nil {
 		return s, err
 	}
+	s.regions = s.common.withOwnRegion(s.regions)
 	return s, checkDistinctListeners(path, s.listen, s.common.peersListen, s.common.observeListen)
 }
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -37,6 +37,8 @@
 	memory int64
 	// maxConnections is the maximum number of callers' connections.
 	maxConnections int
+	// regions holds the region of each failure domain.
+	regions map[string]string
 }
 
 func gatewayCommon(s *Gateway) *Common { return &s.common }
@@ -66,6 +68,7 @@
 			set: duration(time.Second, MaxRolloutLimit, func(s *Gateway) *time.Duration { return &s.rolloutLimit })},
 		{Path: "requests.max_connections", Default: "2048", ValueKind: kindCount, Doc: "maximum number of callers' connections",
 			set: count(1, 1<<20, func(s *Gateway) *int { return &s.maxConnections })},
+		regionsKey(func(s *Gateway) *map[string]string { return &s.regions }),
 		memoryKey(func(s *Gateway) *int64 { return &s.memory }),
 	}...)
 }
@@ -79,9 +82,16 @@
 	if err := s.common.check(path); err != nil {
 		return s, err
 	}
+	s.regions = s.common.withOwnRegion(s.regions)
 	return s, checkDistinctListeners(path, s.listen, s.readyListen, s.common.peersListen, s.common.observeListen)
 }
 
+// regionsKey returns the key of the regions of the failure domains.
+func regionsKey[T any](field func(*T) *map[string]string) Key[T] {
+	return Key[T]{Path: "failure_domains", ValueKind: kindRegions, Doc: "region of each failure domain; requests that are restricted to regions are sent to no other domain, and no other can be evacuated",
+		set: pairs(field)}
+}
+
 // memoryKey returns the key of a process's memory limit.
 func memoryKey[T any](field func(*T) *int64) Key[T] {
 	return Key[T]{Path: "limits.memory", Default: "128MiB", ValueKind: kindBytes, Doc: "memory limit of the process; the garbage collector keeps memory use below it",
--- a/pkg/settings/values.go
+++ b/pkg/settings/values.go
@@ -27,6 +27,7 @@
 	kindFile        = "the path of a file"
 	kindFolder      = "the path of a folder"
 	kindLabels      = "a mapping of label to value"
+	kindRegions     = "a mapping of failure domain to region"
 	kindFlag        = "true or false"
 	kindURL         = "an address http://IP:PORT"
 	kindProtocol    = "own, or the name of an adapter"
--- a/pkg/settings/wire_generated.go
+++ b/pkg/settings/wire_generated.go
@@ -109,6 +109,9 @@
 // Memory is the memory limit of the process in bytes.
 func (c Control) Memory() int64 { return c.memory }
 
+// Regions holds the region of each failure domain.
+func (c Control) Regions() map[string]string { return c.regions }
+
 // Common holds the settings that all daemons share.
 func (e Entry) Common() Common { return e.common }
 
@@ -198,6 +201,9 @@
 // MaxConnections is the maximum number of callers' connections.
 func (g Gateway) MaxConnections() int { return g.maxConnections }
 
+// Regions holds the region of each failure domain.
+func (g Gateway) Regions() map[string]string { return g.regions }
+
 // Common holds the settings that all daemons share.
 func (s Stager) Common() Common { return s.common }
 
--- a/pkg/staging/drain_test.go
+++ b/pkg/staging/drain_test.go
@@ -114,7 +114,7 @@
 	s.staged = c
 	engine := serviceconfig.NewEngine(16, []string{"menu"}, 1, 1, 8, time.Millisecond, 0, 0, 0, 0, 0, 0)
 	for _, interruptible := range []bool{false, true} {
-		service := serviceconfig.NewService("menu", "", 0, "", engine, interruptible)
+		service := serviceconfig.NewService("menu", "", 0, "", engine, interruptible, 0)
 		s.activate(t.Context(), c, report, feed.VersionInfo{}, &service)
 		if last := orders[len(orders)-1]; last.Interrupts != interruptible {
 			t.Errorf("requests may resume elsewhere: %t; the order interrupts them: %t", interruptible, last.Interrupts)
--- a/pkg/staging/due_test.go
+++ b/pkg/staging/due_test.go
@@ -63,7 +63,7 @@
 		{[]feed.NamedVersion{feed.NewNamedVersion("menu", 2, time.Second), feed.NewNamedVersion("menu", 3, 0)}, true},
 		{[]feed.NamedVersion{feed.NewNamedVersion("menu", 2, time.Hour), feed.NewNamedVersion("menu", 3, time.Minute)}, false},
 	} {
-		m.applyUpdate("10.0.0.9:7700", feed.NewUpdate(0, nil, step.versions, nil, true, nil, 0, false, nil, nil, nil, nil, nil, nil))
+		m.applyUpdate("10.0.0.9:7700", feed.NewUpdate(0, nil, step.versions, nil, true, nil, 0, false, nil, nil, nil, nil, nil, nil, nil))
 		select {
 		case <-m.wake:
 			if !step.wake {
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -296,6 +296,9 @@
 // failureDomains is the number of failure domains.
 const failureDomains = 3
 
+// regionsSetting is the setting of the failure domains, each of which is a region.
+const regionsSetting = "{hall-a: region-a, hall-b: region-b, hall-c: region-c}"
+
 func failureDomain(index int) string { return fmt.Sprintf("hall-%c", 'a'+index%failureDomains) }
 
 // ----------------------------------------------------------------
@@ -321,7 +324,8 @@
 drain: {notice: %s, limit: %s}
 retries: {reserve: %d}
 weights: {within: %s}
-`, cl.address(gatewayVMs, i, callersPort), cl.address(gatewayVMs, i, readyPort), seeds, cl.config.drainNotice, drainLimit, cl.config.retryReserve, cl.config.rolloutDeadline))
+failure_domains: %s
+`, cl.address(gatewayVMs, i, callersPort), cl.address(gatewayVMs, i, readyPort), seeds, cl.config.drainNotice, drainLimit, cl.config.retryReserve, cl.config.rolloutDeadline, regionsSetting))
 	}
 }
 
@@ -348,7 +352,8 @@
 control: {listen: %q, %s, bootstrap: %t, tolerate: %d}
 backends: {heartbeat: %s}
 weights: {cache: false}
-`, cl.dataFolder(name), cl.address(controlVMs, i, controlPort), cl.seedsSetting(), first, cl.config.toleratedLosses, heartbeatInterval))
+failure_domains: %s
+`, cl.dataFolder(name), cl.address(controlVMs, i, controlPort), cl.seedsSetting(), first, cl.config.toleratedLosses, heartbeatInterval, regionsSetting))
 }
 
 // dataFolder returns the data folder of a control node.
@@ -360,7 +365,8 @@
 // commonSettings returns the settings that all programs have. Each listens behind its proxy.
 func (cl *cluster) commonSettings(name string, kind, index int) string {
 	peers := fmt.Sprintf("listen: %q, advertise: %q", cl.address(kind, index, linkTargetPort), cl.address(kind, index, linkPort))
-	return fmt.Sprintf("protocol: platform\nvm: {name: %s, region: north, failure_domain: %s}\npeers: {%s}\n", name, failureDomain(index), peers)
+	domain := failureDomain(index)
+	return fmt.Sprintf("protocol: platform\nvm: {name: %s, region: region-%s, failure_domain: %s}\npeers: {%s}\n", name, domain[len(domain)-1:], domain, peers)
 }
 
 // logFolder returns the folder for the programs' logs and data. A folder that is named in
--- a/tools/wiregen/main.go
+++ b/tools/wiregen/main.go
@@ -157,7 +157,7 @@
 	if strings.Contains(body.String(), "msgpack.") {
 		b.WriteString("\t\"github.com/vmihailenco/msgpack/v5\"\n\n")
 	}
-	for _, imported := range []string{"contract", "controllog", "event", "failure", "feed", "quarantine", "registry", "serviceconfig", "vm"} {
+	for _, imported := range []string{"contract", "controllog", "event", "failure", "feed", "placement", "quarantine", "registry", "serviceconfig", "vm"} {
 		used := regexp.MustCompile(`[ *\]]` + imported + `\.[A-Z]`)
 		if used.MatchString(body.String()) {
 			fmt.Fprintf(&b, "\t\"github.com/tidepost/tidepost/pkg/%s\"\n", imported)
