Gateways: a server that warms up gets the rate of its service from all gateways together

Cause: cold_left_ms was decoded and compared, and no choice read it: a server that has just started has no work and gets the requests of every gateway; above some rate it crashes (FAILBACK).

Change: the limit of a warm-up is held by pkg/serverlimit, as one that a server advertises; of both the lower holds, and each ends by itself. What is left of a warm-up ages while a control node stores it, and a new or longer one is forwarded at once. Health checks are not sent, so X-Cold-Ms is not read.

--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -82,12 +82,15 @@
 	oldestWait         time.Duration // the longest current wait of a request of this gateway for its first event
 	heldUntil          time.Time     // until then its own rate limit allows no request
 	nextPermit         time.Time     // when its own rate limit allows the next request
-	limited            bool          // whether it advertises a rate limit
+	limited            bool          // whether requests need a permit
 	perSecond          float64       // its rate limit
+	warmupEnd          time.Time     // when its warm-up ends
 }
 
 func newBackend(r registry.Registration) *backend {
-	return &backend{registration: r, address: r.Address(), pool: upstream.NewPool(r.Address()), reported: reportedLoad{rounding: rand.Float64()}}
+	b := &backend{registration: r, address: r.Address(), pool: upstream.NewPool(r.Address()), reported: reportedLoad{rounding: rand.Float64()}}
+	b.limit.updateWarmup(r, time.Now(), false)
+	return b
 }
 
 func (b *backend) latestRegistration() registry.Registration {
@@ -101,6 +104,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r.Supersedes(b.registration) {
+		b.limit.updateWarmup(r, time.Now(), r.Sequence() == b.registration.Sequence())
 		b.registration = r
 	}
 }
@@ -140,7 +144,7 @@
 		oldestWait: b.waiting.oldestWait(now), unreachable: b.unreachable,
 		reservable: b.canReserveLocked(now), stagerUnresponsive: now.Before(b.stagerBackoffUntil) && !(b.reported.isFresh(now) && b.reported.load.Transferring()),
 		overloaded: now.Before(b.overloadedUntil), state: r.State(), domain: r.Domain(),
-		heldUntil: b.limit.heldUntil, nextPermit: b.limit.nextPermitAt, limited: b.limit.active, perSecond: b.limit.perSecond,
+		heldUntil: b.limit.heldUntil, nextPermit: b.limit.nextPermitAt, limited: b.limit.active, perSecond: b.limit.perSecond, warmupEnd: b.limit.warmupEnd,
 	}
 }
 
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -70,7 +70,9 @@
 	avoidBuilds []string
 	// constraint restricts the regions of the servers.
 	constraint placement.Constraint
-	// excludeLimited excludes backend servers that advertise a rate limit.
+	// warmupRate is the rate limit of a server that warms up, in requests per second; 0 for none.
+	warmupRate float64
+	// excludeLimited excludes backend servers with a rate limit.
 	excludeLimited bool
 	// tried holds the servers that must not get the request again; only, if not nil, holds those
 	// that may get it.
@@ -122,13 +124,24 @@
 func (g *Gateway) candidates(w requirements, now time.Time) []candidate {
 	var all []candidate
 	for _, b := range g.backends.forService(w.service) {
-		if l := b.load(now); l.serves() && g.placement.Decide(w.constraint, l.domain) == placement.Allowed && w.allows(b, now) {
+		if l := b.load(now).withWarmupLimit(w.warmupRate, now); l.serves() && g.placement.Decide(w.constraint, l.domain) == placement.Allowed && w.allows(b, now) {
 			all = append(all, candidate{b, l})
 		}
 	}
 	return all
 }
 
+// withWarmupLimit returns the load with the limit of a warm-up, where that holds and is the lowest.
+func (l load) withWarmupLimit(perSecond float64, now time.Time) load {
+	if perSecond <= 0 || !now.Before(l.warmupEnd) {
+		return l
+	}
+	if !l.limited || perSecond < l.perSecond {
+		l.limited, l.perSecond = true, perSecond
+	}
+	return l
+}
+
 // cheapest keeps the backend server with the least cost that was offered.
 type cheapest struct {
 	backend *backend
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -283,7 +283,7 @@
 
 // requirementsFor returns the requirements on the backend server of the next attempt.
 func (g *Gateway) requirementsFor(q *request) requirements {
-	w := requirements{service: q.service.Name(), work: q.work, tried: q.tried, engine: q.service.Engine(), avoidBuilds: q.avoidBuilds, constraint: q.constraint}
+	w := requirements{service: q.service.Name(), work: q.work, tried: q.tried, engine: q.service.Engine(), avoidBuilds: q.avoidBuilds, constraint: q.constraint, warmupRate: q.service.WarmupRate()}
 	if len(q.ranAt) >= q.route.MaxAttempts() {
 		w.only = q.ranAt
 	}
--- a/pkg/gateway/limit_fleet_test.go
+++ b/pkg/gateway/limit_fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serverlimit"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
 const (
@@ -57,7 +58,9 @@
 type limitFleet struct {
 	t         *testing.T
 	perSecond float64
-	demand    float64 // requests for the server per second that arrive at each gateway
+	service   serviceconfig.Service
+	warmup    time.Duration // of the server, from the start of the run; it then advertises no limit
+	demand    float64       // requests for the server per second that arrive at each gateway
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -121,9 +124,9 @@
 func (f *limitFleet) startProcess(m *fleetMember) {
 	g := m.processes[0]
 	m.processes = m.processes[1:]
-	r := registry.NewRegistration("e-1", "menu", "10.1.0.1:80", "hall-a", "v1", 4, registry.Ready, 0, nil, 1, 0)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	r := registry.NewRegistration("e-1", "menu", "10.1.0.1:80", "hall-a", "v1", 4, registry.Ready, max(f.warmup-time.Since(f.runStart), 0), nil, 1, 0)
 	m.gateway, m.backend, m.startedAt, m.down = g, newBackend(r), time.Now(), false
 	o := g.limitOwners
 	o.listed = func() map[string]feed.Peer {
@@ -194,7 +197,7 @@
 
 // sendRequest sends one request to the server if the gateway permits it.
 func (f *limitFleet) sendRequest(ctx context.Context, m *fleetMember, g *Gateway, b *backend) {
-	q := &request{ctx: ctx}
+	q := &request{ctx: ctx, service: &f.service}
 	if b.load(time.Now()).isHeldBack(time.Now()) || !g.acquirePermit(q, b) {
 		return
 	}
@@ -216,7 +219,7 @@
 		f.sentWithoutPermit++
 	}
 	b.mu.Lock()
-	known := b.limit.active
+	known := b.limit.active || f.warmup > 0
 	b.mu.Unlock()
 	if known && time.Since(m.startedAt) > minKnownFor && !f.limitEnded {
 		f.arrivals = append(f.arrivals, time.Now())
@@ -225,19 +228,19 @@
 	f.mu.Unlock()
 	x := &exchange{gateway: g, request: q, backend: b, permit: p, started: sent}
 	response := ResponseHead{FromBackend: true, Limit: serverlimit.ParseHeader([]string{fmt.Sprint(f.perSecond)})}
-	if limitEnded {
+	if limitEnded || f.warmup > 0 {
 		response.Limit = serverlimit.ParseHeader(nil)
 	}
 	x.updateLimit(response)
 }
 
-// maxInWindow returns the most arrivals in any limitWindow.
-func (f *limitFleet) maxInWindow() (most int) {
+// maxInWindow returns the most arrivals in any window of a length.
+func (f *limitFleet) maxInWindow(window time.Duration) (most int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	first := 0
 	for i, at := range f.arrivals {
-		for at.Sub(f.arrivals[first]) > limitWindow {
+		for at.Sub(f.arrivals[first]) > window {
 			first++
 		}
 		most = max(most, i-first+1)
@@ -388,7 +391,7 @@
 					synctest.Test(t, func(t *testing.T) {
 						f.run(fault.inject, duration)
 						allowed := int(allowedFactor*limitWindow.Seconds()*perSecond) + allowedSlack
-						if most := f.maxInWindow(); most > allowed {
+						if most := f.maxInWindow(limitWindow); most > allowed {
 							t.Errorf("%d requests in %s, %d allowed", most, limitWindow, allowed)
 						}
 						if used := f.used(); used < fault.minUsed && perSecond > 0 {
--- a/pkg/gateway/limit_state.go
+++ b/pkg/gateway/limit_state.go
@@ -1,6 +1,7 @@
 // ================================================================
-// The rate limits that backend servers advertise, as this gateway knows them from their answers and
-// from the gateways that own the limits.
+// The rate limits of backend servers, as this gateway knows them: those that they advertise, from
+// their answers and from the gateways that own the limits, and those of servers that warm up, from
+// their registrations.
 // ================================================================
 
 package gateway
@@ -10,7 +11,9 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serverlimit"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
 const (
@@ -30,6 +33,24 @@
 	endedAt       time.Time // when its owner last said that it has ended
 	nextPermitAt  time.Time // when the next permit is due, by the last answer of its owner
 	heldUntil     time.Time // until then the owner is not asked
+	warmupEnd     time.Time // when the warm-up of the server ends; zero if it has reported none
+}
+
+// updateWarmup applies what a registration says of the warm-up. The same registration again, through
+// another control node, doesn't prolong it.
+func (l *limitState) updateWarmup(r registry.Registration, now time.Time, isRepeated bool) {
+	until := now.Add(r.WarmupLeft())
+	if r.WarmupLeft() == 0 {
+		until = time.Time{}
+	}
+	if !isRepeated || until.Before(l.warmupEnd) {
+		l.warmupEnd = until
+	}
+}
+
+// warmup returns the limit of the warm-up for a service.
+func (l *limitState) warmup(s *serviceconfig.Service, now time.Time) serverlimit.Warmup {
+	return serverlimit.NewWarmup(s.WarmupRate(), max(l.warmupEnd.Sub(now), 0))
 }
 
 // update applies the limit that an answer advertises, and reports whether the limit changed. sent is
@@ -65,7 +86,8 @@
 	}
 	switch {
 	case x.permit == nil:
-	case answer.Limit.Kind() == serverlimit.Valid && answer.Limit.PerSecond() != x.permit.perSecond:
+	case answer.Limit.Kind() == serverlimit.None && x.permit.unlimited:
+	case answer.Limit.Kind() == serverlimit.Valid && (x.permit.unlimited || answer.Limit.PerSecond() != x.permit.perSecond):
 		x.gateway.reportPermit(x.permit, serverlimit.LimitAdvertised, answer.Limit.PerSecond())
 	case answer.Limit.Kind() == serverlimit.None && answer.FromBackend:
 		x.gateway.reportPermit(x.permit, serverlimit.NoLimitAdvertised, 0)
@@ -85,34 +107,42 @@
 		"address", r.Address(), "per_second", advertised.PerSecond())
 }
 
-// limitedBackends counts the backend servers that have a limit.
+// limitedBackends counts the backend servers that advertise a limit.
 func (g *Gateway) limitedBackends() (count int) {
 	g.backends.each(func(b *backend, _ string) {
-		if b.isLimited() {
+		if b.hasAdvertisedLimit() {
 			count++
 		}
 	})
 	return count
 }
 
-// isLimited reports whether the backend server has a limit.
-func (b *backend) isLimited() bool {
+// hasAdvertisedLimit reports whether the backend server advertises a limit.
+func (b *backend) hasAdvertisedLimit() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.limit.active
 }
 
-// permitRequest returns the request for a permit to the backend server; limited is false where none
-// is needed.
-func (b *backend) permitRequest() (request serverlimit.PermitRequest, limited bool) {
+// isLimited reports whether requests for a service need a permit at the backend server.
+func (b *backend) isLimited(s *serviceconfig.Service) bool {
+	_, limited := b.permitRequest(s)
+	return limited
+}
+
+// permitRequest returns the request for a permit to the backend server, for requests for its service;
+// limited is false where none is needed.
+func (b *backend) permitRequest(s *serviceconfig.Service) (request serverlimit.PermitRequest, limited bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.limit.active {
+	now := time.Now()
+	warmup := b.limit.warmup(s, now)
+	if !b.limit.active && warmup.IsOver() {
 		return request, false
 	}
 	r := b.registration
 	server := serverlimit.NewServer(r.Incarnation(), r.StartedAt(), r.Domain())
-	return serverlimit.NewPermitRequest(server, b.limit.perSecond, b.limit.unreported, time.Since(b.limit.requestSentAt)), true
+	return serverlimit.NewPermitRequest(server, b.limit.perSecond, b.limit.unreported, now.Sub(b.limit.requestSentAt), !b.limit.active, warmup), true
 }
 
 // endLimit removes the limit after its owner answered a permit request that the limit has ended,
@@ -124,7 +154,7 @@
 	if !b.limit.active || b.limit.unreported && !request.Changed() {
 		return false
 	}
-	b.limit = limitState{endedAt: now}
+	b.limit = limitState{endedAt: now, warmupEnd: b.limit.warmupEnd}
 	return true
 }
 
--- a/pkg/gateway/limit_test.go
+++ b/pkg/gateway/limit_test.go
@@ -120,7 +120,7 @@
 		}
 		b := f.gateway.backends.forService("menu")[0]
 		b.limit.update(serverlimit.ParseHeader([]string{"1"}), time.Now())
-		if b.limit.update(serverlimit.ParseHeader([]string{text}), time.Now()) || !b.isLimited() || b.limit.perSecond != 1 {
+		if b.limit.update(serverlimit.ParseHeader([]string{text}), time.Now()) || !b.hasAdvertisedLimit() || b.limit.perSecond != 1 {
 			t.Errorf("%q changed a limit", text)
 		}
 	}
@@ -133,11 +133,11 @@
 	f := newFixture(t, serviceconfig.Repeatable, false, server).ownsAll()
 	f.get(t, "first")
 	b := f.gateway.backends.forService("menu")[0]
-	if !b.isLimited() {
+	if !b.hasAdvertisedLimit() {
 		t.Fatal("the gateway has no limit for the server")
 	}
 	limit.Store("")
-	for i := 0; b.isLimited(); i++ {
+	for i := 0; b.hasAdvertisedLimit(); i++ {
 		f.get(t, fmt.Sprint("r", i))
 		time.Sleep(time.Millisecond)
 	}
@@ -212,7 +212,7 @@
 	}
 	b := g.backends.forService("menu")[0]
 	b.limit.update(serverlimit.ParseHeader([]string{"1"}), time.Now())
-	if chosen, _ := g.choosePermitted(&request{ctx: ctx}, requirements{service: "menu"}); chosen != nil {
+	if chosen, _ := g.choosePermitted(&request{ctx: ctx, service: &serviceconfig.Service{}}, requirements{service: "menu"}); chosen != nil {
 		t.Error("chosen without a permit")
 	}
 	if b.load(time.Now()).isHeldBack(time.Now()) {
@@ -227,7 +227,7 @@
 	g := f.gateway
 	b := g.backends.forService("menu")[0]
 	b.limit.update(serverlimit.ParseHeader([]string{"1"}), time.Now())
-	q := &request{ctx: t.Context()}
+	q := &request{ctx: t.Context(), service: &serviceconfig.Service{}}
 	for !g.acquirePermit(q, b) {
 		time.Sleep(time.Millisecond)
 	}
--- a/pkg/gateway/permit.go
+++ b/pkg/gateway/permit.go
@@ -1,6 +1,6 @@
 // ================================================================
-// A backend server may advertise a rate limit, which holds for all gateways together. So each
-// request to it, first attempts, retries and resumed streams alike, needs a permit from the gateway
+// A backend server may advertise a rate limit, which holds for all gateways together, and one that
+// warms up has the limit that the configuration sets for its service. So each request to it, first attempts, retries and resumed streams alike, needs a permit from the gateway
 // that owns the limit (pkg/serverlimit). A server whose limit is used up is skipped until the next
 // permit is due. Where limits keep a request from all servers of a service, it is refused at once,
 // with the time at which the next permit is due.
@@ -33,6 +33,7 @@
 	granted   serverlimit.Permit
 	owner     string // the link address of the gateway that granted it
 	perSecond float64
+	unlimited bool // the server advertises no limit: the permit was needed for its warm-up
 }
 
 // holdReason is why a limited backend server gets no requests at the moment.
@@ -65,7 +66,7 @@
 		return true
 	}
 	g.returnPermit(q)
-	request, limited := b.permitRequest()
+	request, limited := b.permitRequest(q.service)
 	if !limited {
 		return true
 	}
@@ -82,7 +83,9 @@
 		if b.endLimit(request, time.Now()) {
 			g.logLimit(b, serverlimit.AdvertisedLimit{})
 		}
-		return true
+		if request.Warmup().IsOver() {
+			return true
+		}
 	}
 	b.markLimitReported(request)
 	if !response.Permit().IsGranted() {
@@ -90,7 +93,7 @@
 		g.metrics.limitSkips.WithLabelValues(string(holdSpent)).Inc()
 		return false
 	}
-	q.permit = &permit{b, request.Server(), response.Permit(), response.Owner(), response.PerSecond()}
+	q.permit = &permit{b, request.Server(), response.Permit(), response.Owner(), response.PerSecond(), response.Unlimited() || response.LimitEnded()}
 	return true
 }
 
@@ -99,7 +102,7 @@
 // choice.
 func (q *request) takePermit(b *backend) (p *permit, ok bool) {
 	if q.permit == nil || q.permit.backend != b {
-		return nil, !b.isLimited()
+		return nil, !b.isLimited(q.service)
 	}
 	p, q.permit = q.permit, nil
 	return p, true
--- a/pkg/gateway/permit_request.go
+++ b/pkg/gateway/permit_request.go
@@ -37,8 +37,7 @@
 	self, now := g.process.Identity.Address(), time.Now()
 	ranking := g.limitOwners.ranking(request.Server(), now)
 	if len(ranking) == 0 {
-		share := request.PerSecond() / float64(g.countGateways())
-		return g.limitOwners.standalone.Decide(now, serverlimit.NewPermitRequest(request.Server(), share, request.Changed(), request.Age()), serverlimit.Owner), true
+		return g.limitOwners.standalone.Decide(now, request.Shared(g.countGateways()), serverlimit.Owner), true
 	}
 	asked, unresponsive := 0, 0
 	for i, owner := range ranking {
@@ -71,7 +70,7 @@
 	now := time.Now()
 	role, grants := g.limitOwners.role(before, now)
 	if !grants {
-		return serverlimit.NewPermitResponse(serverlimit.Permit{}, false, request.PerSecond(), takeoverRetryAfter, "")
+		return serverlimit.NewPermitResponse(serverlimit.Permit{}, false, request.PerSecond(), takeoverRetryAfter, "", false)
 	}
 	return g.limitOwners.limiter.Decide(now, request, role).WithOwner(g.process.Identity.Address())
 }
@@ -104,7 +103,7 @@
 func (g *Gateway) answerPermit(ctx context.Context, request serverlimit.PermitRequest) serverlimit.PermitResponse {
 	answer, answered := g.requestPermit(ctx, request)
 	if !answered {
-		return serverlimit.NewPermitResponse(serverlimit.Permit{}, false, request.PerSecond(), noOwnerHold, "")
+		return serverlimit.NewPermitResponse(serverlimit.Permit{}, false, request.PerSecond(), noOwnerHold, "", false)
 	}
 	return answer
 }
--- a/pkg/registry/registration.go
+++ b/pkg/registry/registration.go
@@ -51,7 +51,7 @@
 	slots int
 	// state is its lifecycle state.
 	state State
-	// warmupLeft is the remaining time for which it is slow after its start.
+	// warmupLeft is for how much longer it warms up and accepts only a low rate of requests.
 	warmupLeft time.Duration
 	// holdings are the weights that it serves.
 	holdings []Holding
@@ -146,7 +146,17 @@
 	return version
 }
 
-// hasSameContent reports whether followers would learn nothing new from o.
+// agedBy returns the registration as of a later time: the warm-up has proceeded.
+func (r Registration) agedBy(d time.Duration) Registration {
+	r.warmupLeft = max(r.warmupLeft-d, 0)
+	return r
+}
+
+// minWarmupChange is the least change of the end of a warm-up that followers are told. Heartbeats that
+// arrive with varying delays shift it by less.
+const minWarmupChange = 250 * time.Millisecond
+
+// hasSameContent reports whether followers would learn nothing new from o, which is as of the same time.
 func (r Registration) hasSameContent(o Registration) bool {
 	if r.startedAt != o.startedAt || r.service != o.service || r.address != o.address || r.domain != o.domain ||
 		r.slots != o.slots || r.state != o.state || len(r.holdings) != len(o.holdings) {
@@ -157,5 +167,5 @@
 			return false
 		}
 	}
-	return (r.warmupLeft > 0) == (o.warmupLeft > 0)
+	return (r.warmupLeft > 0) == (o.warmupLeft > 0) && (r.warmupLeft-o.warmupLeft).Abs() < minWarmupChange
 }
--- a/pkg/registry/table.go
+++ b/pkg/registry/table.go
@@ -18,13 +18,16 @@
 
 const shardCount = 16
 
-// entry is a registration and the time at which it was last received.
+// entry is a registration as of the time at which it was last received.
 type entry struct {
 	registration Registration
 	receivedAt   time.Time
 	relayed      bool // received from another node, not from the backend server itself
 }
 
+// at returns the registration as of a later time.
+func (e entry) at(now time.Time) Registration { return e.registration.agedBy(now.Sub(e.receivedAt)) }
+
 type shard struct {
 	mu      sync.Mutex
 	entries map[string]entry
@@ -72,12 +75,15 @@
 	return r, !known || !r.hasSameContent(old.registration)
 }
 
-// store stores a registration unless the existing one supersedes it.
+// store stores a registration unless the existing one supersedes it. It returns the existing one as of
+// now.
 func (t *Table) store(r Registration, relayed bool) (old entry, known, stored bool) {
 	s := t.shard(r.incarnation)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := t.now()
 	old, known = s.entries[r.incarnation]
+	old.registration = old.at(now)
 	if known && !r.Supersedes(old.registration) {
 		return old, known, false
 	}
@@ -88,7 +94,7 @@
 		// The same registration again does not change who receives the heartbeats.
 		relayed = old.relayed
 	}
-	s.entries[r.incarnation] = entry{r, t.now(), relayed}
+	s.entries[r.incarnation] = entry{r, now, relayed}
 	return old, known, true
 }
 
@@ -119,7 +125,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, known := s.entries[incarnation]
-	return current.registration, known
+	return current.at(t.now()), known
 }
 
 // Direct returns the registrations of the backend servers whose heartbeats arrive at this node.
@@ -132,12 +138,13 @@
 
 func (t *Table) filter(match func(entry) bool) []Registration {
 	var matches []Registration
+	now := t.now()
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
 		for _, e := range s.entries {
 			if match(e) {
-				matches = append(matches, e.registration)
+				matches = append(matches, e.at(now))
 			}
 		}
 		s.mu.Unlock()
--- a/pkg/registry/table_test.go
+++ b/pkg/registry/table_test.go
@@ -198,3 +198,46 @@
 		}
 	}
 }
+
+func newWarmingRegistration(sequence uint64, left time.Duration) Registration {
+	return NewRegistration("i-1", "menu", "10.0.0.1:80", "north", "v1", 16, Ready, left, nil, sequence, 0)
+}
+
+// What is left of a warm-up shrinks while the registration is stored, so that a follower that connects
+// late does not take the server for one that has just started.
+func TestWarmupEndsWhileStored(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := NewTable(func() time.Time { return now })
+	table.Receive(newWarmingRegistration(1, 3*time.Second))
+	for _, want := range []time.Duration{3 * time.Second, 2 * time.Second, time.Second, 0, 0} {
+		r, _ := table.Get("i-1")
+		if all := table.All(); r.WarmupLeft() != want || all[0].WarmupLeft() != want {
+			t.Errorf("%s and %s left, want %s", r.WarmupLeft(), all[0].WarmupLeft(), want)
+		}
+		now = now.Add(time.Second)
+	}
+}
+
+// A server may begin to warm up at any moment, and again before it has ended: followers are told. They
+// are not told of the time that passes.
+func TestChangedWarmupIsForwarded(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := NewTable(func() time.Time { return now })
+	for i, step := range []struct {
+		after, left time.Duration
+		forwarded   bool
+	}{
+		{0, 3 * time.Second, true},
+		{1200 * time.Millisecond, 1800 * time.Millisecond, false},
+		{1200 * time.Millisecond, 3 * time.Second, true},
+		{1200 * time.Millisecond, 1700 * time.Millisecond, false},
+		{1200 * time.Millisecond, 0, true},
+		{1200 * time.Millisecond, 0, false},
+		{1200 * time.Millisecond, 3 * time.Second, true},
+	} {
+		now = now.Add(step.after)
+		if got := table.Receive(newWarmingRegistration(uint64(i+1), step.left)); got != step.forwarded {
+			t.Errorf("heartbeat %d with %s left: forwarded: %t", i+1, step.left, got)
+		}
+	}
+}
--- a/pkg/serverlimit/limiter.go
+++ b/pkg/serverlimit/limiter.go
@@ -11,11 +11,15 @@
 // A limit has ended when an answer without a limit arrives whose permit was granted after the limit
 // was last reported here: answers may arrive out of order, and such an answer can't be older than
 // the report. An answer that a gateway received before it had a permit proves nothing.
+//
+// A server that warms up has a limit of its own for that time, which all gateways know. Where it
+// advertises one too, the lower of the two holds.
 // ================================================================
 
 package serverlimit
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -64,11 +68,14 @@
 	PartialBackup
 )
 
-// bucket is the token bucket of one server and what is known of its limit.
+// bucket is the token bucket of one server and what is known of its limits.
 type bucket struct {
-	perSecond       float64
+	perSecond       float64 // the advertised limit
+	unlimited       bool    // the server has advertised no limit yet
 	role            Role
 	limitEnded      bool // the server advertises no limit any more
+	warmupPerSecond float64
+	warmupUntil     time.Time // zero if no warm-up was reported
 	tokens          float64
 	refilledAt      time.Time // when tokens were last added
 	requestedAt     time.Time // when a permit was last requested
@@ -85,33 +92,68 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.buckets[request.server]
-	switch {
-	case b == nil:
-		b = &bucket{perSecond: request.perSecond, refilledAt: now, updatedAt: now}
+	if b == nil {
+		b = &bucket{perSecond: request.perSecond, unlimited: request.unlimited, refilledAt: now, updatedAt: now}
 		l.buckets[request.server] = b
-	case b.limitEnded && request.changed:
-		*b = bucket{perSecond: request.perSecond, refilledAt: now, granted: b.granted, grantedAtUpdate: b.granted, updatedAt: now}
-	case request.changed:
-		b.refill(now)
+	}
+	b.refill(now)
+	b.learn(now, request)
+	if role != Owner && now.Sub(b.requestedAt) > backupIdleGap+b.interval(now) {
+		b.empty(now)
+	}
+	b.requestedAt, b.role = now, role
+	response := PermitResponse{perSecond: b.perSecond, unlimited: b.unlimited, limitEnded: b.limitEnded}
+	switch {
+	case !b.isAdvertised() && !b.isWarmingUp(now):
+		response.limitEnded = true
+	case b.tokens < 1:
+		response.retryAfter = b.untilNext(now)
+	default:
+		b.tokens--
+		b.granted++
+		response.permit = Permit{l.id, b.granted}
+	}
+	return response
+}
+
+// learn applies what a gateway reports of the limits with its request.
+func (b *bucket) learn(now time.Time, request PermitRequest) {
+	switch {
+	case request.unlimited || !request.changed && !b.unlimited:
+		// Nothing is known here that the request adds to.
+	case !b.isAdvertised():
+		b.beginLimit(now, request.perSecond)
+	default:
 		b.update(now, request.perSecond, now.Add(-request.age).After(b.updatedAt))
 	}
-	if role != Owner && now.Sub(b.requestedAt) > backupIdleGap+b.interval() {
-		b.tokens, b.refilledAt = 0, now
+	if request.warmup.IsOver() {
+		return
 	}
-	b.requestedAt = now
-	if b.limitEnded {
-		return PermitResponse{limitEnded: true}
+	if !b.isWarmingUp(now) {
+		b.empty(now)
 	}
-	b.refill(now)
-	b.role = role
-	if b.tokens < 1 {
-		return PermitResponse{perSecond: b.perSecond, retryAfter: b.untilNext()}
+	b.warmupPerSecond = request.warmup.perSecond
+	if until := now.Add(request.warmup.left); until.After(b.warmupUntil) {
+		b.warmupUntil = until
 	}
-	b.tokens--
-	b.granted++
-	return PermitResponse{permit: Permit{l.id, b.granted}, perSecond: b.perSecond}
 }
 
+// beginLimit applies the limit of a server that has advertised none so far, or none any more.
+func (b *bucket) beginLimit(now time.Time, perSecond float64) {
+	b.perSecond, b.unlimited, b.limitEnded = perSecond, false, false
+	b.grantedAtUpdate, b.updatedAt = b.granted, now
+	b.empty(now)
+}
+
+// isAdvertised reports whether the server advertises a limit.
+func (b *bucket) isAdvertised() bool { return !b.unlimited && !b.limitEnded }
+
+// isWarmingUp reports whether the limit of a warm-up holds.
+func (b *bucket) isWarmingUp(now time.Time) bool { return now.Before(b.warmupUntil) }
+
+// empty removes the tokens: a limit that has just begun allows nothing that accumulated before.
+func (b *bucket) empty(now time.Time) { b.tokens, b.refilledAt = 0, now }
+
 // ApplyReport applies the outcome of a permit. The outcome of one that another process granted is
 // ignored.
 func (l *Limiter) ApplyReport(now time.Time, report PermitReport) {
@@ -124,9 +166,13 @@
 	switch report.outcome {
 	case Unused:
 		b.refill(now)
-		b.tokens = min(b.tokens+1, b.capacity())
+		b.tokens = min(b.tokens+1, b.capacity(now))
 	case LimitAdvertised:
 		b.refill(now)
+		if b.unlimited {
+			b.beginLimit(now, report.perSecond)
+			return
+		}
 		b.update(now, report.perSecond, report.permit.number > b.grantedAtUpdate)
 	case NoLimitAdvertised:
 		b.limitEnded = report.permit.number > b.grantedAtUpdate
@@ -153,29 +199,41 @@
 	b.grantedAtUpdate, b.updatedAt = b.granted, now
 }
 
+// limit returns the lower of the limits that hold, in requests per second.
+func (b *bucket) limit(now time.Time) float64 {
+	limit := math.Inf(1)
+	if b.isAdvertised() {
+		limit = b.perSecond
+	}
+	if b.isWarmingUp(now) {
+		limit = min(limit, b.warmupPerSecond)
+	}
+	return min(limit, maxPerSecond)
+}
+
 // rate returns the permits granted per second.
-func (b *bucket) rate() float64 {
+func (b *bucket) rate(now time.Time) float64 {
 	if b.role == PartialBackup {
-		return max(partialBackupShare*b.perSecond, minPartialBackupRate)
+		return max(partialBackupShare*b.limit(now), minPartialBackupRate)
 	}
-	return max(grantedShare*b.perSecond, minRate)
+	return max(grantedShare*b.limit(now), minRate)
 }
 
 // interval returns the time between two permits.
-func (b *bucket) interval() time.Duration {
-	return time.Duration(float64(time.Second) / b.rate())
+func (b *bucket) interval(now time.Time) time.Duration {
+	return time.Duration(float64(time.Second) / b.rate(now))
 }
 
 // capacity returns the most tokens that the bucket holds.
-func (b *bucket) capacity() float64 { return 1 + burstWindow.Seconds()*b.rate() }
+func (b *bucket) capacity(now time.Time) float64 { return 1 + burstWindow.Seconds()*b.rate(now) }
 
 func (b *bucket) refill(now time.Time) {
 	if elapsed := now.Sub(b.refilledAt); elapsed > 0 {
-		b.tokens = min(b.tokens+elapsed.Seconds()*b.rate(), b.capacity())
+		b.tokens = min(b.tokens+elapsed.Seconds()*b.rate(now), b.capacity(now))
 		b.refilledAt = now
 	}
 }
 
-func (b *bucket) untilNext() time.Duration {
-	return max(time.Duration((1-b.tokens)*float64(b.interval())), minRetryAfter)
+func (b *bucket) untilNext(now time.Time) time.Duration {
+	return max(time.Duration((1-b.tokens)*float64(b.interval(now))), minRetryAfter)
 }
--- a/pkg/serverlimit/limiter_test.go
+++ b/pkg/serverlimit/limiter_test.go
@@ -15,11 +15,13 @@
 )
 
 // sameLimit requests a permit with a limit that the gateway has reported before.
-func sameLimit(perSecond float64) PermitRequest { return NewPermitRequest(server, perSecond, false, 0) }
+func sameLimit(perSecond float64) PermitRequest {
+	return NewPermitRequest(server, perSecond, false, 0, false, Warmup{})
+}
 
 // changedLimit requests a permit with a limit that is new to the gateway, but may be an hour old.
 func changedLimit(perSecond float64) PermitRequest {
-	return NewPermitRequest(server, perSecond, true, time.Hour)
+	return NewPermitRequest(server, perSecond, true, time.Hour, false, Warmup{})
 }
 
 // at returns the time some milliseconds after the start.
@@ -135,7 +137,7 @@
 	if a := l.Decide(at(440), changedLimit(2), Owner); a.LimitEnded() || a.Permit().IsGranted() || a.PerSecond() != 2 {
 		t.Fatalf("%+v when a limit is advertised again", a)
 	}
-	if !l.Decide(at(450), NewPermitRequest(NewServer("e-1", 8, "hall-a"), 0, false, 0), Owner).Permit().IsGranted() {
+	if !l.Decide(at(450), NewPermitRequest(NewServer("e-1", 8, "hall-a"), 0, false, 0, false, Warmup{}), Owner).Permit().IsGranted() {
 		// Another process of the server has its own bucket, which starts empty as well.
 		return
 	}
@@ -163,11 +165,11 @@
 func TestNewerLimitReplacesLowerOne(t *testing.T) {
 	l := NewLimiter(1)
 	l.Decide(start, changedLimit(0), Owner)
-	early := NewPermitRequest(server, 3, true, 2*time.Second)
+	early := NewPermitRequest(server, 3, true, 2*time.Second, false, Warmup{})
 	if got := l.Decide(at(1000), early, Owner).PerSecond(); got != 0 {
 		t.Fatalf("%g per second, from an answer that may be older", got)
 	}
-	late := NewPermitRequest(server, 3, true, 500*time.Millisecond)
+	late := NewPermitRequest(server, 3, true, 500*time.Millisecond, false, Warmup{})
 	if got := l.Decide(at(5000), late, Owner).PerSecond(); got != 3 {
 		t.Fatalf("%g per second, from an answer that is newer", got)
 	}
--- a/pkg/serverlimit/messages.go
+++ b/pkg/serverlimit/messages.go
@@ -33,8 +33,34 @@
 	// age is the longest time for which the gateway may have known the limit: since it sent the
 	// request whose answer advertised it.
 	age time.Duration
+	// unlimited is true if the server advertises no limit as far as the gateway knows. The permit is
+	// then needed for its warm-up.
+	unlimited bool
+	// warmup is the limit of a server that warms up; the zero value if it does not.
+	warmup Warmup
 }
 
+// Shared returns the request for a permit from an equal share of the limits among so many gateways.
+func (p PermitRequest) Shared(gateways int) PermitRequest {
+	p.perSecond /= float64(gateways)
+	p.warmup.perSecond /= float64(gateways)
+	return p
+}
+
+// Warmup is the limit of a server that has started recently. It comes from the configuration, and what
+// is left of the warm-up from the server.
+//
+//wire:generate
+type Warmup struct {
+	// perSecond is the limit, in requests per second.
+	perSecond float64
+	// left is the time until the warm-up ends.
+	left time.Duration
+}
+
+// IsOver reports whether the warm-up limits nothing any more.
+func (w Warmup) IsOver() bool { return w.left <= 0 || w.perSecond <= 0 }
+
 // PermitResponse answers a PermitRequest.
 //
 //wire:generate
@@ -43,13 +69,15 @@
 	permit Permit
 	// limitEnded is true if the server advertises no limit any more, so that no permit is needed.
 	limitEnded bool
-	// perSecond is the limit that the owner applies, in requests per second.
+	// perSecond is the advertised limit that the owner applies, in requests per second.
 	perSecond float64
 	// retryAfter is the time until the next permit is due, where none was granted.
 	retryAfter time.Duration
 	// owner is the link address of the gateway that decided; empty where that gateway takes no
 	// reports.
 	owner string
+	// unlimited is true if the owner knows of no advertised limit, and perSecond is not valid.
+	unlimited bool
 }
 
 // WithOwner returns the response with the link address of the gateway that decided.
--- a/pkg/serverlimit/wire_generated.go
+++ b/pkg/serverlimit/wire_generated.go
@@ -94,8 +94,8 @@
 }
 
 // NewPermitRequest returns a PermitRequest with the given fields.
-func NewPermitRequest(server Server, perSecond float64, changed bool, age time.Duration) PermitRequest {
-	return PermitRequest{server: server, perSecond: perSecond, changed: changed, age: age}
+func NewPermitRequest(server Server, perSecond float64, changed bool, age time.Duration, unlimited bool, warmup Warmup) PermitRequest {
+	return PermitRequest{server: server, perSecond: perSecond, changed: changed, age: age, unlimited: unlimited, warmup: warmup}
 }
 
 // Server is the backend server.
@@ -111,12 +111,19 @@
 // request whose answer advertised it.
 func (p PermitRequest) Age() time.Duration { return p.age }
 
+// Unlimited is true if the server advertises no limit as far as the gateway knows. The permit is
+// then needed for its warm-up.
+func (p PermitRequest) Unlimited() bool { return p.unlimited }
+
+// Warmup is the limit of a server that warms up; the zero value if it does not.
+func (p PermitRequest) Warmup() Warmup { return p.warmup }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (p PermitRequest) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(4); err != nil {
+	if err := enc.EncodeArrayLen(6); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(p.server, p.perSecond, p.changed, p.age)
+	return enc.EncodeMulti(p.server, p.perSecond, p.changed, p.age, p.unlimited, p.warmup)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -125,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&p.server, &p.perSecond, &p.changed, &p.age}
+	fields := []any{&p.server, &p.perSecond, &p.changed, &p.age, &p.unlimited, &p.warmup}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -140,8 +147,8 @@
 }
 
 // NewPermitResponse returns a PermitResponse with the given fields.
-func NewPermitResponse(permit Permit, limitEnded bool, perSecond float64, retryAfter time.Duration, owner string) PermitResponse {
-	return PermitResponse{permit: permit, limitEnded: limitEnded, perSecond: perSecond, retryAfter: retryAfter, owner: owner}
+func NewPermitResponse(permit Permit, limitEnded bool, perSecond float64, retryAfter time.Duration, owner string, unlimited bool) PermitResponse {
+	return PermitResponse{permit: permit, limitEnded: limitEnded, perSecond: perSecond, retryAfter: retryAfter, owner: owner, unlimited: unlimited}
 }
 
 // Permit is the permit that was granted; its zero value is none.
@@ -150,7 +157,7 @@
 // LimitEnded is true if the server advertises no limit any more, so that no permit is needed.
 func (p PermitResponse) LimitEnded() bool { return p.limitEnded }
 
-// PerSecond is the limit that the owner applies, in requests per second.
+// PerSecond is the advertised limit that the owner applies, in requests per second.
 func (p PermitResponse) PerSecond() float64 { return p.perSecond }
 
 // RetryAfter is the time until the next permit is due, where none was granted.
@@ -160,12 +167,15 @@
 // reports.
 func (p PermitResponse) Owner() string { return p.owner }
 
+// Unlimited is true if the owner knows of no advertised limit, and perSecond is not valid.
+func (p PermitResponse) Unlimited() bool { return p.unlimited }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (p PermitResponse) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(5); err != nil {
+	if err := enc.EncodeArrayLen(6); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(p.permit, p.limitEnded, p.perSecond, p.retryAfter, p.owner)
+	return enc.EncodeMulti(p.permit, p.limitEnded, p.perSecond, p.retryAfter, p.owner, p.unlimited)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -174,7 +184,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&p.permit, &p.limitEnded, &p.perSecond, &p.retryAfter, &p.owner}
+	fields := []any{&p.permit, &p.limitEnded, &p.perSecond, &p.retryAfter, &p.owner, &p.unlimited}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -229,3 +239,42 @@
 	}
 	return nil
 }
+
+// NewWarmup returns a Warmup with the given fields.
+func NewWarmup(perSecond float64, left time.Duration) Warmup {
+	return Warmup{perSecond: perSecond, left: left}
+}
+
+// PerSecond is the limit, in requests per second.
+func (w Warmup) PerSecond() float64 { return w.perSecond }
+
+// Left is the time until the warm-up ends.
+func (w Warmup) Left() time.Duration { return w.left }
+
+// EncodeMsgpack writes the fields in order, as one array.
+func (w Warmup) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(2); err != nil {
+		return err
+	}
+	return enc.EncodeMulti(w.perSecond, w.left)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
+func (w *Warmup) DecodeMsgpack(dec *msgpack.Decoder) error {
+	count, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := []any{&w.perSecond, &w.left}
+	for i := 0; i < count; i++ {
+		if i >= len(fields) {
+			err = dec.Skip()
+		} else {
+			err = dec.Decode(fields[i])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
