Feed: followers spread over all control nodes

Cause: a follower first connects to the three nodes of its settings, and a connected node ranked before every untried one, so it stayed there. A node that restarted got none of its followers back.

Change: a follower also keeps streams to the pair that it would choose if all working nodes were connected alike, and leaves its present pair once that has settled. A node that was left because it had no contact with the leader is remembered as such for a while; it would be tried again and again.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # generate, clean, and bench-...
 
 .PHONY: build demo test check prove soak silence lost streams ends final-faults limits generate clean \
-	bench-burst bench-route bench-control bench-capacity bench-path
+	bench-burst bench-route bench-control bench-capacity bench-path bench-fleet
 
 # A failing test must fail the target, also where its output is filtered.
 SHELL := /bin/bash
@@ -81,9 +81,9 @@
 check:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet ./...
-	go vet -tags bench ./bench ./soak ./pkg/gateway
+	go vet -tags bench ./bench ./soak ./pkg/gateway ./pkg/feed
 	go tool staticcheck ./...
-	go tool staticcheck -tags bench ./bench ./soak ./pkg/gateway
+	go tool staticcheck -tags bench ./bench ./soak ./pkg/gateway ./pkg/feed
 
 generate:
 	go generate ./...
@@ -108,3 +108,7 @@
 
 bench-path:
 	$(BENCH) 'TestPath' | grep -E '^path|^capacity|FAIL'
+
+# The feed of a fleet of 250, 500, 1,000 and 2,000 processes in virtual time: make bench-fleet SIZES="250 500".
+bench-fleet:
+	TIDEPOST_SIZES="$(SIZES)" go test -count=1 -v -timeout 60m -tags bench ./pkg/feed -run TestFleetCosts | grep -E '^fleet|FAIL'
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -1,6 +1,6 @@
 // ================================================================
 // Client side of the feed: streams to two control nodes, which are selected among those that the
-// settings list or a node reported. A control node follows all others. A node that sends nothing
+// settings list or a node reported, and for a while to others that are to replace them. A control node follows all others. A node that sends nothing
 // for nodeTimeout is replaced by another one; what it sent stays in use. A gateway whose two nodes
 // both fall silent connects to fallback nodes at once (fallback.go).
 // ================================================================
@@ -78,6 +78,7 @@
 	streams         map[string]*followedNode // by address of the node
 	nodeLists       map[string][]Node        // control nodes that each node reported, by address of the node
 	lostAt          map[string]time.Time     // time of the last loss, by address of the node
+	withoutQuorumAt map[string]time.Time     // when a node without contact with the leader was left, by its address
 	primary         *link.Stream             // the stream whose node was last made the primary
 	inventory       receivedInventory
 	requestedNumber uint64
@@ -102,7 +103,8 @@
 func (f *Follower) Run(ctx context.Context) error {
 	f.mu.Lock()
 	f.wake = make(chan struct{}, 1)
-	f.streams, f.nodeLists, f.lostAt = map[string]*followedNode{}, map[string][]Node{}, map[string]time.Time{}
+	f.streams, f.nodeLists = map[string]*followedNode{}, map[string][]Node{}
+	f.lostAt, f.withoutQuorumAt = map[string]time.Time{}, map[string]time.Time{}
 	f.fallbackTimer = time.AfterFunc(time.Hour, func() { daemon.Wake(f.wake) })
 	f.mu.Unlock()
 	defer f.fallbackTimer.Stop()
@@ -122,37 +124,51 @@
 // ----------------------------------------------------------------
 // Selection of nodes
 
-// adjust opens a stream to each selected node, closes the others unless a document is expected from
-// them, and notifies the nodes of a change of the primary.
+// adjust opens a stream to each selected node, closes the others, and notifies the nodes of a change of
+// the primary.
 func (f *Follower) adjust(ctx context.Context) {
 	f.mu.Lock()
 	now := time.Now()
 	wanted := f.wantedNodes(now)
-	fallbacks := f.fallbackNodes(wanted, now)
-	for i, address := range append(slices.Clone(wanted), fallbacks...) {
+	regular := append(slices.Clone(wanted), f.preferredNodes(now)...)
+	fallbacks := f.fallbackNodes(regular, now)
+	f.open(ctx, regular, false)
+	f.open(ctx, fallbacks, true)
+	f.closeOthers(append(slices.Clone(regular), fallbacks...), now)
+	messages := f.promoteFallbacks(regular)
+	maps.Copy(messages, f.choosePrimary(wanted, now))
+	f.mu.Unlock()
+	for stream, m := range messages {
+		// The receiving goroutine gets the failure too and drops the stream.
+		_ = stream.Send(m)
+	}
+}
+
+// open opens streams to those of the nodes that have none. The caller holds the lock.
+func (f *Follower) open(ctx context.Context, nodes []string, fallback bool) {
+	for _, address := range nodes {
 		if f.streams[address] == nil {
 			streamCtx, cancel := context.WithCancel(ctx)
-			f.streams[address] = &followedNode{cancel: cancel, fallback: i >= len(wanted)}
+			f.streams[address] = &followedNode{cancel: cancel, fallback: fallback}
 			go f.followWithRetries(streamCtx, address)
 		}
 	}
+}
+
+// closeOthers closes the streams to other nodes, except one that a document is expected from. The caller
+// holds the lock.
+func (f *Follower) closeOthers(kept []string, now time.Time) {
 	for address, s := range f.streams {
-		if slices.Contains(wanted, address) || slices.Contains(fallbacks, address) || f.awaitsDocument(s) {
+		if slices.Contains(kept, address) || f.awaitsDocument(s) {
 			continue
 		}
+		f.recordLeft(address, now)
 		s.cancel()
 		delete(f.streams, address)
 		if f.primary == s.stream {
 			f.primary = nil
 		}
 	}
-	messages := f.promoteFallbacks(wanted)
-	maps.Copy(messages, f.choosePrimary(wanted, now))
-	f.mu.Unlock()
-	for stream, m := range messages {
-		// The receiving goroutine gets the failure too and drops the stream.
-		_ = stream.Send(m)
-	}
 }
 
 // choosePrimary makes the first node that can be the primary the primary. It returns the messages
@@ -246,12 +262,16 @@
 	switch {
 	case s != nil && s.stream != nil && now.Sub(s.quorumAt) < quorumTimeout && s.fallback:
 		return rankFallback
+	case s != nil && s.stream != nil && now.Sub(s.quorumAt) < quorumTimeout && now.Sub(s.connectedAt) < f.settlingTime():
+		return rankSettling
 	case s != nil && s.stream != nil && now.Sub(s.quorumAt) < quorumTimeout:
 		return rankHealthy
 	case s != nil && s.stream != nil:
 		return rankNoQuorum
 	case now.Sub(f.lostAt[address]) < failedRankDuration:
 		return rankFailed
+	case now.Sub(f.withoutQuorumAt[address]) < quorumLossMemory:
+		return rankNoQuorum
 	}
 	return rankUntried
 }
--- a/pkg/feed/node_selection.go
+++ b/pkg/feed/node_selection.go
@@ -25,6 +25,8 @@
 const (
 	// rankHealthy is a connected node that was recently in contact with the leader.
 	rankHealthy candidateRank = iota
+	// rankSettling is such a node that has not been connected for long.
+	rankSettling
 	// rankFallback is a node connected as a fallback. It does not replace a healthy node, which may
 	// only be slow.
 	rankFallback
