Feed: a load crosses between two failure domains once

Cause: a control node sent the loads of its stagers to every other node. With one node in each failure domain a load crossed each link between two of them once; with five it crosses five times.

Change: a node sends them to the nodes of its own failure domain and to one node of each other one, which relays them there. Nodes of one failure domain batch loads as gateways get them.

--- a/pkg/feed/fleet_test.go
+++ b/pkg/feed/fleet_test.go
@@ -7,6 +7,7 @@
 package feed
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -73,3 +74,67 @@
 		g.Follower.mu.Unlock()
 	}
 }
+
+// A load crosses between two failure domains once, and still reaches every gateway, also after the node that
+// relayed it has stopped.
+func TestLoadsCrossBetweenDomainsOnce(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		f := startFleet(t, fleetSize{domains: 3, nodes: 12, gateways: 24, engines: 12})
+		defer f.stop()
+		time.Sleep(settlingSpan)
+		f.requireSingleCrossings(t)
+		f.requireFreshLoads(t, f.gateways)
+		f.stopNode(f.nodes[1])
+		time.Sleep(settlingSpan)
+		f.requireFreshLoads(t, f.gateways)
+	})
+}
+
+// requireSingleCrossings counts the loads that nodes receive from nodes of other failure domains.
+func (f *fleetSim) requireSingleCrossings(t *testing.T) {
+	const span = 10 * time.Second
+	for _, n := range f.nodes {
+		n.mu.Lock()
+		n.loadsFrom = map[[2]string]int{}
+		n.mu.Unlock()
+	}
+	time.Sleep(span)
+	crossings := map[string]int{} // by the failure domains of engine and receiver
+	for _, n := range f.nodes {
+		n.mu.Lock()
+		for route, count := range n.loadsFrom {
+			if route[1] != n.identity.Domain() {
+				crossings[fmt.Sprint(route[0], " to ", n.identity.Domain())] += count
+			}
+		}
+		n.mu.Unlock()
+	}
+	reports := float64(f.size.engines/f.size.domains) * span.Seconds() / simLoadInterval.Seconds()
+	for route, count := range crossings {
+		if float64(count) > 1.2*reports {
+			t.Errorf("%s: %d loads, of %.0f that were reported", route, count, reports)
+		}
+	}
+	if len(crossings) != f.size.domains*(f.size.domains-1) {
+		t.Errorf("loads crossed between failure domains: %v", crossings)
+	}
+}
+
+// requireFreshLoads requires that gateways have a recent load of every engine.
+func (f *fleetSim) requireFreshLoads(t *testing.T, gateways []*simFollower) {
+	t.Helper()
+	const maxAge = 2500 * time.Millisecond // as long as gateways use a load
+	for _, g := range gateways {
+		g.mu.Lock()
+		stale := f.size.engines
+		for _, at := range g.loads {
+			if time.Since(at) < maxAge {
+				stale--
+			}
+		}
+		g.mu.Unlock()
+		if stale > 0 {
+			t.Errorf("%s has no recent load of %d of %d engines", g.Hello.self.Address(), stale, f.size.engines)
+		}
+	}
+}
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -3,8 +3,8 @@
 //
 // What followers report directly is sent to the node's own primary followers and to the other
 // control nodes; what other nodes send is forwarded to the node's own followers only. So each
-// message reaches a gateway through at most two nodes, and none loops. Registrations are the
-// exception: each node that learns of a new one sends it to all its followers, because the
+// message reaches a gateway through at most two nodes, and none loops. Loads take one node more
+// between failure domains (relay.go). Registrations are the other exception: each node that learns of a new one sends it to all its followers, because the
 // deregistration of a backend server must also arrive when two nodes cannot reach each other.
 // ================================================================
 
@@ -31,8 +31,8 @@
 	updateInterval        = time.Second
 	gatewayUpdateInterval = updateInterval / 2
 	// loadBatchDelay is how long loads are collected before an Update to a follower, and
-	// relayBatchDelay the same for another node: with 24 engines per node and 5 nodes, 0.1 s would
-	// send four times the bytes between regions.
+	// relayBatchDelay the same for a node of another failure domain: with 24 engines per node and 5
+	// nodes, 0.1 s would send four times the bytes between regions.
 	loadBatchDelay  = 80 * time.Millisecond
 	relayBatchDelay = 400 * time.Millisecond
 	// minUpdateInterval is the least time between two Updates to one follower: a rolling update of
@@ -86,6 +86,7 @@
 	loads       map[string]receivedLoad     // the latest reported to this node, by engine
 	retryUsage  map[string]storedRetryUsage // by link address of a gateway that shut down gracefully
 	inventory   *inventory
+	relays      map[string]*subscriber // by failure domain, of other nodes
 }
 
 // receivedLoad is a load and the time at which it was received.
@@ -155,7 +156,9 @@
 	urgent := l.Urgent(p.loads[l.engine].load)
 	p.loads[l.engine] = receivedLoad{l, time.Now()}
 	for s := range p.subscribers {
-		s.queueLoads([]Load{l}, urgent)
+		if p.isLoadReceiver(s) {
+			s.queueLoads([]Load{l}, urgent)
+		}
 	}
 }
 
@@ -166,6 +169,7 @@
 	added, removed := p.inventory.applyUpdate(node, u, time.Now())
 	p.dropRetryUsage(u.peers)
 	p.queueForFollowers(u.loads, added, removed)
+	p.relayLoads(node, u.loads)
 }
 
 // Sweep removes expired loads, retry usages and inventories of silent control nodes.
@@ -242,6 +246,7 @@
 	full := len(p.subscribers) >= maxFollowers
 	if !full {
 		p.subscribers[s] = true
+		p.nodeStreamsChanged(s)
 	}
 	p.mu.Unlock()
 	if s.hello.role == RoleNode && !full {
@@ -256,6 +261,15 @@
 	defer p.mu.Unlock()
 	p.setPrimary(s, false)
 	delete(p.subscribers, s)
+	p.nodeStreamsChanged(s)
+}
+
+// nodeStreamsChanged updates what depends on the streams of other nodes, if s is one. The caller holds the
+// lock.
+func (p *Publisher) nodeStreamsChanged(s *subscriber) {
+	if s.hello.role == RoleNode {
+		p.chooseRelays()
+	}
 }
 
 // receiveMessages handles the messages of a follower until the stream ends.
@@ -316,7 +330,7 @@
 		case <-s.wakeNow:
 		case <-next.C:
 		case <-s.wakeBatched:
-			if !waitOrWake(ctx, s.batchDelay()-minUpdateInterval, s.wakeNow) {
+			if !waitOrWake(ctx, p.batchDelay(s)-minUpdateInterval, s.wakeNow) {
 				return nil
 			}
 		}
--- a/pkg/feed/subscriber.go
+++ b/pkg/feed/subscriber.go
@@ -141,16 +141,6 @@
 	daemon.Wake(s.wakeBatched)
 }
 
-// batchDelay is how long changes that are not urgent are collected before an Update. It is longer
-// between nodes: links between regions are narrow, and gateways use engines of other failure
-// domains only for the load that their own cannot take.
-func (s *subscriber) batchDelay() time.Duration {
-	if s.hello.role == RoleNode {
-		return relayBatchDelay
-	}
-	return loadBatchDelay
-}
-
 // dequeued is the content of a queue that was removed for an Update.
 type dequeued struct {
 	registrations   map[string]registry.Registration
