Feed: stagers and caches get registrations from their primary alone

Cause: both nodes of a follower send it all registrations, and the backup is in another failure domain: 440 stagers x 440 engines cross the links between regions, at the start and whenever engines have loaded a version. Gateways need both, since the departure of a server must reach them when one is partitioned; stagers only look for sources of chunks.

TestRegistrationsReachAllFollowers failed before.

--- a/pkg/feed/fleet_test.go
+++ b/pkg/feed/fleet_test.go
@@ -8,10 +8,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/tidepost/tidepost/internal/bubble"
+	"github.com/tidepost/tidepost/pkg/registry"
 )
 
 // settlingSpan is the time in which the followers of a fleet find their nodes.
@@ -138,3 +140,39 @@
 		}
 	}
 }
+
+// Every gateway and stager knows all engines, also one that registers late, and stagers receive each
+// registration from one node only.
+func TestRegistrationsReachAllFollowers(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		f := startFleet(t, fleetSize{domains: 3, nodes: 6, gateways: 12, engines: 12})
+		defer f.stop()
+		time.Sleep(settlingSpan)
+		f.engineStarts(t, "e-late")
+		time.Sleep(2 * time.Second)
+		for _, s := range append(slices.Clone(f.gateways), f.stagers...) {
+			s.mu.Lock()
+			if want := f.size.engines + 1; len(s.known) != want {
+				t.Errorf("%s knows %d of %d engines", s.Hello.self.Address(), len(s.known), want)
+			}
+			wantCopies := 2
+			if s.Hello.role == RoleStager {
+				wantCopies = 1
+			}
+			if got := s.copies["e-late"]; got != wantCopies {
+				t.Errorf("%s received the late registration %d times, want %d", s.Hello.self.Address(), got, wantCopies)
+			}
+			s.mu.Unlock()
+		}
+	})
+}
+
+// engineStarts registers an engine at the last node.
+func (f *fleetSim) engineStarts(t *testing.T, incarnation string) {
+	n := f.nodes[len(f.nodes)-1]
+	r := registry.NewRegistration(incarnation, "hall-0", "10.9.9.9:80", "hall-0", "v1", 8, registry.Ready, 0, nil, 1, 1)
+	if !n.table.Receive(r) {
+		t.Fatal("the registration is not new")
+	}
+	n.publisher.QueueRegistrations(r)
+}
--- a/pkg/feed/messages.go
+++ b/pkg/feed/messages.go
@@ -53,9 +53,9 @@
 const (
 	// Unchanged leaves the subscription as it is.
 	Unchanged Subscription = iota
-	// Backup subscribes to documents, versions and registrations.
+	// Backup subscribes to documents, versions and, for gateways, registrations.
 	Backup
-	// Primary subscribes to loads, demands and peers as well.
+	// Primary subscribes to registrations, loads, demands and peers as well.
 	Primary
 )
 
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -61,7 +61,7 @@
 	// OnHello handles the Hello of a follower, with the named versions that it knows, before any
 	// Update is sent to it; nil to ignore it.
 	OnHello func(hello Hello)
-	// Registrations returns all registrations that the node holds.
+	// Registrations returns all registrations that the node holds; nil if it keeps none.
 	Registrations func() []registry.Registration
 	// Records returns the quarantine records that the node holds, and OnRecords handles those that
 	// a follower sends; nil if the node keeps none.
@@ -100,10 +100,13 @@
 
 // NewPublisher returns a publisher without followers.
 func NewPublisher(s PublisherConfig) *Publisher {
+	if s.Registrations == nil {
+		s.Registrations = func() []registry.Registration { return nil }
+	}
 	return &Publisher{source: s, subscribers: map[*subscriber]bool{}, loads: map[string]receivedLoad{}, retryUsage: map[string]storedRetryUsage{}, inventory: newInventory()}
 }
 
-// QueueRegistrations queues registrations for every follower.
+// QueueRegistrations queues registrations for every follower that wants them.
 func (p *Publisher) QueueRegistrations(registrations ...registry.Registration) {
 	if len(registrations) == 0 {
 		return
@@ -111,7 +114,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for s := range p.subscribers {
-		if !s.isFallback() {
+		if s.wantsRegistrations() {
 			s.changeAndWake(func(s *subscriber) { s.queueRegistrations(registrations) })
 		}
 	}
@@ -216,7 +219,7 @@
 		p.source.OnHello(hello)
 	}
 	s := newSubscriber(hello)
-	if !hello.fallback {
+	if s.wantsRegistrations() {
 		s.queueRegistrations(p.source.Registrations())
 	}
 	p.handOverRetryUsage(s)
--- a/pkg/feed/subscriber.go
+++ b/pkg/feed/subscriber.go
@@ -74,6 +74,18 @@
 	return s.fallback
 }
 
+// wantsRegistrations reports whether registrations are sent to this follower. Gateways must learn of a
+// departure though one of their nodes is partitioned, so both nodes send them; stagers and caches only look
+// for sources of chunks.
+func (s *subscriber) wantsRegistrations() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.hello.role == RoleGateway || s.hello.role == RoleNode {
+		return !s.fallback
+	}
+	return s.primary
+}
+
 // endFallback ends the restriction to documents and versions, and reports whether there was one.
 func (s *subscriber) endFallback() (wasFallback bool) {
 	s.mu.Lock()
--- a/pkg/feed/subscription.go
+++ b/pkg/feed/subscription.go
@@ -10,9 +10,20 @@
 // setSubscription makes this node the primary or a backup of a follower.
 func (p *Publisher) setSubscription(s *subscriber, subscription Subscription) {
 	p.endFallback(s)
+	wanted := s.wantsRegistrations()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.setPrimary(s, subscription == Primary)
+	p.mu.Unlock()
+	if !wanted && s.wantsRegistrations() {
+		p.queueKnownRegistrations(s)
+	}
+}
+
+// queueKnownRegistrations queues all registrations. It is called once the follower receives new ones, so
+// that it misses none.
+func (p *Publisher) queueKnownRegistrations(s *subscriber) {
+	known := p.source.Registrations()
+	s.changeAndWake(func(s *subscriber) { s.queueRegistrations(known) })
 }
 
 // endFallback queues the complete state for a follower that was in fallback mode.
@@ -20,12 +31,10 @@
 	if !s.endFallback() {
 		return
 	}
-	// This is read after the follower receives new registrations, so that it misses none.
-	known := p.source.Registrations()
-	s.changeAndWake(func(s *subscriber) {
-		s.queueRegistrations(known)
-		s.sendNodes = true
-	})
+	s.changeAndWake(func(s *subscriber) { s.sendNodes = true })
+	if s.wantsRegistrations() {
+		p.queueKnownRegistrations(s)
+	}
 	p.queueKnownRecords(s)
 }
 
