--- a/pkg/feed/fleet_bench_test.go
+++ b/pkg/feed/fleet_bench_test.go
@@ -90,6 +90,17 @@
 	return figures
 }
 
+// trafficDuring returns the bytes that are sent in a span of time.
+func (f *fleetSim) trafficDuring(span time.Duration) simTraffic {
+	f.mu.Lock()
+	f.traffic = simTraffic{byProcess: map[string]int64{}}
+	f.mu.Unlock()
+	time.Sleep(span)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.traffic
+}
+
 // measureSpread returns the times until a departure is known to half, to 99 in 100 and to all gateways.
 func (f *fleetSim) measureSpread() (median, p99, last time.Duration) {
 	n := f.nodes[len(f.nodes)-1]
--- a/pkg/feed/fleet_sim_test.go
+++ b/pkg/feed/fleet_sim_test.go
@@ -176,17 +176,6 @@
 	}
 }
 
-// trafficDuring returns the bytes that are sent in a span of time.
-func (f *fleetSim) trafficDuring(span time.Duration) simTraffic {
-	f.mu.Lock()
-	f.traffic = simTraffic{byProcess: map[string]int64{}}
-	f.mu.Unlock()
-	time.Sleep(span)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.traffic
-}
-
 // ----------------------------------------------------------------
 // Processes
 
--- a/pkg/feed/subscriber.go
+++ b/pkg/feed/subscriber.go
@@ -67,13 +67,6 @@
 	return s.primary
 }
 
-// isFallback reports whether only documents and versions are sent to this follower.
-func (s *subscriber) isFallback() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.fallback
-}
-
 // wantsRegistrations reports whether registrations are sent to this follower. Gateways must learn of a
 // departure though one of their nodes is partitioned, so both nodes send them; stagers and caches only look
 // for sources of chunks.
