Gateway: a server's 408, 421, 429 or 503 is no promise unless the server says so

Cause: such a response was relayed as it came. Callers take these statuses as the promise that a request which must run at most once has not run and never will; a backend server that answers so after it has run one, without its own word that it has not, made the gateway promise that (REFUSED).

TestOnlyProvenRefusalsPromiseNotRun failed before: 408, 429 and 503 were relayed.

--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -39,6 +39,9 @@
 	if x.request.headWritten {
 		return x.recordBroken("a resumed stream was answered with "+response.Status, nil)
 	}
+	if x.claimsNotRun(response.StatusCode) {
+		return x.recordUnprovenRefusal(response.Status)
+	}
 	if len(body) == maxBuffered {
 		return x.passThrough(response, body)
 	}
@@ -54,6 +57,26 @@
 	return true
 }
 
+// claimsNotRun reports whether callers would take a status as the promise that a request which must not run
+// twice has not run, although the backend server has not said so.
+func (x *exchange) claimsNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return !x.request.route.Idempotent()
+	}
+	return false
+}
+
+// recordUnprovenRefusal records a response with such a status. It is not relayed: the request may have run. The
+// connection is closed with the attempt.
+func (x *exchange) recordUnprovenRefusal(status string) bool {
+	q := x.request
+	q.mayHaveRun, q.ranAt[x.backend] = true, true
+	x.backend.recordRequestError()
+	x.gateway.recordAttempt(q, attemptFailed, status+", without saying that the request has not run")
+	return false
+}
+
 // recordPlainRun records how long a request ran at a backend server without engine slots. The
 // duration of an engine's response that is not a stream says nothing about its usual streams.
 func (x *exchange) recordPlainRun() {
