--- a/pkg/logline/table.go
+++ b/pkg/logline/table.go
@@ -35,6 +35,9 @@
 var rows = []Row{
 	// ----------------------------------------------------------------
 	// Every process
+	{"domain_evacuated", control, "An operator's evacuation of a failure domain was agreed on.", "nothing"},
+	{"domain_returned", control, "The end of an evacuation was agreed on.", "nothing"},
+	{"evacuation in force", gateway, "The backend servers of the failure domain `domain` get no new requests from now on, or get them again, as `evacuated` says.", "compare `revision` with that of the other gateways"},
 	{"started", every, "The process started and serves at `address` in `failure_domain`.", "nothing"},
 	{"stopping", gateway, "The gateway received a stop signal and exits within `limit`.", "nothing"},
 	{"draining", entry + ", " + agent, "The process accepts no new work because of `reason` and completes what is in flight.", "nothing"},
