--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -3,8 +3,8 @@
 //
 // What followers report directly is sent to the node's own primary followers and to the other
 // control nodes; what other nodes send is forwarded to the node's own followers only. So each
-// message reaches a gateway through at most two nodes, and none loops. Registrations are the
-// exception: each node that learns of a new one sends it to all its followers, because the
+// message reaches a gateway through at most two nodes, and none loops. Loads take one node more
+// between failure domains (relay.go). Registrations are the other exception: each node that learns of a new one sends it to all its followers, because the
 // deregistration of a backend server must also arrive when two nodes cannot reach each other.
 // ================================================================
 
@@ -17,6 +17,7 @@
 
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
@@ -30,8 +31,8 @@
 	updateInterval        = time.Second
 	gatewayUpdateInterval = updateInterval / 2
 	// loadBatchDelay is how long loads are collected before an Update to a follower, and
-	// relayBatchDelay the same for another node: with 24 engines per node and 5 nodes, 0.1 s would
-	// send four times the bytes between regions.
+	// relayBatchDelay the same for a node of another failure domain: with 24 engines per node and 5
+	// nodes, 0.1 s would send four times the bytes between regions.
 	loadBatchDelay  = 80 * time.Millisecond
 	relayBatchDelay = 400 * time.Millisecond
 	// minUpdateInterval is the least time between two Updates to one follower: a rolling update of
@@ -54,10 +55,13 @@
 	Document func() *serviceconfig.Document
 	// NamedVersions returns the named versions.
 	NamedVersions func() []NamedVersion
+	// Evacuations returns the states of the failure domains that were ever evacuated; nil if the node
+	// keeps none.
+	Evacuations func() []placement.DomainState
 	// OnHello handles the Hello of a follower, with the named versions that it knows, before any
 	// Update is sent to it; nil to ignore it.
 	OnHello func(hello Hello)
-	// Registrations returns all registrations that the node holds.
+	// Registrations returns all registrations that the node holds; nil if it keeps none.
 	Registrations func() []registry.Registration
 	// Records returns the quarantine records that the node holds, and OnRecords handles those that
 	// a follower sends; nil if the node keeps none.
@@ -82,6 +86,7 @@
 	loads       map[string]receivedLoad     // the latest reported to this node, by engine
 	retryUsage  map[string]storedRetryUsage // by link address of a gateway that shut down gracefully
 	inventory   *inventory
+	relays      map[string]*subscriber // by failure domain, of other nodes
 }
 
 // receivedLoad is a load and the time at which it was received.
@@ -95,10 +100,13 @@
 
 // NewPublisher returns a publisher without followers.
 func NewPublisher(s PublisherConfig) *Publisher {
+	if s.Registrations == nil {
+		s.Registrations = func() []registry.Registration { return nil }
+	}
 	return &Publisher{source: s, subscribers: map[*subscriber]bool{}, loads: map[string]receivedLoad{}, retryUsage: map[string]storedRetryUsage{}, inventory: newInventory()}
 }
 
-// QueueRegistrations queues registrations for every follower.
+// QueueRegistrations queues registrations for every follower that wants them.
 func (p *Publisher) QueueRegistrations(registrations ...registry.Registration) {
 	if len(registrations) == 0 {
 		return
@@ -106,7 +114,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for s := range p.subscribers {
-		if !s.isFallback() {
+		if s.wantsRegistrations() {
 			s.changeAndWake(func(s *subscriber) { s.queueRegistrations(registrations) })
 		}
 	}
@@ -131,6 +139,11 @@
 // NodesChanged sends the list of control nodes to every follower.
 func (p *Publisher) NodesChanged() { p.changeAll(func(s *subscriber) { s.sendNodes = true }) }
 
+// EvacuationsChanged sends the evacuated failure domains to every gateway.
+func (p *Publisher) EvacuationsChanged() {
+	p.changeAll(func(s *subscriber) { s.sendEvacuations = true })
+}
+
 func (p *Publisher) changeAll(change func(*subscriber)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -146,7 +159,9 @@
 	urgent := l.Urgent(p.loads[l.engine].load)
 	p.loads[l.engine] = receivedLoad{l, time.Now()}
 	for s := range p.subscribers {
-		s.queueLoads([]Load{l}, urgent)
+		if p.isLoadReceiver(s) {
+			s.queueLoads([]Load{l}, urgent)
+		}
 	}
 }
 
@@ -157,6 +172,7 @@
 	added, removed := p.inventory.applyUpdate(node, u, time.Now())
 	p.dropRetryUsage(u.peers)
 	p.queueForFollowers(u.loads, added, removed)
+	p.relayLoads(node, u.loads)
 }
 
 // Sweep removes expired loads, retry usages and inventories of silent control nodes.
@@ -203,7 +219,7 @@
 		p.source.OnHello(hello)
 	}
 	s := newSubscriber(hello)
-	if !hello.fallback {
+	if s.wantsRegistrations() {
 		s.queueRegistrations(p.source.Registrations())
 	}
 	p.handOverRetryUsage(s)
@@ -233,6 +249,7 @@
 	full := len(p.subscribers) >= maxFollowers
 	if !full {
 		p.subscribers[s] = true
+		p.nodeStreamsChanged(s)
 	}
 	p.mu.Unlock()
 	if s.hello.role == RoleNode && !full {
@@ -247,6 +264,15 @@
 	defer p.mu.Unlock()
 	p.setPrimary(s, false)
 	delete(p.subscribers, s)
+	p.nodeStreamsChanged(s)
+}
+
+// nodeStreamsChanged updates what depends on the streams of other nodes, if s is one. The caller holds the
+// lock.
+func (p *Publisher) nodeStreamsChanged(s *subscriber) {
+	if s.hello.role == RoleNode {
+		p.chooseRelays()
+	}
 }
 
 // receiveMessages handles the messages of a follower until the stream ends.
@@ -307,7 +333,7 @@
 		case <-s.wakeNow:
 		case <-next.C:
 		case <-s.wakeBatched:
-			if !waitOrWake(ctx, s.batchDelay()-minUpdateInterval, s.wakeNow) {
+			if !waitOrWake(ctx, p.batchDelay(s)-minUpdateInterval, s.wakeNow) {
 				return nil
 			}
 		}
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
@@ -67,7 +68,11 @@
 	maxWait time.Duration
 	// avoidBuilds are builds whose servers crashed while they ran the request.
 	avoidBuilds []string
-	// excludeLimited excludes backend servers that advertise a rate limit.
+	// constraint restricts the regions of the servers.
+	constraint placement.Constraint
+	// warmupRate is the rate limit of a server that warms up, in requests per second; 0 for none.
+	warmupRate float64
+	// excludeLimited excludes backend servers with a rate limit.
 	excludeLimited bool
 	// tried holds the servers that must not get the request again; only, if not nil, holds those
 	// that may get it.
@@ -114,18 +119,29 @@
 	load    load
 }
 
-// candidates returns the backend servers that are in service and hold the weights, including
-// those already tried.
+// candidates returns the backend servers that are in service, may receive the request and hold the
+// weights, including those already tried.
 func (g *Gateway) candidates(w requirements, now time.Time) []candidate {
 	var all []candidate
 	for _, b := range g.backends.forService(w.service) {
-		if l := b.load(now); l.serves() && w.allows(b, now) {
+		if l := b.load(now).withWarmupLimit(w.warmupRate, now); l.serves() && g.placement.Decide(w.constraint, l.domain) == placement.Allowed && w.allows(b, now) {
 			all = append(all, candidate{b, l})
 		}
 	}
 	return all
 }
 
+// withWarmupLimit returns the load with the limit of a warm-up, where that holds and is the lowest.
+func (l load) withWarmupLimit(perSecond float64, now time.Time) load {
+	if perSecond <= 0 || !now.Before(l.warmupEnd) {
+		return l
+	}
+	if !l.limited || perSecond < l.perSecond {
+		l.limited, l.perSecond = true, perSecond
+	}
+	return l
+}
+
 // cheapest keeps the backend server with the least cost that was offered.
 type cheapest struct {
 	backend *backend
