Feed: followers without a leader do not go through all control nodes again and again

Cause: a follower whose node had no contact with the leader took the next untried one, and a node that it had left counted as untried again at once. With one node in each failure domain there was nothing to go through; with many, each of them sends all registrations and peers to each follower in turn, just while the control nodes elect a leader or a failure domain is cut off.

Change: the loss of contact is remembered for 30 s or until contact is found again, and untried nodes are followed at most each 5 s in place of a pair that works. Fallback nodes, which send documents only, are tried as before, so a change is in force as fast (TestChangeAppliesInTimeWhenBothNodesAreLost and its like).

--- a/pkg/feed/fallback.go
+++ b/pkg/feed/fallback.go
@@ -42,6 +42,7 @@
 	}
 	f.lastUpdateAt = now
 	if quorumConfirmed {
+		f.forgetQuorumLoss(now)
 		f.lastQuorumAt = now
 	}
 	if f.fallbackTimer == nil {
--- a/pkg/feed/fleet_sim_test.go
+++ b/pkg/feed/fleet_sim_test.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,6 +73,9 @@
 	table     *registry.Table
 	cancel    context.CancelFunc
 
+	leaderless atomic.Bool  // it has no contact with a leader
+	hellos     atomic.Int64 // streams that were opened, other than fallback ones
+
 	mu sync.Mutex
 	// loadsFrom counts the loads that other nodes sent, by the failure domain of the engine and that of
 	// the node.
@@ -191,7 +195,12 @@
 	n.endpoint, n.table = f.newEndpoint(n.identity), registry.NewTable(nil)
 	n.publisher = NewPublisher(PublisherConfig{
 		Self: n.identity, DocumentNumber: func() uint64 { return 1 }, NamedVersions: func() []NamedVersion { return nil },
-		Registrations: n.table.All, Nodes: f.nodeAddresses, QuorumConfirmed: func() bool { return true },
+		Registrations: n.table.All, Nodes: f.nodeAddresses, QuorumConfirmed: func() bool { return !n.leaderless.Load() },
+		OnHello: func(h Hello) {
+			if !h.fallback {
+				n.hellos.Add(1)
+			}
+		},
 	})
 	n.endpoint.Handle(link.KindFeed, n.publisher.Serve)
 	listener, err := f.network.Listen(string(n.identity.ID()))(n.identity.Address())
--- a/pkg/feed/fleet_test.go
+++ b/pkg/feed/fleet_test.go
@@ -176,3 +176,37 @@
 	}
 	n.publisher.QueueRegistrations(r)
 }
+
+// While no node has contact with a leader, followers keep their two nodes and don't go through all others
+// again and again.
+func TestFollowersStayWhileThereIsNoLeader(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		f := startFleet(t, fleetSize{domains: 3, nodes: 12, gateways: 18, engines: 18})
+		defer f.stop()
+		time.Sleep(settlingSpan)
+		for _, n := range f.nodes {
+			n.leaderless.Store(true)
+		}
+		time.Sleep(settlingSpan) // each node may be tried once
+		before := f.countHellos()
+		const span = 30 * time.Second
+		time.Sleep(span)
+		mostOfOne := 2 * int64(span/exploreInterval) // one for each of its two nodes
+		if opened := f.countHellos() - before; opened > int64(f.size.gateways+f.size.engines)*mostOfOne {
+			t.Errorf("%d followers opened %d streams in %s without a leader", f.size.gateways+f.size.engines, opened, span)
+		}
+		for _, n := range f.nodes {
+			n.leaderless.Store(false)
+		}
+		time.Sleep(2 * settlingSpan)
+		f.requireSpread(t)
+	})
+}
+
+// countHellos returns how many streams followers and nodes have opened.
+func (f *fleetSim) countHellos() (count int64) {
+	for _, n := range f.nodes {
+		count += n.hellos.Load()
+	}
+	return count
+}
--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -79,6 +79,7 @@
 	nodeLists       map[string][]Node        // control nodes that each node reported, by address of the node
 	lostAt          map[string]time.Time     // time of the last loss, by address of the node
 	withoutQuorumAt map[string]time.Time     // when a node without contact with the leader was left, by its address
+	openedAt        time.Time                // when a stream to one of the pair was last opened
 	primary         *link.Stream             // the stream whose node was last made the primary
 	inventory       receivedInventory
 	requestedNumber uint64
@@ -132,7 +133,9 @@
 	wanted := f.wantedNodes(now)
 	regular := append(slices.Clone(wanted), f.preferredNodes(now)...)
 	fallbacks := f.fallbackNodes(regular, now)
-	f.open(ctx, regular, false)
+	if f.open(ctx, regular, false) {
+		f.openedAt = now
+	}
 	f.open(ctx, fallbacks, true)
 	f.closeOthers(append(slices.Clone(regular), fallbacks...), now)
 	messages := f.promoteFallbacks(regular)
@@ -144,15 +147,18 @@
 	}
 }
 
-// open opens streams to those of the nodes that have none. The caller holds the lock.
-func (f *Follower) open(ctx context.Context, nodes []string, fallback bool) {
+// open opens streams to those of the nodes that have none, and reports whether there were any. The caller
+// holds the lock.
+func (f *Follower) open(ctx context.Context, nodes []string, fallback bool) (opened bool) {
 	for _, address := range nodes {
 		if f.streams[address] == nil {
 			streamCtx, cancel := context.WithCancel(ctx)
 			f.streams[address] = &followedNode{cancel: cancel, fallback: fallback}
 			go f.followWithRetries(streamCtx, address)
+			opened = true
 		}
 	}
+	return opened
 }
 
 // closeOthers closes the streams to other nodes, except one that a document is expected from. The caller
@@ -209,7 +215,7 @@
 		delete(known, f.Hello.self.Address())
 		return slices.Sorted(maps.Keys(known))
 	}
-	return choosePair(f.Hello.self, f.candidates(now))
+	return choosePair(f.Hello.self, f.affordableCandidates(now))
 }
 
 // candidates returns the nodes that may be followed, with their current ranks.
--- a/pkg/feed/node_selection.go
+++ b/pkg/feed/node_selection.go
@@ -34,6 +34,8 @@
 	rankUntried
 	// rankNoQuorum is a connected node that has had no contact with the leader for quorumTimeout.
 	rankNoQuorum
+	// rankUnaffordable is an untried node that may not be tried yet.
+	rankUnaffordable
 	// rankFailed is a node that recently did not answer.
 	rankFailed
 )
