--- a/pkg/explain/causes.go
+++ b/pkg/explain/causes.go
@@ -5,6 +5,12 @@
 
 package explain
 
+import (
+	"strings"
+
+	"github.com/tidepost/tidepost/pkg/failure"
+)
+
 // Cause names the outcome of a request, or why it was late.
 type Cause string
 
@@ -28,6 +34,9 @@
 // causeRules are the rules in order of precedence.
 var causeRules = []causeRule{
 	{"limited", "the gateway refused it: the rate limits of its backend servers were used up", func(l line) bool { return l.Outcome == "refused" && l.Limited }},
+	{"not allowed", "the gateway refused it: no backend server in service may receive it, by its allowed regions or for evacuations", func(l line) bool {
+		return l.Outcome == "refused" && strings.HasPrefix(l.Why, string(failure.NotAllowed)+":")
+	}},
 	{"refused", "the gateway refused it", hasOutcome("refused")},
 	{"broken", "its stream broke off and could not be resumed", hasOutcome("broken")},
 	{"stopped", "its gateway aborted it: the time limit of the planned stop passed", hasOutcome("stopped")},
--- a/pkg/explain/history.go
+++ b/pkg/explain/history.go
@@ -63,6 +63,7 @@
 	"refused":     "%s refused it",
 	"elsewhere":   "another backend server now has the address of %s",
 	"failed":      "it failed at %s",
+	"not allowed": "it was chosen for %s, which may not receive it any more",
 }
 
 // requestEndTexts describes each outcome of a request. %s stands for the backend server.
@@ -131,6 +132,7 @@
 	{"no log line about its end: its gateway was killed, or the log of that gateway is missing", func(s historyLines) bool { return s.end.Message == "" }},
 	{"its key belongs to no organisation: it was never valid, or it was revoked", refusedWith(failure.UnknownKey)},
 	{"no route matches its host and path", refusedWith(failure.UnknownRoute)},
+	{"no backend server in service may receive it: the allowed regions of its route or organisation have none, or their failure domains are evacuated", refusedWith(failure.NotAllowed)},
 	{"the rate limits of the backend servers were used up", func(s historyLines) bool { return s.end.Outcome == "refused" && s.end.Limited }},
 	{"no backend server served the target version, or none served at all", func(s historyLines) bool {
 		return refusedWith(failure.Overloaded)(s) && strings.Contains(s.end.Why, "serves now")
