--- a/pkg/gateway/permit.go
+++ b/pkg/gateway/permit.go
@@ -1,9 +1,10 @@
 // ================================================================
 // A backend server may advertise a rate limit, which holds for all gateways together, and one that
-// warms up has the limit that the configuration sets for its service. So each request to it, first attempts, retries and resumed streams alike, needs a permit from the gateway
-// that owns the limit (pkg/serverlimit). A server whose limit is used up is skipped until the next
-// permit is due. Where limits keep a request from all servers of a service, it is refused at once,
-// with the time at which the next permit is due.
+// warms up has the limit that the configuration sets for its service. So each request to it, first
+// attempts, retries and resumed streams alike, needs a permit from the gateway that owns the limit
+// (pkg/serverlimit). A server whose limit is used up is skipped until the next permit is due. Where
+// limits keep a request from all servers of a service, it is refused at once, with the time at which
+// the next permit is due.
 //
 // A permit is requested before a slot is reserved: the limit is scarcer, and a reserved slot that
 // is not used keeps other requests away. An unused permit is returned.
