--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -215,7 +215,7 @@
 		delete(known, f.Hello.self.Address())
 		return slices.Sorted(maps.Keys(known))
 	}
-	return choosePair(f.Hello.self, f.affordableCandidates(now))
+	return choosePair(f.Hello.self, f.pairCandidates(now))
 }
 
 // candidates returns the nodes that may be followed, with their current ranks.
--- a/pkg/feed/node_selection.go
+++ b/pkg/feed/node_selection.go
@@ -34,8 +34,8 @@
 	rankUntried
 	// rankNoQuorum is a connected node that has had no contact with the leader for quorumTimeout.
 	rankNoQuorum
-	// rankUnaffordable is an untried node that may not be tried yet.
-	rankUnaffordable
+	// rankDeferred is an untried node that is not to be tried yet.
+	rankDeferred
 	// rankFailed is a node that recently did not answer.
 	rankFailed
 )
--- a/pkg/feed/preferred_nodes.go
+++ b/pkg/feed/preferred_nodes.go
@@ -37,7 +37,7 @@
 	if f.Hello.role == RoleNode {
 		return nil
 	}
-	all := f.affordableCandidates(now)
+	all := f.pairCandidates(now)
 	for i, c := range all {
 		switch {
 		case now.Sub(f.lostAt[c.address]) < preferredRetryDelay:
@@ -49,16 +49,16 @@
 	return choosePair(f.Hello.self, all)
 }
 
-// affordableCandidates returns the candidates for the pair. While no untried node may be followed, these
+// pairCandidates returns the candidates for the pair. While no untried node may be followed, these
 // rank behind those without contact with the leader. The caller holds the lock.
-func (f *Follower) affordableCandidates(now time.Time) []candidate {
+func (f *Follower) pairCandidates(now time.Time) []candidate {
 	all := f.candidates(now)
 	if f.mayExplore(now) {
 		return all
 	}
 	for i := range all {
 		if all[i].rank == rankUntried {
-			all[i].rank = rankUnaffordable
+			all[i].rank = rankDeferred
 		}
 	}
 	return all
--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -3,9 +3,10 @@
 //
 // What followers report directly is sent to the node's own primary followers and to the other
 // control nodes; what other nodes send is forwarded to the node's own followers only. So each
-// message reaches a gateway through at most two nodes, and none loops. Loads take one node more
-// between failure domains (relay.go). Registrations are the other exception: each node that learns of a new one sends it to all its followers, because the
-// deregistration of a backend server must also arrive when two nodes cannot reach each other.
+// message reaches a gateway through at most two nodes, and none loops. Two kinds of messages take
+// other ways. Loads pass one node more between failure domains (relay.go). Registrations are sent by
+// each node that learns of a new one to all its followers, because the deregistration of a backend
+// server must also arrive when two nodes cannot reach each other.
 // ================================================================
 
 package feed
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -324,7 +324,7 @@
 	if f := g.exhaustedLimits(q, w); f != nil {
 		return nil, f
 	}
-	if f := g.unplaceable(q); f != nil {
+	if f := g.placementFailure(q); f != nil {
 		return nil, f
 	}
 	if loaded {
--- a/pkg/gateway/placement.go
+++ b/pkg/gateway/placement.go
@@ -37,9 +37,9 @@
 	return false
 }
 
-// unplaceable returns the failure of a request whose service has servers, of which none may receive it.
+// placementFailure returns the failure of a request whose service has servers, of which none may receive it.
 // It returns nil if there is another reason.
-func (g *Gateway) unplaceable(q *request) *failure.Failure {
+func (g *Gateway) placementFailure(q *request) *failure.Failure {
 	var last placement.Verdict
 	for _, b := range g.backends.forService(q.service.Name()) {
 		l := b.load(time.Now())
