--- a/pkg/feed/messages.go
+++ b/pkg/feed/messages.go
@@ -4,8 +4,9 @@
 // A follower keeps streams to two control nodes: its primary, in its own failure domain if there is
 // one there, and a backup. Both send documents, versions and registrations, so that the loss or
 // partition of one node hides no change; stagers and caches get registrations from the primary alone.
-// Loads, demands and peers are many, and only the primary sends them. Control nodes follow all other nodes and forward only what followers report to them
-// directly, so that a message crosses between two failure domains once and not once per follower.
+// Loads, demands and peers are many, and only the primary sends them. Control nodes follow all other
+// nodes and forward only what followers report to them directly, so that a message crosses between
+// two failure domains once and not once per follower.
 //
 // A follower does not keep streams to all control nodes: with 274 followers and 5 nodes, each load
 // was sent to each gateway from wherever its engine was, and links between regions carried 264 MB
