--- a/pkg/feed/follower.go
+++ b/pkg/feed/follower.go
@@ -1,8 +1,9 @@
 // ================================================================
 // Client side of the feed: streams to two control nodes, which are selected among those that the
-// settings list or a node reported, and for a while to others that are to replace them. A control node follows all others. A node that sends nothing
-// for nodeTimeout is replaced by another one; what it sent stays in use. A gateway whose two nodes
-// both fall silent connects to fallback nodes at once (fallback.go).
+// settings list or a node reported, and for a while to others that are to replace them. A control
+// node follows all others. A node that sends nothing for nodeTimeout is replaced by another one; what
+// it sent stays in use. A gateway whose two nodes both fall silent connects to fallback nodes at once
+// (fallback.go).
 // ================================================================
 
 package feed
