Placement, explain, tests: what the change had written twice

The comparison with a golden file stood in three tests: internal/golden. Each attempt checked its server apart from connect, which sets the same fields: the check is part of connect, which every attempt passes. The evacuated domains were derived in control nodes and counted in gateways, there with each Update: once, and the metric is set on a change. Two rules of explain share their condition. The settings page said that only listed failure domains can be evacuated; those of registered servers can be too.

Behaviour as before: pkg/placement, pkg/settings, test, and the tests of placement, streams, copies and interruptions in pkg/gateway pass.

--- a/pkg/control/evacuation.go
+++ b/pkg/control/evacuation.go
@@ -41,15 +41,7 @@
 }
 
 // EvacuatedDomains returns the evacuated failure domains that this node knows.
-func (s *Service) EvacuatedDomains() []string {
-	domains := []string{}
-	for _, d := range s.state.Evacuations() {
-		if d.Evacuated() {
-			domains = append(domains, d.Domain())
-		}
-	}
-	return domains
-}
+func (s *Service) EvacuatedDomains() []string { return s.state.evacuations.Evacuated() }
 
 // checkDomain returns a BadRequest failure unless a failure domain is known, from the settings or from
 // the backend servers that have registered.
--- a/pkg/explain/causes.go
+++ b/pkg/explain/causes.go
@@ -34,9 +34,7 @@
 // causeRules are the rules in order of precedence.
 var causeRules = []causeRule{
 	{"limited", "the gateway refused it: the rate limits of its backend servers were used up", func(l line) bool { return l.Outcome == "refused" && l.Limited }},
-	{"not allowed", "the gateway refused it: no backend server in service may receive it, by its allowed regions or for evacuations", func(l line) bool {
-		return l.Outcome == "refused" && strings.HasPrefix(l.Why, string(failure.NotAllowed)+":")
-	}},
+	{"not allowed", "the gateway refused it: no backend server in service may receive it, by its allowed regions or for evacuations", func(l line) bool { return l.isRefusedWith(failure.NotAllowed) }},
 	{"refused", "the gateway refused it", hasOutcome("refused")},
 	{"broken", "its stream broke off and could not be resumed", hasOutcome("broken")},
 	{"stopped", "its gateway aborted it: the time limit of the planned stop passed", hasOutcome("stopped")},
@@ -57,6 +55,11 @@
 	return func(l line) bool { return l.Outcome == outcome }
 }
 
+// isRefusedWith reports whether the gateway refused the request with a kind of failure.
+func (l line) isRefusedWith(k failure.Kind) bool {
+	return l.Outcome == "refused" && strings.HasPrefix(l.Why, string(k)+":")
+}
+
 // isLate reports whether the first byte of the response missed the route's objective.
 func (l line) isLate() bool { return l.ObjectiveMs > 0 && l.FirstMs > l.ObjectiveMs }
 
--- a/pkg/explain/history.go
+++ b/pkg/explain/history.go
@@ -154,9 +154,7 @@
 
 // refusedWith returns a condition that reports whether the request was refused with a kind of failure.
 func refusedWith(k failure.Kind) func(historyLines) bool {
-	return func(s historyLines) bool {
-		return s.end.Outcome == "refused" && strings.HasPrefix(s.end.Why, string(k)+":")
-	}
+	return func(s historyLines) bool { return s.end.isRefusedWith(k) }
 }
 
 // hasAttemptEnd reports whether an attempt had one of the given results.
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/upstream"
 )
@@ -41,9 +42,6 @@
 // startAttempt connects to a backend server for one attempt; it returns nil if none can be made there.
 // The caller closes the attempt.
 func (g *Gateway) startAttempt(q *request, b *backend) *exchange {
-	if !g.mayReceive(q, b) {
-		return nil
-	}
 	conn := g.connect(q, b)
 	if conn == nil {
 		return nil
@@ -80,11 +78,16 @@
 	return x
 }
 
-// connect returns a connection to a backend server, or nil.
+// connect returns a connection to a backend server, or nil. Every attempt passes here, so no way of choosing
+// a server leads to one that may not receive the request.
 func (g *Gateway) connect(q *request, b *backend) *attemptConn {
 	q.tried[b] = true
 	registration := b.latestRegistration()
 	q.lastBackend, q.liveness = registration.Incarnation(), probeNotRun
+	if verdict := g.placement.Decide(q.constraint, registration.Domain()); verdict != placement.Allowed {
+		g.recordAttempt(q, attemptNotAllowed, string(verdict))
+		return nil
+	}
 	pooled, err := b.pool.Get(q.ctx, min(dialTimeout, q.remaining()))
 	if err == nil {
 		return &attemptConn{Connection: pooled}
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -134,8 +134,8 @@
 	return r.URL.RequestURI()
 }
 
-// authenticate sets the organisation that owns the request's key, and what follows from it. It fails if the key is
-// unknown and the route requires one.
+// authenticate sets the organisation that owns the request's key, and what follows from it. It fails
+// if the key is unknown and the route requires one.
 func (q *request) authenticate(index *serviceconfig.Index) error {
 	q.urgency, q.constraint = q.route.Priority(), constraintOf(q.route, nil)
 	if !index.RequiresKey() {
--- a/pkg/gateway/interrupt_test.go
+++ b/pkg/gateway/interrupt_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
+
+	"github.com/tidepost/tidepost/internal/golden"
 )
 
 // TestInterruptRules compares the complete table of interruptions with a golden file, so that a new
@@ -23,17 +24,5 @@
 		}
 		_, _ = fmt.Fprintf(&b, "  then      %s\n", r.outcome)
 	}
-	const golden = "testdata/interruptions.txt"
-	if os.Getenv("TIDEPOST_UPDATE") != "" {
-		if err := os.WriteFile(golden, []byte(b.String()), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if b.String() != string(want) {
-		t.Errorf("the table is now\n%s", b.String())
-	}
+	golden.Check(t, "testdata/interruptions.txt", b.String())
 }
--- a/pkg/gateway/placement.go
+++ b/pkg/gateway/placement.go
@@ -24,19 +24,6 @@
 	return placement.NewConstraint(r.AllowedRegions(), o.AllowedRegions())
 }
 
-// mayReceive reports whether a backend server may receive a request. A server that may not counts as
-// tried.
-func (g *Gateway) mayReceive(q *request, b *backend) bool {
-	registration := b.latestRegistration()
-	verdict := g.placement.Decide(q.constraint, registration.Domain())
-	if verdict == placement.Allowed {
-		return true
-	}
-	q.tried[b], q.lastBackend, q.liveness = true, registration.Incarnation(), probeNotRun
-	g.recordAttempt(q, attemptNotAllowed, string(verdict))
-	return false
-}
-
 // placementFailure returns the failure of a request whose service has servers, of which none may receive it.
 // It returns nil if there is another reason.
 func (g *Gateway) placementFailure(q *request) *failure.Failure {
@@ -63,8 +50,11 @@
 
 // mergeEvacuations takes the evacuated failure domains from a control node.
 func (g *Gateway) mergeEvacuations(states []placement.DomainState, from string) {
-	for _, s := range g.placement.Evacuations.Merge(states) {
+	changed := g.placement.Evacuations.Merge(states)
+	for _, s := range changed {
 		_ = level.Info(g.process.Logger).Log("msg", "evacuation in force", "domain", s.Domain(), "evacuated", s.Evacuated(), "revision", s.Revision(), "from", from)
 	}
-	g.metrics.evacuatedDomains.Set(float64(g.placement.Evacuations.Count()))
+	if len(changed) > 0 {
+		g.metrics.evacuatedDomains.Set(float64(len(g.placement.Evacuations.Evacuated())))
+	}
 }
--- a/pkg/gateway/request_fork_test.go
+++ b/pkg/gateway/request_fork_test.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"net/http/httptest"
-	"os"
 	"reflect"
 	"strings"
 	"testing"
 	"unsafe"
+
+	"github.com/tidepost/tidepost/internal/golden"
 )
 
 // TestForkOmits compares the fields that a copy of a request does not take over with a golden file, so that a
@@ -23,19 +24,7 @@
 			b.WriteString(copied.Type().Field(i).Name + "\n")
 		}
 	}
-	const golden = "testdata/fork_omits.txt"
-	if os.Getenv("TIDEPOST_UPDATE") != "" {
-		if err := os.WriteFile(golden, []byte(b.String()), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if b.String() != string(want) {
-		t.Errorf("a copy leaves out\n%s", b.String())
-	}
+	golden.Check(t, "testdata/fork_omits.txt", b.String())
 }
 
 // fill sets a value to one that is not zero, and the fields of a struct likewise.
--- a/pkg/placement/evacuations.go
+++ b/pkg/placement/evacuations.go
@@ -133,14 +133,15 @@
 	return changed
 }
 
-// Count returns the number of evacuated failure domains.
-func (e *Evacuations) Count() (evacuated int) {
-	for _, s := range e.byDomain() {
+// Evacuated returns the evacuated failure domains in order.
+func (e *Evacuations) Evacuated() []string {
+	domains := []string{}
+	for _, s := range e.All() {
 		if s.evacuated {
-			evacuated++
+			domains = append(domains, s.domain)
 		}
 	}
-	return evacuated
+	return domains
 }
 
 // All returns the states of all failure domains that have ever changed, by domain.
--- a/pkg/placement/evacuations_test.go
+++ b/pkg/placement/evacuations_test.go
@@ -23,8 +23,8 @@
 			t.Errorf("%+v: %+v, evacuated %t", step.change, got, e.Get(step.change.Domain()).Evacuated())
 		}
 	}
-	if e.Count() != 2 {
-		t.Errorf("%d failure domains are evacuated", e.Count())
+	if evacuated := e.Evacuated(); len(evacuated) != 2 {
+		t.Errorf("%v are evacuated", evacuated)
 	}
 }
 
--- a/pkg/placement/rules_test.go
+++ b/pkg/placement/rules_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
+
+	"github.com/tidepost/tidepost/internal/golden"
 )
 
 // TestDecisions compares the verdict of each combination of route, organisation, evacuated failure domain
@@ -25,17 +26,5 @@
 			}
 		}
 	}
-	const golden = "testdata/decisions.txt"
-	if os.Getenv("TIDEPOST_UPDATE") != "" {
-		if err := os.WriteFile(golden, []byte(b.String()), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if b.String() != string(want) {
-		t.Errorf("the decisions are now\n%s", b.String())
-	}
+	golden.Check(t, "testdata/decisions.txt", b.String())
 }
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -88,7 +88,7 @@
 
 // regionsKey returns the key of the regions of the failure domains.
 func regionsKey[T any](field func(*T) *map[string]string) Key[T] {
-	return Key[T]{Path: "failure_domains", ValueKind: kindRegions, Doc: "region of each failure domain; requests that are restricted to regions are sent to no other domain, and no other can be evacuated",
+	return Key[T]{Path: "failure_domains", ValueKind: kindRegions, Doc: "region of each failure domain; requests that are restricted to regions are sent to no other domain",
 		set: pairs(field)}
 }
 
