Gateway: log lines of attempts and requests give the time since the last event

A started stream ends early where its gateway expects its caller to leave, and that expectation counts from the last event. No line gave that time, so a stream ended by it looked like one that found no server.

--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -51,7 +51,7 @@
 	q.lastAttempt = string(end) + " at " + q.lastBackend + ": " + reason
 	g.metrics.attempts.WithLabelValues(string(end)).Inc()
 	_ = level.Info(g.process.Logger).Log("msg", "attempt", "request", q.head.ID, "fingerprint", q.fingerprint, "end", string(end), "sign", string(q.liveness), "backend", q.lastBackend,
-		"service", q.service.Name(), "sent", q.sent, "left_ms", q.remaining().Milliseconds(),
+		"service", q.service.Name(), "sent", q.sent, "left_ms", q.remaining().Milliseconds(), "idle_ms", q.millisSinceLastEvent(),
 		"version", q.versionExpiry.served, "lapses_ms", q.millisUntilExpiry(), "interrupted", q.takeInterrupted(), "why", reason)
 }
 
@@ -69,11 +69,19 @@
 	}
 	_ = level.Info(g.process.Logger).Log("msg", "request", "request", q.head.ID, "fingerprint", q.fingerprint, "outcome", string(o), "route", route,
 		"configuration", q.configNumber, "organisation", q.organisation, "backend", q.lastBackend, "sent", q.sent,
-		"sent_ms", q.timeToLastSend.Milliseconds(), "came_back", q.refusedBefore, "forecast_ms", q.firstEventForecast.Milliseconds(), "first_ms", q.timeToFirstByte.Milliseconds(), "pause_ms", q.longestEventGap.Milliseconds(),
+		"sent_ms", q.timeToLastSend.Milliseconds(), "came_back", q.refusedBefore, "forecast_ms", q.firstEventForecast.Milliseconds(), "first_ms", q.timeToFirstByte.Milliseconds(), "pause_ms", q.longestEventGap.Milliseconds(), "idle_ms", q.millisSinceLastEvent(),
 		"objective_ms", objective.Milliseconds(), "pause_objective_ms", pauseObjective.Milliseconds(), "allowed_ms", q.head.Timeout.Milliseconds(), "ms", time.Since(q.started).Milliseconds(),
 		"version", q.versionExpiry.served, "lapses_ms", q.millisUntilExpiry(), "stopping_ms", g.stop.elapsedMillis(q.started), "limited", q.blockedByLimits, "interrupted", q.takeInterrupted(), "why", reason)
 }
 
+// millisSinceLastEvent returns how many milliseconds ago the last event was relayed; nil if none was.
+func (q *request) millisSinceLastEvent() any {
+	if q.lastEventAt.IsZero() {
+		return nil
+	}
+	return time.Since(q.lastEventAt).Milliseconds()
+}
+
 // millisUntilExpiry returns for how many more milliseconds the version of the last attempt may
 // be served, as known when the attempt was made; nil if it does not expire.
 func (q *request) millisUntilExpiry() any {
