Gateway: a started stream waits for a server while its caller is connected

What callers saw: part of an answer and a closed connection, up to 2.7 s before their deadline, while other engines took requests again a moment later.

Cause: mayKeepWaiting asked whether the caller was expected to stay for 0.5 s more, and that expectation counts from the last event. An order that cuts the streams of an engine which is 2.7 s behind finds none of them with any time left: their gateway closed them within 0 to 2.3 s, all together. A forecast about the caller ended an answer that could not be refused any more; a caller that leaves closes its connection, and the gateway sees that.

Change: such a stream waits for a server and for a retry until its deadline or until its caller disconnects. Near the expected end it takes a server where it may begin too late, as it did before it was closed, and past it queues by its deadline. Events that the caller has already no longer count as its last event.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -93,7 +93,7 @@
 	for _, c := range all {
 		b, l := c.backend, c.load
 		switch {
-		case w.tried[b] || w.only != nil && !w.only[b]:
+		case w.excludes(b):
 		case l.overloaded || w.isExecutingOrder(l) || l.isHeldBack(now) || w.excludeLimited && l.limited:
 			excluded = true
 		case l.inBackoff:
@@ -155,9 +155,10 @@
 }
 
 // serves reports whether a backend server is in service and reachable.
-func (l load) serves() bool {
-	return l.state != registry.Draining && l.state != registry.Gone && !l.unreachable
-}
+func (l load) serves() bool { return !l.leaves() && !l.unreachable }
+
+// leaves reports whether a backend server takes no further requests for good.
+func (l load) leaves() bool { return l.state == registry.Draining || l.state == registry.Gone }
 
 // isExecutingOrder reports whether an engine reports an order that is announced or being executed.
 func (w requirements) isExecutingOrder(l load) bool {
@@ -199,6 +200,9 @@
 	return capacity
 }
 
+// excludes reports whether a backend server must not get the request again.
+func (w requirements) excludes(b *backend) bool { return w.tried[b] || w.only != nil && !w.only[b] }
+
 func (w requirements) allows(b *backend, now time.Time) bool {
 	if len(w.avoidBuilds) > 0 && !quarantine.MayBeFixed(b.build(w.model, w.layers), w.avoidBuilds) {
 		return false
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -55,6 +55,7 @@
 	interrupted        atomic.Pointer[interruptReason] // not logged yet
 	uncharged          bool                            // the retry is charged to another gateway, or to none
 	unknownOutcomes    int                             // attempts with an unknown outcome
+	outcomesAtEvent    int                             // unknownOutcomes when the last event was relayed
 	rejections         int                             // attempts that a server rejected after the stream was started
 	knownCrashes       int                             // independent crashes known when the last attempt was made
 	build              string                          // software build of the server of the last attempt
@@ -144,8 +145,9 @@
 	q.work = q.prefill + time.Duration(answer)*e.Step()/time.Duration(e.Slots())
 }
 
-// recordEvents records that events arrived, and the gap before them.
+// recordEvents records that events arrived which the caller does not have yet, and the gap before them.
 func (q *request) recordEvents(now time.Time) {
+	q.outcomesAtEvent = q.unknownOutcomes
 	if !q.lastEventAt.IsZero() {
 		q.longestEventGap = max(q.longestEventGap, now.Sub(q.lastEventAt))
 	}
--- a/pkg/gateway/request_fork.go
+++ b/pkg/gateway/request_fork.go
@@ -20,7 +20,7 @@
 		header: q.header, body: q.body, fingerprint: q.fingerprint, configNumber: q.configNumber, refusedBefore: q.refusedBefore,
 		stop: q.stop, started: q.started, readAt: q.readAt, deadline: q.deadline, suspension: q.suspension, suspendedBefore: q.suspendedBefore,
 		work: q.work, prefill: q.prefill, maxRun: q.maxRun,
-		tried: maps.Clone(q.tried), ranAt: maps.Clone(q.ranAt), sent: q.sent, unknownOutcomes: q.unknownOutcomes, rejections: q.rejections,
+		tried: maps.Clone(q.tried), ranAt: maps.Clone(q.ranAt), sent: q.sent, unknownOutcomes: q.unknownOutcomes, outcomesAtEvent: q.outcomesAtEvent, rejections: q.rejections,
 		knownCrashes: q.knownCrashes, build: q.build, avoidBuilds: slices.Clone(q.avoidBuilds), blockedByLimits: q.blockedByLimits, isTrial: q.isTrial,
 		fallback: q.fallback, liveness: probeNotRun, mayHaveRun: true, headWritten: q.headWritten,
 		lastEvent: q.lastEvent, lastAttempt: q.lastAttempt, lastBackend: q.lastBackend,
--- a/pkg/gateway/reserve.go
+++ b/pkg/gateway/reserve.go
@@ -121,9 +121,12 @@
 
 // maxQueueTime returns how long a started stream may queue by an engine's forecast. Forecasts are off by
 // as much as recent starts were late. Where that leaves no time at all, the stream queues by the forecast
-// alone: without a slot it ends.
+// alone: without a slot it ends. A caller that has stayed longer than expected may stay until the deadline.
 func (g *Gateway) maxQueueTime(q *request, now time.Time) time.Duration {
 	left := g.callerTimeoutLeft(q, now)
+	if left <= 0 {
+		return q.remaining()
+	}
 	if lateness := g.silenceDetector.maxForecastError(q.service.Name(), now); lateness < left {
 		return left - lateness
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -89,7 +89,9 @@
 		}
 		gaps.record()
 		x.silenceMonitor.receivedEvent(time.Now())
-		q.recordEvents(time.Now())
+		if !q.headWritten || hasNewEvent(part.events, q.lastEvent) {
+			q.recordEvents(time.Now())
+		}
 		if err := q.relayEvents(response, part.events); err != nil {
 			x.conn.Abort()
 			o, reason := x.gateway.stopOutcomeOr(q, outcomeCallerLeft, "the caller left the stream: "+err.Error())
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -6,7 +6,9 @@
 // that no other request waits for, and waits for one until its lost run must be over.
 //
 // A stream that broke for another reason takes any slot. It waits for a slot, and for a retry
-// from the budget, as long as its caller does; otherwise its connection would be closed.
+// from the budget, until its deadline or until its caller disconnects, as long as a known server may
+// take it and does not end it again without an event. That the caller has been without an event for long does not end it: a caller that gives up
+// closes the connection, and one that has not can still get the rest of the answer.
 //
 // Retries whose next event can still be in time don't queue at engines as other requests do: most
 // are rejected there, which spends the retry budget of all.
@@ -15,7 +17,10 @@
 package gateway
 
 import (
+	"slices"
 	"time"
+
+	"github.com/tidepost/tidepost/pkg/placement"
 )
 
 const (
@@ -54,25 +59,22 @@
 		g.pauseBeforeRecheck(q)
 	}
 	for {
+		if g.isNearCallerTimeout(q, time.Now()) {
+			// It may begin too late there, but has no time left to wait for another server.
+			w.firstEventLatency = 0
+		}
 		b, loaded = g.chooseBeforeExpiry(q, w)
-		if b != nil {
+		if b != nil || !g.mayKeepWaiting(q, time.Now()) {
 			return b, loaded
 		}
-		if !g.mayKeepWaiting(q, time.Now()) {
-			return g.finalChoice(q, w, loaded)
-		}
 		g.pauseBeforeRecheck(q)
 	}
 }
 
-// finalChoice chooses for a request that can't wait any longer. A started stream ends without a
-// slot, so here it accepts one where it may begin too late.
-func (g *Gateway) finalChoice(q *request, w requirements, loaded bool) (*backend, bool) {
-	if w.firstEventLatency == 0 {
-		return nil, loaded
-	}
-	w.firstEventLatency = 0
-	return g.chooseBeforeExpiry(q, w)
+// isNearCallerTimeout reports whether the request is a started stream whose caller is expected to leave
+// before its next event. The caller may stay longer than expected.
+func (g *Gateway) isNearCallerTimeout(q *request, now time.Time) bool {
+	return q.headWritten && g.callerTimeoutLeft(q, now) <= resumeLatency
 }
 
 // ensureRetry takes a retry from the budget for the next attempt, unless the request already
@@ -120,13 +122,35 @@
 }
 
 // mayKeepWaiting reports whether the request is a started stream that may still be resumed: its
-// caller has part of the answer, so a refusal can't be sent. Engines that broke it off for an
-// order or were full accept it some 100 ms later.
+// caller has part of the answer, so a refusal can't be sent, and is still connected. Engines that
+// broke it off for an order or were full accept it some 100 ms later. Where that is unlikely it waits no
+// longer than its caller is expected to.
 func (g *Gateway) mayKeepWaiting(q *request, now time.Time) bool {
-	return q.headWritten && q.ctx.Err() == nil && g.callerTimeoutLeft(q, now) > resumeLatency && q.localDeadline().Sub(now) > minAttemptTime
+	if !q.headWritten || q.ctx.Err() != nil || q.localDeadline().Sub(now) <= minAttemptTime {
+		return false
+	}
+	return !g.isNearCallerTimeout(q, now) || !q.failsRepeatedly() && g.hasServerLeft(q, now)
+}
+
+// failsRepeatedly reports whether as many attempts as the route allows have ended without an event that
+// the caller lacks, one after the other. Each has used up a retry that other requests may need.
+func (q *request) failsRepeatedly() bool {
+	const withEvents = 1 // the attempt that brought the last event
+	return q.unknownOutcomes-q.outcomesAtEvent-withEvents >= q.route.MaxAttempts()
+}
+
+// hasServerLeft reports whether a known backend server may take the request, now or once it is
+// reachable, has a slot and serves a usable version.
+func (g *Gateway) hasServerLeft(q *request, now time.Time) bool {
+	w := g.requirementsFor(q)
+	return slices.ContainsFunc(g.backends.forService(w.service), func(b *backend) bool {
+		l := b.load(now)
+		return !w.excludes(b) && !l.leaves() && g.placement.Decide(w.constraint, l.domain) == placement.Allowed
+	})
 }
 
-// callerTimeoutLeft is how much longer the caller of a started stream waits for its next event.
+// callerTimeoutLeft is how much longer the caller of a started stream is expected to wait for its
+// next event; negative if it has waited longer than expected.
 func (g *Gateway) callerTimeoutLeft(q *request, now time.Time) time.Duration {
 	return g.callerTimeout(q) - now.Sub(q.lastEventAt)
 }
