Gateway: lends started streams its last retry

What callers saw: half an answer, then nothing until their deadline: the budget of repeats is used up.

Cause: a gateway that has few retries, just started or one of many, asks others for one, and they kept half of their budget for streams of their own. Of the 2 to 6 that a gateway has in its first window that is all but one.

Change: a lender grants whatever its budget has. The sum does not change (TestLentRetriesStayWithinBudget, now with unlimited lending).

--- a/pkg/gateway/budget_lending.go
+++ b/pkg/gateway/budget_lending.go
@@ -2,8 +2,8 @@
 // Lending of retries between gateways. The budget is a share of the requests of all gateways, and
 // each gateway keeps its part. If many streams of one gateway break together, it may have spent its
 // part while others have retries left. A started stream that finds no retry here asks another
-// gateway, which counts the retry as its own, so the sum stays the same. First attempts don't
-// borrow: if refused, they can try again.
+// gateway, which counts the retry as its own, so the sum stays the same. It has the same claim there
+// as the lender's own started streams. First attempts don't borrow: if refused, they can try again.
 // ================================================================
 
 package gateway
@@ -18,9 +18,6 @@
 )
 
 const (
-	// lendShare is the share of its budget up to which a gateway lends; the rest is for its own
-	// streams.
-	lendShare = 0.5
 	// lendTimeout is how long a lender may take to answer, and maxLendersAsked how many gateways are
 	// asked in a row.
 	lendTimeout     = 40 * time.Millisecond
@@ -77,7 +74,7 @@
 
 // lendRetry takes a retry from this gateway's budget for another gateway.
 func (g *Gateway) lendRetry(service string) bool {
-	return g.budget.takeRetryWithin(service, g.countGateways(), lendShare)
+	return g.budget.takeRetry(service, g.countGateways())
 }
 
 // callLender asks another gateway for a retry over a link.
--- a/pkg/gateway/budget_lending_test.go
+++ b/pkg/gateway/budget_lending_test.go
@@ -43,6 +43,22 @@
 	}
 }
 
+// Guards against streams that end without a retry while other gateways have some. A gateway kept half of its
+// budget for its own streams, and of the few retries that it has at size or after its start nearly all.
+func TestGatewayLendsItsLastRetry(t *testing.T) {
+	const retries = 4
+	lender := newGateway(t, testSettings)
+	lender.budget = fullWindowBudget(0, retries/budgetSafetyFactor*float64(lender.countGateways()), 10*time.Second)
+	for n := range retries {
+		if !lender.lendRetry("menu") {
+			t.Fatalf("it lent %d of its %d retries", n, retries)
+		}
+	}
+	if lender.lendRetry("menu") {
+		t.Error("it lent a retry that it does not have")
+	}
+}
+
 // All gateways together stay within the budget, however they lend, and a gateway that has
 // reported its usage lends no more.
 func TestLentRetriesStayWithinBudget(t *testing.T) {
@@ -51,7 +67,7 @@
 	for step := range steps {
 		f.step(step, 3, step > 120)
 		for _, b := range f.gateways {
-			for step > 120 && b.takeRetryWithin("menu", fleetSize, lendShare) {
+			for step > 120 && b.takeRetry("menu", fleetSize) {
 				f.retries[step]++
 			}
 		}
@@ -59,7 +75,7 @@
 	f.check(t, steps)
 	b := fullWindowBudget(0, 100, fleetWindow)
 	b.stop()
-	if b.takeRetryWithin("menu", 1, lendShare) {
+	if b.takeRetry("menu", 1) {
 		t.Error("a gateway lent a retry after it reported its usage")
 	}
 }
