Gateway: a started stream that waited for a retry chooses its server again

What callers saw: half an answer, a rejected attempt, and no retry left for another one.

Cause: a started stream chooses a server, with a slot reserved there, and takes its retry then. Where there was none it waited for one up to seconds and went to the server of before. The slot is held until the forecast first event, so it was gone, and so was the retry with the rejection.

--- a/pkg/gateway/budget_lending_test.go
+++ b/pkg/gateway/budget_lending_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -59,6 +60,34 @@
 	}
 }
 
+// Guards against a retry that is spent at a server which was chosen long before: a stream waited 0.7 s for the
+// retry, and the server that it had chosen then had become full and rejected it.
+func TestStreamChoosesAgainAfterWaitForRetry(t *testing.T) {
+	const wait = 6 * yieldRetryInterval
+	leaving, next := newFakeBackend(t, "i-leaving", streamAfter(1)), newFakeBackend(t, "i-next", streamAfter(1))
+	f := newFixtureWithBrokenStream(t, leaving, next)
+	f.gateway.budget = fullWindowBudget(0, 0, 10*time.Second)
+	f.gateway.limitOwners.listed = func() map[string]feed.Peer {
+		return map[string]feed.Peer{"10.0.0.2:7700": feed.NewPeer("10.0.0.2:7700", "hall-b", "", "", false, true)}
+	}
+	var once sync.Once
+	var firstAsked time.Time
+	f.gateway.askLender = func(context.Context, string, contract.RetryLoanRequest) (contract.RetryLoanResponse, error) {
+		once.Do(func() {
+			firstAsked = time.Now()
+			f.gateway.backends.markDeparted("i-leaving", 0)
+		})
+		return contract.NewRetryLoanResponse(time.Since(firstAsked) > wait), nil
+	}
+	status, _, body, err := f.do(t, f.draftRequest(t))
+	if status != http.StatusOK || body != events(1, 3) || err != nil {
+		t.Fatalf("%d %q %v", status, body, err)
+	}
+	if n := len(leaving.requests()); n > 0 {
+		t.Errorf("it was sent %d times to the server that left while the stream waited for a retry", n)
+	}
+}
+
 // All gateways together stay within the budget, however they lend, and a gateway that has
 // reported its usage lends no more.
 func TestLentRetriesStayWithinBudget(t *testing.T) {
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -206,15 +206,11 @@
 			return
 		}
 		unknownBefore := q.unknownOutcomes
-		b, f := g.pick(q)
+		b, f := g.pickWithRetry(q)
 		if f != nil {
 			g.giveUp(q, f)
 			return
 		}
-		if q.headWritten && !g.ensureRetry(q) {
-			g.giveUp(q, q.exhausted(retryBudgetSpent, q.lastAttempt))
-			return
-		}
 		if g.try(q, b) {
 			return
 		}
@@ -333,6 +329,31 @@
 	return nil, failure.New(failure.Overloaded, "no backend server of %s serves now", q.service.Name()).WithRetryAfter(q.retryAfterOutage())
 }
 
+// pickWithRetry is pick for an attempt that may need a retry. Those that have not started hold one already.
+// A started stream takes one once it has a server, since others may need the retry while it waits for a
+// server. If it waits for the retry instead, the server may be full or leave meanwhile, and is chosen again.
+func (g *Gateway) pickWithRetry(q *request) (*backend, *failure.Failure) {
+	for {
+		b, f := g.pick(q)
+		if f != nil || !q.headWritten {
+			return b, f
+		}
+		chosen := time.Now()
+		if !g.ensureRetry(q) {
+			return nil, q.exhausted(retryBudgetSpent, q.lastAttempt)
+		}
+		if time.Since(chosen) < yieldRetryInterval {
+			return b, nil
+		}
+		if b = g.chooseWithoutWaiting(q, g.relaxNearCallerTimeout(q, g.requirementsFor(q))); b != nil {
+			return b, nil
+		}
+		if !q.uncharged { // a borrowed retry can't be put back
+			g.returnRetry(q)
+		}
+	}
+}
+
 // takeReserved returns the backend server that a check has chosen for the next attempt, or nil.
 func (g *Gateway) takeReserved(q *request) *backend {
 	if b := q.reserved.Swap(nil); b != nil && g.acquirePermit(q, b) {
--- a/pkg/gateway/standby.go
+++ b/pkg/gateway/standby.go
@@ -109,7 +109,7 @@
 	}
 	// Others may need the retry while a server is chosen, and one that is held for long can't be put back.
 	g.returnRetry(q)
-	b := g.chooseForStandby(q)
+	b := g.chooseWithoutWaiting(q, g.requirementsFor(q))
 	if b == nil || !s.takeRetry() {
 		return
 	}
@@ -190,13 +190,12 @@
 	}
 }
 
-// chooseForStandby chooses the backend server of a standby. It doesn't wait for one, since the running
-// attempt continues meanwhile.
-func (g *Gateway) chooseForStandby(q *request) *backend {
+// chooseWithoutWaiting chooses a backend server where the request resumes, or returns nil if there is none
+// now.
+func (g *Gateway) chooseWithoutWaiting(q *request, w requirements) *backend {
 	if b := g.takeReserved(q); b != nil {
 		return b
 	}
-	w := g.requirementsFor(q)
 	if q.yields(time.Now()) {
 		w.maxWait = q.maxWait()
 	}
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -59,11 +59,7 @@
 		g.pauseBeforeRecheck(q)
 	}
 	for {
-		if g.isNearCallerTimeout(q, time.Now()) {
-			// It may begin too late there, but has no time left to wait for another server.
-			w.firstEventLatency = 0
-		}
-		b, loaded = g.chooseBeforeExpiry(q, w)
+		b, loaded = g.chooseBeforeExpiry(q, g.relaxNearCallerTimeout(q, w))
 		if b != nil || !g.mayKeepWaiting(q, time.Now()) {
 			return b, loaded
 		}
@@ -71,6 +67,15 @@
 	}
 }
 
+// relaxNearCallerTimeout allows a started stream without time to wait for another server one where it may
+// begin too late.
+func (g *Gateway) relaxNearCallerTimeout(q *request, w requirements) requirements {
+	if g.isNearCallerTimeout(q, time.Now()) {
+		w.firstEventLatency = 0
+	}
+	return w
+}
+
 // isNearCallerTimeout reports whether the request is a started stream whose caller is expected to leave
 // before its next event. The caller may stay longer than expected.
 func (g *Gateway) isNearCallerTimeout(q *request, now time.Time) bool {
