--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -203,8 +203,14 @@
 // excludes reports whether a backend server must not get the request again.
 func (w requirements) excludes(b *backend) bool { return w.tried[b] || w.only != nil && !w.only[b] }
 
+// allowsBuild reports whether a backend server runs a build on which the request may not crash.
+func (w requirements) allowsBuild(b *backend) bool {
+	return len(w.avoidBuilds) == 0 || quarantine.MayBeFixed(b.build(w.model, w.layers), w.avoidBuilds)
+}
+
+// allows reports whether a backend server runs an allowed build and serves a usable version.
 func (w requirements) allows(b *backend, now time.Time) bool {
-	if len(w.avoidBuilds) > 0 && !quarantine.MayBeFixed(b.build(w.model, w.layers), w.avoidBuilds) {
+	if !w.allowsBuild(b) {
 		return false
 	}
 	if w.layers == 0 {
--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -7,8 +7,9 @@
 //
 // A stream that broke for another reason takes any slot. It waits for a slot, and for a retry
 // from the budget, until its deadline or until its caller disconnects, as long as a known server may
-// take it and does not end it again without an event. That the caller has been without an event for long does not end it: a caller that gives up
-// closes the connection, and one that has not can still get the rest of the answer.
+// take it and attempts don't fail one after the other. It is not ended because its caller has been
+// without an event for long: a caller that gives up closes the connection, and one that has not can
+// still get the rest of the answer.
 //
 // Retries whose next event can still be in time don't queue at engines as other requests do: most
 // are rejected there, which spends the retry budget of all.
@@ -150,7 +151,7 @@
 	w := g.requirementsFor(q)
 	return slices.ContainsFunc(g.backends.forService(w.service), func(b *backend) bool {
 		l := b.load(now)
-		return !w.excludes(b) && !l.leaves() && g.placement.Decide(w.constraint, l.domain) == placement.Allowed
+		return !w.excludes(b) && w.allowsBuild(b) && !l.leaves() && g.placement.Decide(w.constraint, l.domain) == placement.Allowed
 	})
 }
 
