--- a/pkg/gateway/yield_test.go
+++ b/pkg/gateway/yield_test.go
@@ -67,7 +67,7 @@
 	route, _ := f.gateway.index.Load().Route("menus.example", "/draft/x")
 	service, _ := f.gateway.index.Load().Service("menu")
 	now := time.Now()
-	left, leave := context.WithCancel(t.Context())
+	gone, leave := context.WithCancel(t.Context())
 	leave()
 	for _, c := range []struct {
 		silent, deadline time.Duration
@@ -80,7 +80,7 @@
 		{2800 * time.Millisecond, time.Minute, t.Context(), false, true},
 		{10 * time.Second, time.Minute, t.Context(), false, true},
 		{10 * time.Second, minAttemptTime, t.Context(), false, false},
-		{2500 * time.Millisecond, time.Minute, left, false, false},
+		{2500 * time.Millisecond, time.Minute, gone, false, false},
 	} {
 		q := &request{ctx: c.ctx, route: route, service: service, headWritten: true, lastEventAt: now.Add(-c.silent), deadline: now.Add(c.deadline), tried: map[*backend]bool{}}
 		for _, b := range f.gateway.backends.forService("menu") {
