Gateway: lines of attempts and requests name the shared parts of the prompt

Cause: no line said what requests that crash servers have in common, so one part in many requests looked like servers that fail by themselves.

--- a/pkg/gateway/native_protocol.go
+++ b/pkg/gateway/native_protocol.go
@@ -7,6 +7,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/serverlimit"
@@ -24,7 +25,8 @@
 	headerUrgency      = "X-Tidepost-Urgency"
 	headerNotRun       = "X-Tidepost-Not-Run"
 	headerLastEvent    = "Last-Event-Id"
-	headerLimit        = "X-Tidepost-Limit" // requests a second
+	headerLimit        = "X-Tidepost-Limit"        // requests a second
+	headerPromptParts  = "X-Tidepost-Prompt-Parts" // ids separated by commas, those that requests may share
 )
 
 // NativeProtocol returns the gateway's own protocol.
@@ -41,9 +43,20 @@
 	return RequestHead{
 		ID: h.Get(headerID), Key: h.Get(headerKey), Model: h.Get(headerModel),
 		Timeout: time.Duration(deadline) * time.Millisecond, LastEventID: h.Get(headerLastEvent),
+		PromptParts: SplitList(strings.Join(h.Values(headerPromptParts), ",")),
 	}
 }
 
+// SplitList splits a header field at its commas, and leaves out empty elements.
+func SplitList(field string) (elements []string) {
+	for element := range strings.SplitSeq(field, ",") {
+		if element = strings.TrimSpace(element); element != "" {
+			elements = append(elements, element)
+		}
+	}
+	return elements
+}
+
 func prepareNative(h http.Header, a Attempt) {
 	h.Del(headerKey)
 	h.Del(headerOrganisation)
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -50,7 +51,7 @@
 func (g *Gateway) recordAttempt(q *request, end attemptEnd, reason string) {
 	q.lastAttempt = string(end) + " at " + q.lastBackend + ": " + reason
 	g.metrics.attempts.WithLabelValues(string(end)).Inc()
-	_ = level.Info(g.process.Logger).Log("msg", "attempt", "request", q.head.ID, "fingerprint", q.fingerprint, "end", string(end), "sign", string(q.liveness), "backend", q.lastBackend,
+	_ = level.Info(g.process.Logger).Log("msg", "attempt", "request", q.head.ID, "fingerprint", q.fingerprint, "parts", q.loggedParts(), "end", string(end), "sign", string(q.liveness), "backend", q.lastBackend,
 		"service", q.service.Name(), "sent", q.sent, "left_ms", q.remaining().Milliseconds(), "idle_ms", q.millisSinceLastEvent(),
 		"version", q.versionExpiry.served, "lapses_ms", q.millisUntilExpiry(), "interrupted", q.takeInterrupted(), "why", reason)
 }
@@ -67,13 +68,20 @@
 		route = q.route.Name()
 		objective, pauseObjective = q.route.ResponseObjective(), q.route.GapObjective()
 	}
-	_ = level.Info(g.process.Logger).Log("msg", "request", "request", q.head.ID, "fingerprint", q.fingerprint, "outcome", string(o), "route", route,
+	_ = level.Info(g.process.Logger).Log("msg", "request", "request", q.head.ID, "fingerprint", q.fingerprint, "parts", q.loggedParts(), "outcome", string(o), "route", route,
 		"configuration", q.configNumber, "organisation", q.organisation, "backend", q.lastBackend, "sent", q.sent,
 		"sent_ms", q.timeToLastSend.Milliseconds(), "came_back", q.refusedBefore, "forecast_ms", q.firstEventForecast.Milliseconds(), "first_ms", q.timeToFirstByte.Milliseconds(), "pause_ms", q.longestEventGap.Milliseconds(), "idle_ms", q.millisSinceLastEvent(),
 		"objective_ms", objective.Milliseconds(), "pause_objective_ms", pauseObjective.Milliseconds(), "allowed_ms", q.head.Timeout.Milliseconds(), "ms", time.Since(q.started).Milliseconds(),
 		"version", q.versionExpiry.served, "lapses_ms", q.millisUntilExpiry(), "stopping_ms", g.stop.elapsedMillis(q.started), "limited", q.blockedByLimits, "interrupted", q.takeInterrupted(), "why", reason)
 }
 
+// loggedParts returns the ids of the shared parts of the prompt, as far as they fit into a log line.
+func (q *request) loggedParts() string {
+	const maxLength = 256
+	ids := strings.Join(q.head.PromptParts, ",")
+	return ids[:min(len(ids), maxLength)]
+}
+
 // millisSinceLastEvent returns how many milliseconds ago the last event was relayed; nil if none was.
 func (q *request) millisSinceLastEvent() any {
 	if q.lastEventAt.IsZero() {
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -31,6 +31,8 @@
 	ExpectedTokens int
 	// LastEventID is the id of the last event of a stream that the caller has received.
 	LastEventID string
+	// PromptParts are the ids of the parts of the prompt that other requests may share, in order.
+	PromptParts []string
 }
 
 // Attempt is what the headers of one attempt tell a backend server.
