Gateway, soak: failing tests of requests that share a part which crashes servers

The stand-in engine crashes at the start of an answer on a part, after some events if wanted, and may send answers without a length or chunks.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -68,8 +68,14 @@
 	// they restart under their previous instance.
 	crashing     int
 	sameInstance bool
-	// crashingEngines is how many engines crash when they run crashingBody.
+	// crashingEngines is how many engines crash when they run crashingBody, or begin an answer on
+	// one of crashParts after crashEvents events. unframed engines end answers with their connection.
 	crashingEngines int
+	crashParts      []string
+	crashEvents     int
+	unframed        bool
+	// crashDelay is the time from the start of an answer to the crash, if it isn't the usual one.
+	crashDelay time.Duration
 	// toleratedLosses is how many control nodes may be lost at the same time.
 	toleratedLosses int
 }
@@ -274,7 +280,8 @@
 			Instance: instance, Service: service, Address: cl.address(kind, index, serverTargetPort),
 			Zone: failureDomain(index), Slots: engineFigures.Slots, Interval: heartbeatInterval, ControlNodes: cl.controlAddresses(),
 		},
-		ServiceTime: cl.config.plainServiceTime, RunLog: cl.runLog, CrashBody: crashingBody, CrashDelay: crashDelay, Downtime: crashDowntime,
+		ServiceTime: cl.config.plainServiceTime, RunLog: cl.runLog, CrashBody: crashingBody, CrashDelay: cmp.Or(cl.config.crashDelay, crashDelay), Downtime: crashDowntime,
+		CrashParts: cl.config.crashParts, CrashEvents: cl.config.crashEvents, Unframed: cl.config.unframed,
 		SameInstance: cl.config.sameInstance, EngineParams: params,
 	}
 	cl.crashing = append(cl.crashing, s)
