Gateway: a response that ends with its connection is complete only if its server still runs

What callers saw: a stream or plain response without a length or chunks whose server crashed between two events, or anywhere, looked complete. Cause: its end is io.EOF, as at a crash, and no crash was looked for; nor did such a response ever count as a completed run. Change: at its end the server is dialed, as after a broken attempt; if the dial is refused the attempt is broken, else the run is completed. Why it works: a crashed server's port is closed within a round trip. A server that starts again within it, or is cut off, is not told from one that lives.

--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -45,8 +45,12 @@
 	if len(body) == maxBuffered {
 		return x.passThrough(response, body)
 	}
+	end := x.probeEnd(response)
+	if end == probeCrashed {
+		return x.recordBroken("the response ended with its backend server", io.EOF)
+	}
 	x.conn.Finish(response)
-	x.recordCompletion(response)
+	x.recordCompletion(response, end)
 	x.recordPlainRun()
 	buffered := &bufferedResponse{response.StatusCode, response.Header, body}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -127,6 +131,13 @@
 	if err == nil {
 		_, err = io.Copy(deadlineWriter{q}, rest)
 	}
+	end := probeNotRun
+	if err == nil {
+		end = x.probeEnd(response)
+	}
+	if end == probeCrashed {
+		err, rest.err = io.EOF, io.EOF
+	}
 	if err != nil {
 		x.conn.Abort()
 		q.liveness = x.probeCrash(rest.err)
@@ -136,7 +147,7 @@
 	}
 	x.conn.Finish(response)
 	x.backend.recordSuccess()
-	x.recordCompletion(response)
+	x.recordCompletion(response, end)
 	x.recordPlainRun()
 	x.gateway.recordOutcome(q, outcomeServed, response.Status)
 	return true
--- a/pkg/gateway/crash_probe.go
+++ b/pkg/gateway/crash_probe.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -89,6 +90,25 @@
 	return probeCrashed
 }
 
+// probeEnd finds out whether a complete response is known to be complete: one that has neither a length
+// nor chunks ends with its connection, also where its backend server crashed. It returns probeNotRun for
+// others.
+func (x *exchange) probeEnd(response *http.Response) probeResult {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
+		return probeNotRun
+	}
+	probe := x.backend.startCrashProbe(time.Now())
+	select {
+	case <-probe.done:
+	case <-time.After(x.gateway.crashProbeWait(1)):
+		return probePending
+	}
+	if probe.refused {
+		return probeCrashed
+	}
+	return probeAlive
+}
+
 // probeWaitAfter returns how long the next attempt waits for a probe, by the number of crashes that
 // were known when the last attempt was sent.
 func probeWaitAfter(knownCrashes int) time.Duration {
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -129,12 +129,10 @@
 	}
 }
 
-// recordCompletion records that the request ran to completion where its answer shows that. The
-// answer must be framed by a length or by chunks: one that ends with its connection may have been
-// cut off.
-func (x *exchange) recordCompletion(answer *http.Response) {
-	framed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
-	if !framed || !ranToCompletion(answer.StatusCode) {
+// recordCompletion records that the request ran to completion where its answer shows that. An answer that
+// ends with its connection does so only if the backend server still runs, by the probe at its end.
+func (x *exchange) recordCompletion(answer *http.Response, end probeResult) {
+	if end == probePending || !ranToCompletion(answer.StatusCode) {
 		return
 	}
 	g, q := x.gateway, x.request
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -103,10 +103,14 @@
 
 func (x *exchange) streamEnded(response *http.Response, gaps *eventGapMeter) bool {
 	q := x.request
+	end := x.probeEnd(response)
+	if end == probeCrashed {
+		return x.streamBroken(io.EOF)
+	}
 	x.conn.Finish(response)
 	x.backend.recordSuccess()
 	q.recordRunTime(&x.gateway.silenceDetector, time.Now(), time.Since(x.started))
-	x.recordCompletion(response)
+	x.recordCompletion(response, end)
 	if meanGap, ok := gaps.mean(); ok {
 		x.backend.recordSlowdown(meanGap.Seconds() / nominalGap.Seconds())
 	}
