Quarantine: parts of prompts are suspects as whole requests are, and records are compared

Cause: what crashes servers was looked for by the whole request only. No two of these were alike, so each crash was the first one of its request and none came to three. Nor could crashes be held against what several requests share without blaming what is popular: a record did not know of others, and one completed run cleared it for good. Change: one mechanism for requests and the parts of their prompts. Every crash and every completed run is recorded for the request and its shared parts. Causes are found by comparing records: the one with the most independent crashes explains them, the processes that crashed under it no longer count for others, and so on. Records with the same crashes are a cause together, until a request with some of them tells them apart. A completed run clears the crashes before it, not those after; where it ran to completion before, two more crashes are needed and those of one moment count once. Crashes of parts have limits of their own; records go to gateways once crashes may count. Why it works: the part is at each crash and never runs to completion, which is true of nothing else for long.

--- a/pkg/control/quarantine_records.go
+++ b/pkg/control/quarantine_records.go
@@ -20,7 +20,7 @@
 	changed, _ := s.quarantine.Merge(records)
 	s.publisher.QueueRecords(changed)
 	s.onRecordsChanged(changed)
-	quarantine.LogQuarantined(s.logger, changed)
+	quarantine.LogQuarantined(s.logger, s.quarantine, changed)
 }
 
 // requestTrial asks the leader whether a gateway may try a quarantined request again. A single node
--- a/pkg/control/quarantine_records_test.go
+++ b/pkg/control/quarantine_records_test.go
@@ -22,7 +22,7 @@
 	for _, name := range servers {
 		ends = append(ends, quarantine.NewCrash(name, 1, "hall-"+name, "v1/0", 0, ago))
 	}
-	return quarantine.NewRecord(testFingerprint, ends, nil, 0, "", 0)
+	return quarantine.NewRecord(testFingerprint, ends, nil, 0, "", 0, nil)
 }
 
 // gatewayTable is the quarantine table of a gateway and its follower.
--- a/pkg/feed/quarantine_records.go
+++ b/pkg/feed/quarantine_records.go
@@ -4,8 +4,9 @@
 // registrations are: each node that learns of a new one sends it to all its gateways and nodes.
 //
 // They must not saturate links either. A backend server that crashes has tens of requests running,
-// nearly all of them harmless. So records with one crash are sent to nodes only, which merge them,
-// and the records of one Update are bounded. Sent to 149 gateways over two streams each, 1,440
+// nearly all of them harmless. So records with one crash are sent to nodes only, which merge them, as are
+// those of requests that ran to completion and whose crashes don't count yet, and the records of one Update
+// are bounded. Sent to 149 gateways over two streams each, 1,440
 // requests of 120 backend servers that crash at once would be 1,440 x 298 x 130 B, or 55 MB; this
 // way all gateways have the relevant record after 0.5 MB.
 // ================================================================
@@ -13,8 +14,6 @@
 package feed
 
 import (
-	"slices"
-
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 )
@@ -23,6 +22,9 @@
 // urgent, at most 16 are sent to a gateway in 80 ms and to another node in 400 ms.
 const maxRecordsPerUpdate = 16
 
+// maxSentRecords bounds the fingerprints of the records that one follower was sent; a table has as many.
+const maxSentRecords = 1024
+
 // QueueRecords queues records for the followers that need them.
 func (p *Publisher) QueueRecords(records []quarantine.Record) {
 	if len(records) == 0 {
@@ -50,22 +52,34 @@
 	if s.fallback {
 		return
 	}
+	urgent := false
 	for _, r := range records {
-		if s.hello.role == RoleNode || isUrgent(r) {
+		isUrgent := r.IsSuspicious() || s.sentRecords[r.Fingerprint()]
+		if s.hello.role == RoleNode || isUrgent {
 			s.records[r.Fingerprint()] = r
 		}
+		urgent = urgent || isUrgent
 	}
 	switch {
 	case len(s.records) == 0:
-	case slices.ContainsFunc(records, isUrgent):
+	case urgent:
 		daemon.Wake(s.wakeNow)
 	default:
 		daemon.Wake(s.wakeBatched)
 	}
 }
 
-// isUrgent reports whether a record may soon quarantine its request, or clears it.
-func isUrgent(r quarantine.Record) bool { return len(r.Crashes()) > 1 || len(r.CompletedOn()) > 0 }
+// recordSent records that a suspicious record is sent, so that the follower soon gets its later changes
+// too: a completed run may clear it.
+func (s *subscriber) recordSent(r quarantine.Record) {
+	if !r.IsSuspicious() {
+		return
+	}
+	if len(s.sentRecords) >= maxSentRecords {
+		clear(s.sentRecords)
+	}
+	s.sentRecords[r.Fingerprint()] = true
+}
 
 // dequeueRecords removes the most urgent records from the queue and returns them. The caller holds
 // the lock.
@@ -80,6 +94,7 @@
 	all = truncateRecords(quarantine.SortByCrashes(all), maxRecordsPerUpdate)
 	for _, r := range all {
 		delete(s.records, r.Fingerprint())
+		s.recordSent(r)
 	}
 	if len(s.records) > 0 {
 		daemon.Wake(s.wakeBatched)
--- a/pkg/feed/subscriber.go
+++ b/pkg/feed/subscriber.go
@@ -25,22 +25,23 @@
 	primary         bool // loads, demands and peers are sent
 	registrations   map[string]registry.Registration
 	records         map[quarantine.Fingerprint]quarantine.Record
-	loads           map[string]Load   // by engine
-	peers           map[string]*Peer  // changes by link address; nil for a removed peer
-	sendAllPeers    bool              // the next Update has all peers
-	sendNodes       bool              // the next Update has the control nodes
-	sendDocument    bool              // the next Update has the document
-	sendEvacuations bool              // the next Update has the evacuated failure domains
-	demand          float64           // requests for engines per second, of a gateway
-	retryUsage      *storedRetryUsage // of the gateway's predecessor, to be sent
-	fallback        bool              // only documents and versions are sent
+	sentRecords     map[quarantine.Fingerprint]bool // records that were sent; later changes are sent too
+	loads           map[string]Load                 // by engine
+	peers           map[string]*Peer                // changes by link address; nil for a removed peer
+	sendAllPeers    bool                            // the next Update has all peers
+	sendNodes       bool                            // the next Update has the control nodes
+	sendDocument    bool                            // the next Update has the document
+	sendEvacuations bool                            // the next Update has the evacuated failure domains
+	demand          float64                         // requests for engines per second, of a gateway
+	retryUsage      *storedRetryUsage               // of the gateway's predecessor, to be sent
+	fallback        bool                            // only documents and versions are sent
 }
 
 func newSubscriber(hello Hello) *subscriber {
 	return &subscriber{
 		hello: hello, fallback: hello.fallback, wakeNow: make(chan struct{}, 1), wakeBatched: make(chan struct{}, 1),
 		primary: hello.role == RoleNode, sendAllPeers: hello.role == RoleNode, sendNodes: !hello.fallback, sendEvacuations: true,
-		records:       map[quarantine.Fingerprint]quarantine.Record{},
+		records: map[quarantine.Fingerprint]quarantine.Record{}, sentRecords: map[quarantine.Fingerprint]bool{},
 		registrations: map[string]registry.Registration{}, loads: map[string]Load{}, peers: map[string]*Peer{},
 	}
 }
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -47,9 +47,9 @@
 		return nil
 	}
 	q.versionExpiry = g.versionExpiryOf(q, b, 0)
-	q.knownCrashes = g.quarantine.Crashes(q.fingerprint)
+	q.knownCrashes = g.knownCrashes(q)
 	q.build = b.build(q.modelAndLayers())
-	if !q.mayRun(q.knownCrashes) || !quarantine.MayBeFixed(q.build, q.avoidBuilds) || q.remaining() < minAttemptTime || q.versionExpiry.mustCancel() {
+	if !q.mayRun(g.quarantine.Decide(q.fingerprints...)) || !quarantine.MayBeFixed(q.build, q.avoidBuilds) || q.remaining() < minAttemptTime || q.versionExpiry.mustCancel() {
 		conn.Close()
 		return nil
 	}
@@ -78,6 +78,17 @@
 	return x
 }
 
+// knownCrashes returns the independent crashes that are recorded for a request and the parts of its prompt.
+func (g *Gateway) knownCrashes(q *request) map[quarantine.Fingerprint]int {
+	known := make(map[quarantine.Fingerprint]int, len(q.fingerprints))
+	for _, f := range q.fingerprints {
+		if crashes := g.quarantine.Crashes(f); crashes > 0 {
+			known[f] = crashes
+		}
+	}
+	return known
+}
+
 // connect returns a connection to a backend server, or nil. Every attempt passes here, so no way of choosing
 // a server leads to one that may not receive the request.
 func (g *Gateway) connect(q *request, b *backend) *attemptConn {
--- a/pkg/gateway/crash_probe.go
+++ b/pkg/gateway/crash_probe.go
@@ -74,7 +74,7 @@
 	probe, crash := x.backend.startCrashProbe(time.Now()), x.crash()
 	select {
 	case <-probe.done:
-	case <-time.After(x.gateway.crashProbeWait(x.request.knownCrashes)):
+	case <-time.After(x.gateway.crashProbeWait(x.request.mostKnownCrashes())):
 		go func() {
 			<-probe.done
 			if probe.refused {
@@ -90,6 +90,15 @@
 	return probeCrashed
 }
 
+// mostKnownCrashes returns how many crashes were known, when the last attempt was made, of the request or
+// that part of its prompt which had most.
+func (q *request) mostKnownCrashes() (most int) {
+	for _, crashes := range q.knownCrashes {
+		most = max(most, crashes)
+	}
+	return most
+}
+
 // probeEnd finds out whether a complete response is known to be complete: one that has neither a length
 // nor chunks ends with its connection, also where its backend server crashed. It returns probeNotRun for
 // others.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -63,12 +63,12 @@
 	gatewayCount gatewayCounter
 	budget       *retryBudget
 	demand       demand
-	// quarantine records the requests during which backend servers crashed.
+	// quarantine records the requests and parts of prompts during which backend servers crashed.
 	quarantine *quarantine.Table
-	// publishRecords sends new quarantine records to the control nodes, and publishLimiter
-	// bounds how many a second.
+	// publishRecords sends new quarantine records to the control nodes, and reportLimiters
+	// bound how many a second.
 	publishRecords func(records []quarantine.Record)
-	publishLimiter *rate.Limiter
+	reportLimiters reportLimiters
 	// crashProbeWait returns how long an attempt waits to learn whether its backend server crashed.
 	crashProbeWait func(knownCrashes int) time.Duration
 	// requestTrial asks for permission to try a quarantined request once more under the name tester,
@@ -116,7 +116,7 @@
 		suspension: suspension.New(), stop: newGracefulStop(),
 		budget:     newRetryBudget(s.RetryRatio(), s.RetryReserve(), s.RetryWindow()),
 		metrics:    newMetrics(process.Registry),
-		quarantine: quarantine.NewTable(nil), publishLimiter: rate.NewLimiter(crashReportRate, crashReportBurst),
+		quarantine: quarantine.NewTable(nil), reportLimiters: newReportLimiters(),
 		tester: quarantine.TesterID(process.Identity), trialLimiter: rate.NewLimiter(trialRequestRate, 1),
 		limitLogLimiter: rate.NewLimiter(limitLogRate, limitLogBurst),
 		placement:       placement.Rules{Regions: s.Regions, Evacuations: &placement.Evacuations{}},
@@ -242,7 +242,9 @@
 		g.backends.sweep()
 		g.quarantine.Sweep()
 		g.limitOwners.sweep()
-		g.metrics.quarantined.Set(float64(g.quarantine.CountQuarantined()))
+		requests, parts := g.quarantine.CountQuarantined()
+		g.metrics.quarantined.Set(float64(requests))
+		g.metrics.quarantinedParts.Set(float64(parts))
 		g.metrics.limitedServers.Set(float64(g.limitedBackends()))
 	})
 }
--- a/pkg/gateway/handler.go
+++ b/pkg/gateway/handler.go
@@ -63,7 +63,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	q.readAt = time.Now()
-	q.fingerprint = quarantine.NewFingerprint(q.content())
+	q.setFingerprints()
 	done, f := g.admit(q)
 	if f != nil {
 		g.refuse(q, f)
@@ -246,13 +246,13 @@
 
 // checkMayAttempt returns why no further attempt may be made; nil if one may.
 func (g *Gateway) checkMayAttempt(q *request, dials int) *failure.Failure {
-	crashes := g.quarantine.Crashes(q.fingerprint)
+	decision := g.quarantine.Decide(q.fingerprints...)
 	stopFailure := g.checkStop(q)
 	switch {
-	case !q.mayRun(crashes):
-		return quarantinedFailure(q, crashes)
-	case q.liveness == probeCrashed && crashes > 1:
-		return q.exhausted("%d backend servers exited while running this request; last: %s", crashes, q.lastAttempt)
+	case !q.mayRun(decision):
+		return quarantinedFailure(q, decision)
+	case q.liveness == probeCrashed && decision.Crashes() > 1:
+		return q.exhausted("%d backend servers exited while running this request or others with a part of its prompt; last: %s", decision.Crashes(), q.lastAttempt)
 	case stopFailure != nil:
 		return stopFailure
 	case q.sent == 0 && dials < maxDials:
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -21,6 +21,7 @@
 	configNumber      prometheus.Gauge
 	serverCrashes     prometheus.Counter
 	quarantined       prometheus.Gauge
+	quarantinedParts  prometheus.Gauge
 	limitedServers    prometheus.Gauge
 	limitSkips        *prometheus.CounterVec
 	interrupted       *prometheus.CounterVec
@@ -40,6 +41,7 @@
 		configNumber:      metric.NewGauge(metric.GatewayConfigNumber),
 		serverCrashes:     metric.NewCounter(metric.GatewayServerCrashes),
 		quarantined:       metric.NewGauge(metric.GatewayQuarantined),
+		quarantinedParts:  metric.NewGauge(metric.GatewayQuarantinedParts),
 		limitedServers:    metric.NewGauge(metric.GatewayLimitedServers),
 		limitSkips:        metric.NewCounters(metric.GatewayLimitSkips, "why"),
 		interrupted:       metric.NewCounters(metric.GatewayStreamsInterrupted, "reason"),
@@ -47,6 +49,6 @@
 		uncounted:         metric.NewCounter(metric.GatewayRetriesUncounted),
 		evacuatedDomains:  metric.NewGauge(metric.GatewayEvacuatedDomains),
 	}
-	r.MustRegister(m.requests, m.attempts, m.reservations, m.silentConnections, m.firstEvent, m.inFlight, m.configNumber, m.serverCrashes, m.quarantined, m.limitedServers, m.limitSkips, m.interrupted, m.borrowed, m.uncounted, m.evacuatedDomains)
+	r.MustRegister(m.requests, m.attempts, m.reservations, m.silentConnections, m.firstEvent, m.inFlight, m.configNumber, m.serverCrashes, m.quarantined, m.quarantinedParts, m.limitedServers, m.limitSkips, m.interrupted, m.borrowed, m.uncounted, m.evacuatedDomains)
 	return m
 }
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -1,11 +1,11 @@
 // ================================================================
-// Requests that crash the backend servers that run them. A crash fails all other requests on that
-// server, and its slots are lost for seconds: one such request, tried four times a second, kept
-// twelve servers down and failed two fifths of all other requests. So gateways share what they know
-// of such requests, and after three independent crashes (pkg/quarantine) a request is no longer
-// sent to servers.
+// Requests that crash the backend servers that run them, as a whole or by one part of their prompts. A
+// crash fails all other requests on that server, and its slots are lost for seconds: one such request,
+// tried four times a second, kept twelve servers down and failed two fifths of all other requests. So
+// gateways share what they know of requests and parts, and after three independent crashes
+// (pkg/quarantine) such requests are no longer sent to servers.
 //
-// Its caller gets a 503 at once, with the statement that the request has not run and a Retry-After
+// Their callers get a 503 at once, with the statement that the request has not run and a Retry-After
 // of a minute: a later attempt may succeed once the servers are fixed.
 // ================================================================
 
@@ -13,20 +13,29 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/quarantine"
 	"github.com/tidepost/tidepost/pkg/registry"
 )
 
 const (
-	// crashReportRate bounds the first crashes of requests that are shared per second, and
-	// crashReportBurst those at one moment, about 80 bytes each: a crash ends tens of requests, and
-	// nearly all of them did not cause it. A first crash that was not shared is shared with the
-	// second.
+	// crashReportRate bounds the crashes of requests that are shared per second although they are the
+	// first, and crashReportBurst those at one moment, about 80 bytes each: a crash ends tens of
+	// requests, and nearly all of them did not cause it. A first crash that was not shared is shared
+	// with the second.
 	crashReportRate  = 16
 	crashReportBurst = 64
+	// partReportRate and partReportBurst bound those of parts of prompts. They are higher, since a part
+	// may come again at other gateways only.
+	partReportRate  = 64
+	partReportBurst = 256
+	// maxParts bounds the parts of one prompt that are considered.
+	maxParts = 16
 	// suspectRetryAfter is when to retry a request that is already in flight here and under which
 	// servers crashed before.
 	suspectRetryAfter = time.Second
@@ -35,38 +44,77 @@
 	trialRequestRate = 0.5
 )
 
+// reportLimiters bound the crashes that are shared although they may never count, by what they are
+// recorded for.
+type reportLimiters struct {
+	requests, parts *rate.Limiter
+	// completed bounds those of requests and parts that ran to completion before.
+	completed *rate.Limiter
+}
+
+func newReportLimiters() reportLimiters {
+	return reportLimiters{
+		requests:  rate.NewLimiter(crashReportRate, crashReportBurst),
+		parts:     rate.NewLimiter(partReportRate, partReportBurst),
+		completed: rate.NewLimiter(crashReportRate, crashReportBurst),
+	}
+}
+
+// allow reports whether a record is shared that has a first crash only.
+func (l reportLimiters) allow(r quarantine.Record) bool {
+	switch {
+	case len(r.CompletedOn()) > 0:
+		return l.completed.Allow()
+	case r.Fingerprint().Part() != "":
+		return l.parts.Allow()
+	}
+	return l.requests.Allow()
+}
+
+// setFingerprints sets what may crash servers: the request as a whole and the parts of its prompt.
+func (q *request) setFingerprints() {
+	q.fingerprint = quarantine.NewFingerprint(q.content())
+	q.fingerprints = []quarantine.Fingerprint{q.fingerprint}
+	for _, id := range q.head.PromptParts[:min(len(q.head.PromptParts), maxParts)] {
+		if part := quarantine.NewPartFingerprint(id); !slices.Contains(q.fingerprints, part) {
+			q.fingerprints = append(q.fingerprints, part)
+		}
+	}
+}
+
 // admit returns why a request may not be tried, or else a function to call when it ends.
 func (g *Gateway) admit(q *request) (done func(), f *failure.Failure) {
-	var verdict quarantine.Verdict
-	verdict, q.avoidBuilds = g.quarantine.BeginAttempt(q.fingerprint)
-	switch verdict {
+	d := g.quarantine.Begin(q.fingerprints...)
+	q.avoidBuilds = d.Avoid()
+	switch d.Verdict() {
 	case quarantine.Suspect:
-		return func() { g.quarantine.AttemptDone(q.fingerprint) }, nil
+		return func() { g.quarantine.End(d) }, nil
 	case quarantine.Quarantined:
-		return g.admitQuarantined(q)
+		return g.admitQuarantined(q, d)
 	case quarantine.Busy:
-		return nil, failure.New(failure.Overloaded, "backend servers exited while running request %s, and another attempt of it is in flight", q.fingerprint).WithRetryAfter(suspectRetryAfter)
+		return nil, failure.New(failure.Overloaded, "backend servers exited while running request %s or others with a part of its prompt, and another attempt is in flight", q.fingerprint).WithRetryAfter(suspectRetryAfter)
 	}
 	return func() {}, nil
 }
 
 // admitQuarantined decides whether a quarantined request is tried on servers of another build, and
 // returns why it is not.
-func (g *Gateway) admitQuarantined(q *request) (done func(), f *failure.Failure) {
-	g.recordArrival(q)
-	switch g.quarantine.BeginTrial(q.fingerprint, g.tester) {
+func (g *Gateway) admitQuarantined(q *request, d quarantine.Decision) (done func(), f *failure.Failure) {
+	cause := d.Cause()
+	g.recordArrival(cause)
+	switch g.quarantine.BeginTrial(cause, g.tester) {
 	case quarantine.TrialGranted:
 		if g.hasFixedBuild(q) {
 			q.isTrial = true
-			return func() { g.quarantine.TrialDone(q.fingerprint, q.sent > 0) }, nil
+			return func() { g.quarantine.TrialDone(cause, q.sent > 0) }, nil
 		}
-		g.quarantine.TrialDone(q.fingerprint, false)
+		g.quarantine.TrialDone(cause, false)
 	case quarantine.TrialDue:
 		if g.hasFixedBuild(q) && g.trialLimiter.Allow() {
-			g.requestTrial(q.fingerprint)
+			g.requestTrial(cause)
 		}
 	}
-	return nil, quarantinedFailure(q, g.quarantine.Crashes(q.fingerprint))
+	return nil, quarantinedFailure(q, d)
 }
 
 // hasFixedBuild reports whether a server is ready that runs a build in which the crash may be
@@ -83,61 +131,89 @@
 	return false
 }
 
-// mayRun reports whether a request with so many independent crashes may be sent to a server. A
-// trial is sent once.
-func (q *request) mayRun(crashes int) bool {
-	switch {
-	case q.isTrial:
+// mayRun reports whether a request may be sent to a server after a decision. A trial is sent once.
+func (q *request) mayRun(d quarantine.Decision) bool {
+	if q.isTrial {
 		return q.sent == 0
-	case len(q.avoidBuilds) > 0:
-		return true
 	}
-	return crashes < quarantine.CrashesToQuarantine
+	if d.Verdict() == quarantine.Restricted {
+		q.avoidBuilds = d.Avoid()
+	}
+	return d.Verdict() != quarantine.Quarantined
 }
 
 // quarantinedFailure is the failure of a request that is kept away from servers.
-func quarantinedFailure(q *request, crashes int) *failure.Failure {
-	return failure.New(failure.CrashesServers, "%d backend servers exited while running request %s", crashes, q.fingerprint)
+func quarantinedFailure(q *request, d quarantine.Decision) *failure.Failure {
+	if part := d.Cause().Part(); part != "" {
+		return failure.New(failure.CrashesServers, "%d backend servers exited while running requests with part %s of their prompts", d.Crashes(), part)
+	}
+	return failure.New(failure.CrashesServers, "%d backend servers exited while running request %s", d.Crashes(), q.fingerprint)
 }
 
 // recordArrival records that a quarantined request still arrives, so that all gateways keep its
 // record.
-func (g *Gateway) recordArrival(q *request) {
-	if r, share := g.quarantine.RecordArrival(q.fingerprint); share {
+func (g *Gateway) recordArrival(f quarantine.Fingerprint) {
+	if r, share := g.quarantine.RecordArrival(f); share {
 		g.publishRecords([]quarantine.Record{r})
 	}
 }
 
+// observedCrash is the crash of a backend server during an attempt.
+type observedCrash struct {
+	process      registry.Registration
+	build        string
+	at           time.Time
+	knownCrashes map[quarantine.Fingerprint]int // when the attempt was sent
+}
+
 // crash returns the crash to record if the backend server crashed during the attempt.
-func (x *exchange) crash() quarantine.Crash {
-	r := x.backend.latestRegistration()
-	return quarantine.NewCrash(r.Incarnation(), r.StartedAt(), r.Domain(), x.request.build, x.request.knownCrashes, 0)
+func (x *exchange) crash() observedCrash {
+	return observedCrash{x.backend.latestRegistration(), x.request.build, time.Now(), x.request.knownCrashes}
+}
+
+// record returns the crash as it is recorded for a fingerprint.
+func (c observedCrash) record(f quarantine.Fingerprint) quarantine.Crash {
+	return quarantine.NewCrash(c.process.Incarnation(), c.process.StartedAt(), c.process.Domain(), c.build, c.knownCrashes[f], time.Since(c.at))
 }
 
 // recordCrash records that the backend server crashed while it ran the request, and shares that
 // with the other gateways.
-func (x *exchange) recordCrash(crash quarantine.Crash) {
+func (x *exchange) recordCrash(crash observedCrash) {
 	g := x.gateway
 	g.metrics.serverCrashes.Inc()
-	r, share := g.quarantine.RecordCrash(x.request.fingerprint, crash)
-	if !share {
-		return
+	var shared []quarantine.Record
+	for _, f := range x.request.fingerprints {
+		r, changed := g.quarantine.RecordCrash(f, crash.record(f))
+		if changed && (r.IsSuspicious() || g.reportLimiters.allow(r)) {
+			shared = append(shared, r)
+		}
 	}
-	quarantine.LogQuarantined(g.process.Logger, []quarantine.Record{r})
-	if len(r.Crashes()) > 1 || g.publishLimiter.Allow() {
-		g.publishRecords([]quarantine.Record{r})
+	quarantine.LogQuarantined(g.process.Logger, g.quarantine, shared)
+	if len(shared) > 0 {
+		g.publishRecords(shared)
 	}
 }
 
 // recordCompletion records that the request ran to completion where its answer shows that. An answer that
-// ends with its connection does so only if the backend server still runs, by the probe at its end.
+// ends with its connection does so only if the backend server still runs, by the probe at its end. An answer
+// that reports a failure says nothing of the parts of the prompt, which may not have been read.
 func (x *exchange) recordCompletion(answer *http.Response, end probeResult) {
+	g, q := x.gateway, x.request
 	if end == probePending || !ranToCompletion(answer.StatusCode) {
 		return
 	}
-	g, q := x.gateway, x.request
-	if r, share := g.quarantine.RecordCompletion(q.fingerprint, q.build); share {
-		g.publishRecords([]quarantine.Record{r})
+	completed := q.fingerprints
+	if answer.StatusCode >= http.StatusMultipleChoices {
+		completed = completed[:1]
+	}
+	var shared []quarantine.Record
+	for _, f := range completed {
+		if r, share := g.quarantine.RecordCompletion(f, q.build); share {
+			shared = append(shared, r)
+		}
+	}
+	if len(shared) > 0 {
+		g.publishRecords(shared)
 	}
 }
 
@@ -152,14 +228,14 @@
 	return true
 }
 
-// build returns what a backend server runs: its software, and the version of a model's weights that
-// it serves, 0 where it serves none.
+// build returns what a backend server runs: its software, and for engines the model and the version of its
+// weights that it serves, 0 where it serves none.
 func (b *backend) build(model string, layers int) string {
-	var version uint64
-	if model != "" {
-		version = b.servedVersion(model, layers)
+	software := b.latestRegistration().Software()
+	if model == "" {
+		return quarantine.Build(software, 0)
 	}
-	return quarantine.Build(b.latestRegistration().Software(), version)
+	return quarantine.Build(software+"/"+model, b.servedVersion(model, layers))
 }
 
 // modelAndLayers returns the model that a request needs, empty for plain services, and its number
@@ -172,7 +248,7 @@
 // ran to completion here, that is shared with the other gateways.
 func (g *Gateway) mergeRecords(records []quarantine.Record) {
 	changed, cleared := g.quarantine.Merge(records)
-	quarantine.LogQuarantined(g.process.Logger, changed)
+	quarantine.LogQuarantined(g.process.Logger, g.quarantine, changed)
 	if len(cleared) > 0 {
 		g.publishRecords(cleared)
 	}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -31,8 +31,9 @@
 	urgency        int
 	header         http.Header // the headers to forward
 	body           []byte
-	fingerprint    quarantine.Fingerprint // of the content; empty until the body is read
-	configNumber   uint64                 // of the configuration that routed it
+	fingerprint    quarantine.Fingerprint   // of the content; empty until the body is read
+	fingerprints   []quarantine.Fingerprint // of the content and of the parts of the prompt
+	configNumber   uint64                   // of the configuration that routed it
 
 	refusedBefore bool // the caller retries after a refusal
 
@@ -57,7 +58,7 @@
 	unknownOutcomes    int                             // attempts with an unknown outcome
 	outcomesAtEvent    int                             // unknownOutcomes when the last event was relayed
 	rejections         int                             // attempts that a server rejected after the stream was started
-	knownCrashes       int                             // independent crashes known when the last attempt was made
+	knownCrashes       map[quarantine.Fingerprint]int  // independent crashes known when the last attempt was made
 	build              string                          // software build of the server of the last attempt
 	avoidBuilds        []string                        // builds to which it must not be sent
 	permit             *permit                         // to use a backend server that advertises a limit; nil if none
--- a/pkg/gateway/request_fork.go
+++ b/pkg/gateway/request_fork.go
@@ -17,7 +17,7 @@
 	return &request{
 		ctx: ctx, detachFromStop: q.detachFromStop, writer: q.writer, incoming: q.incoming,
 		head: q.head, model: q.model, route: q.route, service: q.service, organisation: q.organisation, constraint: q.constraint, urgency: q.urgency,
-		header: q.header, body: q.body, fingerprint: q.fingerprint, configNumber: q.configNumber, refusedBefore: q.refusedBefore,
+		header: q.header, body: q.body, fingerprint: q.fingerprint, fingerprints: q.fingerprints, configNumber: q.configNumber, refusedBefore: q.refusedBefore,
 		stop: q.stop, started: q.started, readAt: q.readAt, deadline: q.deadline, suspension: q.suspension, suspendedBefore: q.suspendedBefore,
 		work: q.work, prefill: q.prefill, maxRun: q.maxRun,
 		tried: maps.Clone(q.tried), ranAt: maps.Clone(q.ranAt), sent: q.sent, unknownOutcomes: q.unknownOutcomes, outcomesAtEvent: q.outcomesAtEvent, rejections: q.rejections,
--- a/pkg/logline/table.go
+++ b/pkg/logline/table.go
@@ -92,7 +92,7 @@
 	{"control log: torn write truncated", control + ", " + entry, "The last log entry was incomplete because the process ended during the write; it was truncated.", "nothing"},
 	{"writing quarantined requests failed", control, "The node could not write the list of quarantined requests to its disk.", "check the disk"},
 	{"reading quarantined requests failed", control, "The node could not read the list of quarantined requests at startup.", "check the disk"},
-	{"request ends backend servers", control + ", " + gateway, "Requests with one `fingerprint` crashed each of `servers`; further ones are quarantined.", "see OPERATIONS.md, requests that end their servers"},
+	{"request ends backend servers", control + ", " + gateway, "Requests with one `fingerprint`, or with one `part` in their prompts, crashed each of `servers`; further ones are quarantined. Only those that also have the fingerprints of `with` others are, as long as nothing tells them apart.", "see OPERATIONS.md, requests that end their servers"},
 	{"trial granted", control, "A quarantined request may run once more, on another build.", "nothing"},
 	{"requesting a trial failed", control, "The control nodes did not grant the trial of a quarantined request.", "read `err`"},
 	{"shutdown closes calls in progress", control, "The stop timed out and aborted running operator calls.", "read the configuration and repeat the change if it is missing"},
--- a/pkg/metric/table.go
+++ b/pkg/metric/table.go
@@ -35,6 +35,7 @@
 	GatewayInFlight           = "tidepost_gateway_requests_in_flight"
 	GatewayServerCrashes      = "tidepost_gateway_ended_backend_servers_total"
 	GatewayQuarantined        = "tidepost_gateway_quarantined_requests"
+	GatewayQuarantinedParts   = "tidepost_gateway_quarantined_parts"
 	GatewayLimitedServers     = "tidepost_gateway_limited_backend_servers"
 	GatewayLimitSkips         = "tidepost_gateway_held_back_total"
 	GatewayRetriesBorrowed    = "tidepost_gateway_repeats_borrowed_total"
@@ -84,6 +85,7 @@
 	{GatewayInFlight, "gateway", "Requests in flight.", "if it keeps growing, backend servers hang"},
 	{GatewayServerCrashes, "gateway", "Attempts during which the backend server crashed: its port was closed right afterwards.", "if it grows by more than the requests of one server at a time, one request may crash servers; the log lines of the attempts have its fingerprint"},
 	{GatewayQuarantined, "gateway", "Requests quarantined because backend servers crashed while they ran them.", "if above zero, find the fingerprint in the log lines 'request ends backend servers', and why the servers crash"},
+	{GatewayQuarantinedParts, "gateway", "Parts of prompts quarantined because backend servers crashed while they ran requests with them.", "if above zero, find the part in the log lines 'request ends backend servers', and why the servers crash"},
 	{GatewayLimitedServers, "gateway", "Backend servers that advertise a limit on the requests they accept, as known to this gateway.", "if above zero, a backend server is overloaded; the log lines 'backend server names a limit' show which one and its limit"},
 	{GatewayRetriesBorrowed, "gateway", "Retries of running streams taken from the retry budget of another gateway.", "if it grows fast, the retry budget is used unevenly; find the backend servers that break streams off"},
 	{GatewayStreamsInterrupted, "gateway", "Running streams of which the caller had received a part when the gateway ended the attempt, even if they continued elsewhere, by reason, version deadline, version expiry, version expires soon, stall, silent connection, unreachable server, stop deadline.", "if it grows for a reason other than stop deadline, servers or their VMs are overloaded, or links lose packets"},
--- a/pkg/quarantine/log.go
+++ b/pkg/quarantine/log.go
@@ -9,17 +9,17 @@
 	"github.com/go-kit/log/level"
 )
 
-// LogQuarantined logs the requests among some changed records that are quarantined, with the
-// servers that crashed.
-func LogQuarantined(logger log.Logger, changed []Record) {
+// LogQuarantined logs what is quarantined among some changed records, with the servers that crashed.
+func LogQuarantined(logger log.Logger, t *Table, changed []Record) {
 	for _, r := range changed {
-		if !r.IsQuarantined() {
+		c := t.causes.of(r.fingerprint)
+		if c == nil || c.verdict != Quarantined {
 			continue
 		}
 		var servers []string
 		for _, crash := range r.crashes {
 			servers = append(servers, crash.server)
 		}
-		_ = level.Warn(logger).Log("msg", "request ends backend servers", "fingerprint", r.fingerprint, "servers", servers)
+		_ = level.Warn(logger).Log("msg", "request ends backend servers", "fingerprint", r.fingerprint, "part", r.fingerprint.Part(), "with", len(c.members)-1, "servers", servers)
 	}
 }
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -1,11 +1,11 @@
 // ================================================================
-// The table of the requests that servers ran when they crashed, in shards by fingerprint with a lock
-// each: a gateway looks up every request before it admits it, before it decides on each attempt and
-// sends it, and after the request has run to completion.
+// The table of the requests and parts of prompts that servers ran when they crashed, in shards by
+// fingerprint with a lock each. A gateway looks up every request, as a whole and by its parts, before it
+// admits it, before it decides on each attempt and sends it, and after the request has run to completion.
 //
-// The size of the table is bounded whatever callers send. Requests whose servers never crashed have
+// The size of the table is bounded whatever callers send. What was never there when a server crashed has
 // no record; of the others those with the fewest crashes are evicted first. Completed runs are kept
-// for the last few thousand requests, which include those that arrive often.
+// for the last few thousand requests and as many parts, which include those that arrive often.
 // ================================================================
 
 package quarantine
@@ -52,25 +52,19 @@
 	Restricted Verdict = "limited"
 )
 
-// completion is a request that ran to completion on a build.
-type completion struct {
-	fingerprint Fingerprint
-	build       string
-}
-
 // shard is a part of the table. Its lock guards its fields.
 type shard struct {
 	mu      sync.Mutex
 	entries map[Fingerprint]*entry
-	// completions and olderCompletions are two generations: when the first is full, it replaces
-	// the second.
-	completions, olderCompletions map[completion]bool
+	// requests and parts are remembered apart, since most requests never come again.
+	requests, parts completionMemory
 }
 
 // Table holds the records of requests. It is safe for concurrent use.
 type Table struct {
 	now    func() time.Time
 	shards [shardCount]shard
+	causes causes
 }
 
 // NewTable returns an empty table; now is the clock, time.Now when nil.
@@ -80,7 +74,7 @@
 	}
 	t := &Table{now: now}
 	for i := range t.shards {
-		t.shards[i].entries, t.shards[i].completions = map[Fingerprint]*entry{}, map[completion]bool{}
+		t.shards[i].entries = map[Fingerprint]*entry{}
 	}
 	return t
 }
@@ -92,55 +86,7 @@
 // ----------------------------------------------------------------
 // Before and while a request runs
 
-// BeginAttempt returns the verdict on a request before an attempt, and the builds to avoid.
-// After Suspect the caller must call AttemptDone when the attempt has ended.
-func (t *Table) BeginAttempt(f Fingerprint) (v Verdict, avoid []string) {
-	s := t.shard(f)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	e := s.entries[f]
-	if e == nil {
-		return Clear, nil
-	}
-	v = e.verdict()
-	switch v {
-	case Suspect:
-		e.attemptsInFlight++
-	case Quarantined, Restricted:
-		avoid = e.crashedBuilds()
-	}
-	return v, avoid
-}
-
-// AttemptDone records that an attempt of a suspect has ended.
-func (t *Table) AttemptDone(f Fingerprint) {
-	s := t.shard(f)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if e := s.entries[f]; e != nil {
-		e.attemptDone()
-	}
-}
-
-// attemptDone removes an attempt in flight. It may have begun with an earlier entry that has been
-// evicted since, so the count stays at 0 or more.
-func (e *entry) attemptDone() { e.attemptsInFlight = max(e.attemptsInFlight-1, 0) }
-
-func (e *entry) verdict() Verdict {
-	switch crashes := e.independentCrashes(); {
-	case crashes >= CrashesToQuarantine && len(e.completedOn) > 0:
-		return Restricted
-	case crashes >= CrashesToQuarantine:
-		return Quarantined
-	case crashes < crashesToSuspect:
-		return Clear
-	case e.attemptsInFlight > 0:
-		return Busy
-	}
-	return Suspect
-}
-
-// Crashes returns the number of independent crashes recorded for a request.
+// Crashes returns the number of independent crashes recorded for a fingerprint.
 func (t *Table) Crashes(f Fingerprint) int {
 	s := t.shard(f)
 	s.mu.Lock()
@@ -168,37 +114,44 @@
 // ----------------------------------------------------------------
 // Crashes and completions
 
-// RecordCrash records that a server crashed while it ran a request, and returns the record to
-// share: none where the request has run to completion on that build.
-func (t *Table) RecordCrash(f Fingerprint, crash Crash) (r Record, share bool) {
+// RecordCrash records that a server crashed while it ran a request, and returns the record. It need not be
+// shared if nothing has changed.
+func (t *Table) RecordCrash(f Fingerprint, crash Crash) (r Record, changed bool) {
 	s := t.shard(f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.hasCompleted(completion{f, crash.build}) {
-		return Record{}, false
-	}
 	now := t.now()
-	e := s.entry(f, now)
+	e := t.entry(s, f, now)
+	if at, ok := s.lastCompletion(f, crash.build); ok {
+		e.addCompletion(crash.build, at)
+	}
 	if !e.addCrash(crash, now) {
 		return Record{}, false
 	}
 	e.lastActivity = now
+	t.causes.update(f, e)
 	return e.record(f, now), true
 }
 
 // RecordCompletion records that a request ran to completion on a build, and returns the record to
-// share where crashes are recorded for it.
+// share where others count crashes against it that this clears.
 func (t *Table) RecordCompletion(f Fingerprint, build string) (r Record, share bool) {
 	s := t.shard(f)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rememberCompletion(completion{f, build})
-	e, now := s.entries[f], t.now()
-	if e == nil || !e.addCompletion(build) {
+	now := t.now()
+	s.memory(f).remember(f, build, now)
+	e := s.entries[f]
+	if e == nil {
+		return Record{}, false
+	}
+	share = e.isSuspicious() || !e.hasCompletedOn(build)
+	if !e.addCompletion(build, now) {
 		return Record{}, false
 	}
 	e.lastActivity = now
-	return e.record(f, now), true
+	t.causes.update(f, e)
+	return e.record(f, now), share
 }
 
 // Merge merges records of other processes. It returns the records that changed, and those of them
@@ -221,21 +174,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := t.now()
-	e := s.entry(r.fingerprint, now.Add(-r.idle))
+	e := t.entry(s, r.fingerprint, now.Add(-r.idle))
 	changed = e.mergeActivity(r.idle, now)
 	changed = e.addTrial(r.trials, r.tester) || changed
-	for _, build := range r.completedOn {
-		changed = e.addCompletion(build) || changed
+	for i, build := range r.completedOn {
+		changed = e.addCompletion(build, now.Add(-r.completionAge(i))) || changed
 	}
 	for _, crash := range r.crashes {
-		changed = e.addCrash(crash, now) || changed
-		if s.hasCompleted(completion{r.fingerprint, crash.build}) {
-			cleared = e.addCompletion(crash.build) || cleared
+		if at, ok := s.lastCompletion(r.fingerprint, crash.build); ok {
+			cleared = e.addCompletion(crash.build, at) || cleared
 		}
+		changed = e.addCrash(crash, now) || changed
 	}
 	if cleared {
 		e.lastActivity = now
 	}
+	t.causes.update(r.fingerprint, e)
 	return e.record(r.fingerprint, now), changed || cleared, cleared
 }
 
@@ -253,19 +207,20 @@
 	return all
 }
 
-// CountQuarantined counts the quarantined requests.
-func (t *Table) CountQuarantined() (count int) {
-	for i := range t.shards {
-		s := &t.shards[i]
-		s.mu.Lock()
-		for _, e := range s.entries {
-			if e.verdict() == Quarantined {
-				count++
-			}
+// CountQuarantined counts what is quarantined: requests, and parts of prompts.
+func (t *Table) CountQuarantined() (requests, parts int) {
+	counted := map[*cause]bool{}
+	for f, c := range t.causes.all() {
+		switch {
+		case c.verdict != Quarantined || counted[c]:
+		case f.Part() != "":
+			parts++
+		default:
+			requests++
 		}
-		s.mu.Unlock()
+		counted[c] = true
 	}
-	return count
+	return requests, parts
 }
 
 // Sweep removes the records that have expired.
@@ -276,7 +231,7 @@
 		s.mu.Lock()
 		for f, e := range s.entries {
 			if e.attemptsInFlight == 0 && now.Sub(e.lastActivity) > e.ttl() {
-				delete(s.entries, f)
+				t.remove(s, f)
 			}
 		}
 		s.mu.Unlock()
@@ -293,29 +248,33 @@
 // ----------------------------------------------------------------
 // Shards; callers hold the lock
 
-// entry returns the entry of a request; a new one starts with the given time of last activity.
-func (s *shard) entry(f Fingerprint, lastActivity time.Time) *entry {
+// entry returns the entry of a fingerprint; a new one starts with the given time of last activity.
+func (t *Table) entry(s *shard, f Fingerprint, lastActivity time.Time) *entry {
 	if e := s.entries[f]; e != nil {
 		return e
 	}
 	if len(s.entries) >= maxRecords {
-		s.evict()
+		t.remove(s, s.leastUseful())
 	}
 	e := &entry{lastActivity: lastActivity}
 	s.entries[f] = e
 	return e
 }
 
-// evict removes the record with the fewest independent crashes, the oldest of those.
-func (s *shard) evict() {
-	var victim Fingerprint
+func (t *Table) remove(s *shard, f Fingerprint) {
+	delete(s.entries, f)
+	t.causes.update(f, nil)
+}
+
+// leastUseful returns the record with the fewest independent crashes, the oldest of those.
+func (s *shard) leastUseful() (victim Fingerprint) {
 	var candidate *entry
 	for f, e := range s.entries {
 		if candidate == nil || e.isEvictedBefore(candidate) {
 			victim, candidate = f, e
 		}
 	}
-	delete(s.entries, victim)
+	return victim
 }
 
 func (e *entry) isEvictedBefore(o *entry) bool {
@@ -325,11 +284,15 @@
 	return e.lastActivity.Before(o.lastActivity)
 }
 
-func (s *shard) hasCompleted(r completion) bool { return s.completions[r] || s.olderCompletions[r] }
-
-func (s *shard) rememberCompletion(r completion) {
-	if len(s.completions) >= maxCompletions {
-		s.olderCompletions, s.completions = s.completions, make(map[completion]bool, maxCompletions)
+// memory returns the completed runs of requests or of parts.
+func (s *shard) memory(f Fingerprint) *completionMemory {
+	if f.Part() != "" {
+		return &s.parts
 	}
-	s.completions[r] = true
+	return &s.requests
+}
+
+// lastCompletion returns when a request last ran to completion on a build; false if it is not known.
+func (s *shard) lastCompletion(f Fingerprint, build string) (time.Time, bool) {
+	return s.memory(f).last(f, build)
 }
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -189,8 +189,8 @@
 		t.Errorf("%d records", n)
 	}
 	for i := range table.shards {
-		if s := &table.shards[i]; len(s.completions)+len(s.olderCompletions) > 2*maxCompletions {
-			t.Errorf("%d completed requests in one shard", len(s.completions)+len(s.olderCompletions))
+		if s := &table.shards[i]; s.requests.len()+s.parts.len() > 2*maxCompletions {
+			t.Errorf("%d completed requests in one shard", s.requests.len()+s.parts.len())
 		}
 	}
 	if got, _ := table.BeginAttempt(request); got != Quarantined {
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -1,7 +1,8 @@
 // ================================================================
 // Trials: a quarantined request may run again once the software or the weights of servers are
 // fixed. One gateway sends it once, to a server of a build that never crashed while it ran the
-// request, and one completed run allows the request on such builds at all gateways.
+// request, or on which it once ran to completion, and one completed run allows the request on such
+// builds at all gateways.
 //
 // The leader of the control nodes chooses the gateway, since otherwise a hundred gateways might
 // make the trial at the same moment. The record stores the choice. The number of trials is limited
@@ -30,7 +31,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, now := s.entries[f], t.now()
-	if e == nil || e.verdict() != Quarantined || !e.isTrialDue(now) {
+	if e == nil || !t.isQuarantined(f) || !e.isTrialDue(now) {
 		return Record{}, false
 	}
 	e.addTrial(e.trials+1, tester)
@@ -38,6 +39,12 @@
 	return e.record(f, now), true
 }
 
+// isQuarantined reports whether requests with a fingerprint are quarantined, by it alone or with others.
+func (t *Table) isQuarantined(f Fingerprint) bool {
+	c := t.causes.of(f)
+	return c != nil && c.verdict == Quarantined
+}
+
 // isTrialDue reports whether another trial is left, and its delay has passed.
 func (e *entry) isTrialDue(now time.Time) bool {
 	if e.trials >= len(trialDelays) || len(e.crashes) == 0 {
--- a/pkg/quarantine/wire_generated.go
+++ b/pkg/quarantine/wire_generated.go
@@ -60,14 +60,15 @@
 }
 
 // NewRecord returns a Record with the given fields.
-func NewRecord(fingerprint Fingerprint, crashes []Crash, completedOn []string, trials int, tester string, idle time.Duration) Record {
-	return Record{fingerprint: fingerprint, crashes: crashes, completedOn: completedOn, trials: trials, tester: tester, idle: idle}
+func NewRecord(fingerprint Fingerprint, crashes []Crash, completedOn []string, trials int, tester string, idle time.Duration, completionAges []time.Duration) Record {
+	return Record{fingerprint: fingerprint, crashes: crashes, completedOn: completedOn, trials: trials, tester: tester, idle: idle, completionAges: completionAges}
 }
 
 // Fingerprint identifies the request.
 func (r Record) Fingerprint() Fingerprint { return r.fingerprint }
 
-// Crashes are the crashes of servers that ran the request, oldest first.
+// Crashes are the crashes of servers that ran the request, oldest first, without those that a
+// completed run cleared.
 func (r Record) Crashes() []Crash { return r.crashes }
 
 // CompletedOn are the builds on which it ran to completion.
@@ -84,12 +85,16 @@
 // was quarantined, by the records of the sender of this message.
 func (r Record) Idle() time.Duration { return r.idle }
 
+// CompletionAges are the times since the latest completed run on each of completedOn, by the clock
+// of the sender of this message. Earlier releases send none.
+func (r Record) CompletionAges() []time.Duration { return r.completionAges }
+
 // EncodeMsgpack writes the fields in order, as one array.
 func (r Record) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(6); err != nil {
+	if err := enc.EncodeArrayLen(7); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(r.fingerprint, r.crashes, r.completedOn, r.trials, r.tester, r.idle)
+	return enc.EncodeMulti(r.fingerprint, r.crashes, r.completedOn, r.trials, r.tester, r.idle, r.completionAges)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -98,7 +103,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&r.fingerprint, &r.crashes, &r.completedOn, &r.trials, &r.tester, &r.idle}
+	fields := []any{&r.fingerprint, &r.crashes, &r.completedOn, &r.trials, &r.tester, &r.idle, &r.completionAges}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/soak/crash_part_test.go
+++ b/soak/crash_part_test.go
@@ -47,6 +47,8 @@
 	// perSecond is the rate of requests with each part, and soundPerSecond that of each of two
 	// kinds of sound streams.
 	perSecond, soundPerSecond float64
+	// turns says that servers run the parts for the time before, and crash on them from then on.
+	turns bool
 	// quiet is the time before the first of them, and duration that of the whole run.
 	quiet, duration time.Duration
 }
@@ -62,6 +64,18 @@
 	results map[string][]standin.Result // by the kind of request
 }
 
+func newPartRun(cl *cluster, s partScenario, random *rand.Rand) *partRun {
+	return &partRun{partScenario: s, cluster: cl, random: random, results: map[string][]standin.Result{}}
+}
+
+// runAndCheck runs the scenario once the programs know each other, and checks the results.
+func (r *partRun) runAndCheck(t *testing.T) {
+	r.cluster.setTolerant(r.turns)
+	time.Sleep(contactTime)
+	r.run(t.Context())
+	r.check(t)
+}
+
 // send sends requests of one kind at a fixed rate until the context ends, whatever becomes of them.
 func (r *partRun) send(ctx context.Context, kind string, perSecond float64, newRequest func(n int, random *rand.Rand) standin.Request) {
 	random := rand.New(rand.NewPCG(r.random.Uint64(), 1))
@@ -120,14 +134,31 @@
 	r.send(ctx, "other", r.soundPerSecond, func(n int, random *rand.Rand) standin.Request {
 		return stream(fmt.Sprintf("other-%d", n), "translator")
 	})
+	if r.turns {
+		r.sendCrashing(ctx)
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(r.quiet):
 	}
+	r.cluster.setTolerant(false)
+	if !r.turns {
+		r.sendCrashing(ctx)
+	}
+	r.sent.Wait()
+}
+
+func (r *partRun) sendCrashing(ctx context.Context) {
 	for _, part := range r.parts {
 		r.send(ctx, part, r.perSecond, func(n int, random *rand.Rand) standin.Request { return r.crashingStream(part, n, random) })
 	}
-	r.sent.Wait()
+}
+
+// setTolerant makes all servers run the crashing parts like others, or crash on them.
+func (cl *cluster) setTolerant(tolerates bool) {
+	for _, s := range cl.crashing {
+		s.SetTolerant(tolerates)
+	}
 }
 
 // crashesUnder returns when requests with a part began to crash servers, in order.
@@ -228,10 +259,7 @@
 				control: 3, gateways: 3, plain: 1, plainServiceTime: plainServiceTime, crashingEngines: 9, rolloutDeadline: longDeadline,
 				crashParts: s.parts, crashEvents: 1, unframed: unframed,
 			}, logFolder(t))
-			r := &partRun{partScenario: s, cluster: cl, random: rand.New(rand.NewPCG(seed(t), 1)), results: map[string][]standin.Result{}}
-			time.Sleep(contactTime)
-			r.run(t.Context())
-			r.check(t)
+			newPartRun(cl, s, rand.New(rand.NewPCG(seed(t), 1))).runAndCheck(t)
 		})
 	}
 }
