--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-# Targets: build, demo, test, check, prove, soak, silence, lost, streams, ends, final-faults, limits,
+# Targets: build, demo, test, check, prove, soak, silence, lost, streams, ends, parts, final-faults, limits,
 # generate, clean, and bench-...
 
-.PHONY: build demo test check prove soak silence lost streams ends final-faults limits generate clean \
+.PHONY: build demo test check prove soak silence lost streams ends parts final-faults limits generate clean \
 	bench-burst bench-route bench-control bench-capacity bench-path bench-fleet
 
 # A failing test must fail the target, also where its output is filtered.
@@ -62,6 +62,11 @@
 	TIDEPOST_RESTARTS="$(RESTARTS)" TIDEPOST_ENDING="$(ENDING)" TIDEPOST_SECONDS="$(SECONDS)" TIDEPOST_SOAK_LOGS="$(LOGS)" \
 	go test -count=1 -v -timeout 10m -tags bench ./soak -run TestEndsAtSize | grep -E '^ends|ends_size|FAIL|^ok'
 
+# Parts of prompts that crash the engines that run them: make parts SEED=1 SEEDS=10 FAULTS=racks.
+parts:
+	TIDEPOST_SEED=$(or $(SEED),1) TIDEPOST_SEEDS="$(SEEDS)" TIDEPOST_FAULTS="$(FAULTS)" TIDEPOST_SOAK_LOGS="$(LOGS)" \
+	go test -count=1 -v -timeout 60m -tags bench ./soak -run TestPartsAtSize | grep -E '^parts|crash_part|FAIL|^ok'
+
 # Acknowledged configurations through lost disks: make final-faults SEED=1 ROUNDS=14.
 final-faults:
 	TIDEPOST_SEED=$(or $(SEED),1) TIDEPOST_ROUNDS="$(ROUNDS)" TIDEPOST_BUSY="$(BUSY)" TIDEPOST_SOAK_LOGS="$(LOGS)" \
