Quarantine: several parts that crash servers at the same time are all found

Cause, from the logs: all three were in flight at the same crashes. Change: the cause is what first had enough crashes, which later crashes don't change. What would have enough without the known causes runs like a suspect. Records keep their oldest crashes. Where another record may be the cause instead, a trial on the same build by a request without that one decides.

--- a/pkg/quarantine/causes.go
+++ b/pkg/quarantine/causes.go
@@ -2,12 +2,15 @@
 // Finds what caused the crashes by comparing records. A server that crashes runs many requests, each with
 // several parts, and all of them get a record of the crash. The cause was there at every crash; the others
 // only where they happened to be in flight. So the causes are the fewest records that explain the crashes:
-// the one with the most independent crashes is a cause, the processes that crashed under it no longer count
-// for the others, and so on until none has enough crashes left.
+// the one that first had enough independent crashes, and of those with the same last one the one with the
+// most, is a cause. The processes that crashed under it no longer count for the others, and so on until none
+// has enough crashes left.
+//
+// What would have enough crashes without the causes may be a further one that came at the same time. It
+// runs like a suspect, and its crash or its completed run decides.
 //
 // Records with the same crashes can't be told apart. They are a cause together: requests that all of them
-// describe are kept away from servers, and a request with some of them runs like a suspect. Its crash or its
-// completed run tells them apart.
+// describe are kept away from servers, and a request with some of them runs like a suspect.
 //
 // The result depends on the records only, so all processes with the same records reach the same.
 // ================================================================
@@ -20,6 +23,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // cause is a record, or several with the same crashes, that may be the cause of crashes.
@@ -33,6 +37,9 @@
 	// avoid are the builds that such a request must avoid: where it is tried again, builds on which it
 	// once ran to completion are allowed.
 	avoid []string
+	// rivals are records that may be the cause instead. A trial of a request without them decides, on
+	// any build.
+	rivals []Fingerprint
 }
 
 // causes are the causes found in the records of a table. They are safe for concurrent use.
@@ -76,9 +83,10 @@
 
 // findCauses returns the causes by the fingerprints of their members.
 func findCauses(suspects map[Fingerprint]*entry) map[Fingerprint]*cause {
-	found, remaining, explained := map[Fingerprint]*cause{}, maps.Clone(suspects), map[process]bool{}
+	found, remaining := map[Fingerprint]*cause{}, maps.Clone(suspects)
+	explained, times := map[process]bool{}, crashTimes(suspects)
 	for {
-		next := mostLikely(remaining, explained)
+		next := mostLikely(remaining, explained, times)
 		if len(next) == 0 || next[0].crashes < CrashesToQuarantine {
 			break
 		}
@@ -87,51 +95,104 @@
 			found[member] = c
 			delete(remaining, member)
 		}
+		c.rivals = rivalsOf(next[0].entry, remaining)
 		for _, crash := range next[0].entry.crashes {
 			explained[crash.process()] = true
 		}
 	}
 	for f, e := range remaining {
-		if crashes := e.unexplainedCrashes(explained); crashes >= crashesToSuspect {
+		crashes, alone := e.unexplainedCrashes(explained), e.independentCrashes()
+		if alone >= CrashesToQuarantine {
+			crashes = alone
+		}
+		if crashes >= crashesToSuspect {
 			found[f] = &cause{members: []Fingerprint{f}, crashes: crashes, verdict: Suspect}
 		}
 	}
 	return found
 }
 
+// crashTimes returns when each process crashed: records of one crash differ by milliseconds.
+func crashTimes(suspects map[Fingerprint]*entry) map[process]time.Time {
+	times := map[process]time.Time{}
+	for _, e := range suspects {
+		for _, crash := range e.crashes {
+			if at, known := times[crash.process()]; !known || crash.at.Before(at) {
+				times[crash.process()] = crash.at
+			}
+		}
+	}
+	return times
+}
+
+// rivalsOf returns the other records that have enough crashes, some of which are those of a cause.
+func rivalsOf(e *entry, others map[Fingerprint]*entry) (rivals []Fingerprint) {
+	explained := map[process]bool{}
+	for _, crash := range e.crashes {
+		explained[crash.process()] = true
+	}
+	for f, other := range others {
+		alone := other.independentCrashes()
+		if alone >= CrashesToQuarantine && other.unexplainedCrashes(explained) < alone {
+			rivals = append(rivals, f)
+		}
+	}
+	return rivals
+}
+
 // candidate is a record that is compared with others.
 type candidate struct {
 	fingerprint Fingerprint
 	entry       *entry
 	crashes     int       // independent ones that no cause explains yet
 	processes   []process // that crashed and that no cause explains yet, sorted
+	since       time.Time // when enough of them had crashed; zero if too few have
 }
 
-func newCandidate(f Fingerprint, e *entry, explained map[process]bool) candidate {
+func newCandidate(f Fingerprint, e *entry, explained map[process]bool, times map[process]time.Time) candidate {
 	c := candidate{fingerprint: f, entry: e, crashes: e.unexplainedCrashes(explained)}
 	for _, crash := range e.crashes {
 		if p := crash.process(); !explained[p] {
 			c.processes = append(c.processes, p)
 		}
 	}
+	if c.crashes >= CrashesToQuarantine {
+		c.since = e.enoughSince(explained, times)
+	}
 	slices.SortFunc(c.processes, process.compare)
 	return c
 }
 
+// enoughSince returns when the last of the first crashes that are enough happened.
+func (e *entry) enoughSince(explained map[process]bool, times map[process]time.Time) (since time.Time) {
+	first := entry{completions: e.completions}
+	for _, crash := range e.crashes {
+		first.crashes = append(first.crashes, crash)
+		if first.unexplainedCrashes(explained) >= CrashesToQuarantine {
+			return times[crash.process()]
+		}
+	}
+	return since
+}
+
 func (p process) compare(o process) int {
 	return cmp.Or(cmp.Compare(p.server, o.server), cmp.Compare(p.startedAt, o.startedAt))
 }
 
 // compare orders the more likely cause first.
 func (c candidate) compare(o candidate) int {
-	return cmp.Or(cmp.Compare(o.crashes, c.crashes), cmp.Compare(len(o.processes), len(c.processes)), cmp.Compare(c.fingerprint, o.fingerprint))
+	isEnough, isOtherEnough := c.crashes >= CrashesToQuarantine, o.crashes >= CrashesToQuarantine
+	if isEnough != isOtherEnough {
+		return cmp.Compare(o.crashes, c.crashes)
+	}
+	return cmp.Or(c.since.Compare(o.since), cmp.Compare(o.crashes, c.crashes), cmp.Compare(len(o.processes), len(c.processes)), cmp.Compare(c.fingerprint, o.fingerprint))
 }
 
-// mostLikely returns the record with the most unexplained crashes, and those with the same ones.
-func mostLikely(suspects map[Fingerprint]*entry, explained map[process]bool) (same []candidate) {
+// mostLikely returns the most likely cause of the unexplained crashes, and the records with the same ones.
+func mostLikely(suspects map[Fingerprint]*entry, explained map[process]bool, times map[process]time.Time) (same []candidate) {
 	var all []candidate
 	for f, e := range suspects {
-		all = append(all, newCandidate(f, e, explained))
+		all = append(all, newCandidate(f, e, explained, times))
 	}
 	if len(all) == 0 {
 		return nil
@@ -166,6 +227,11 @@
 	return c
 }
 
+// mayBeAnother reports whether a trial of a request would tell the cause from its rivals.
+func (c *cause) mayBeAnother(request []Fingerprint) bool {
+	return len(c.rivals) > 0 && !slices.ContainsFunc(c.rivals, func(f Fingerprint) bool { return slices.Contains(request, f) })
+}
+
 // describes reports whether all members are among the fingerprints of a request.
 func (c *cause) describes(request []Fingerprint) bool {
 	for _, member := range c.members {
--- a/pkg/quarantine/causes_test.go
+++ b/pkg/quarantine/causes_test.go
@@ -76,7 +76,10 @@
 	f.crash(soon, "assistant", "document", "faulty")
 	f.check(t, Quarantined, "assistant", "faulty")
 	f.check(t, Quarantined, "faulty")
-	f.check(t, Clear, "assistant", "document", "rare")
+	f.check(t, Clear, "assistant", "document")
+	f.check(t, Suspect, "assistant", "rare")
+	f.complete(soon, "rare")
+	f.check(t, Clear, "assistant", "rare")
 }
 
 // Parts that always come together are refused together only, until a request with one of them tells them
@@ -100,10 +103,53 @@
 
 	f = together()
 	f.crash(soon, "faulty")
-	f.check(t, Clear, "manual")
+	f.check(t, Suspect, "manual")
 	f.check(t, Quarantined, "faulty")
 }
 
+// Several parts that are in flight at the same crashes are all found, and none is released when another one
+// has more crashes.
+func TestCrashingPartsAtTheSameCrashes(t *testing.T) {
+	f := newFleet()
+	for range 2 * CrashesToQuarantine {
+		f.crash(soon, "faulty-1", "faulty-2")
+	}
+	f.crash(soon, "faulty-1")
+	f.check(t, Quarantined, "faulty-1")
+	f.check(t, Suspect, "faulty-2")
+	for range 2 * maxCrashes {
+		f.crash(soon, "faulty-2")
+	}
+	f.check(t, Quarantined, "faulty-2")
+	if v := f.Decide(parts("faulty-1")...).Verdict(); v == Clear {
+		t.Errorf("the first part is %s", v)
+	}
+}
+
+// A new popular part that was there at all crashes of a crashing part, and at others, gets a trial by a
+// request without the crashing part on the same build, and its completed run tells them apart.
+func TestTrialTellsCauseFromRival(t *testing.T) {
+	f := newFleet()
+	for range CrashesToQuarantine {
+		f.crash(soon, "assistant")
+	}
+	for range CrashesToQuarantine {
+		f.crash(soon, "assistant", "faulty")
+	}
+	f.check(t, Quarantined, "assistant")
+	if d := f.Decide(parts("assistant", "faulty")...); MayBeFixed(testBuild, d.Avoid()) {
+		t.Error("a request with both parts may be a trial")
+	}
+	d := f.Decide(parts("assistant")...)
+	f.clock.advance(trialDelays[0])
+	if _, granted := f.GrantTrial(d.Cause(), "g1"); !granted || !MayBeFixed(testBuild, d.Avoid()) {
+		t.Fatal("no trial was granted on the same build")
+	}
+	f.complete(soon, "assistant")
+	f.check(t, Clear, "assistant")
+	f.check(t, Quarantined, "assistant", "faulty")
+}
+
 // Several parts may crash servers at the same time, and a rare one may be in flight at crashes of both.
 func TestSeveralCrashingParts(t *testing.T) {
 	f := newFleet()
@@ -117,7 +163,8 @@
 	f.crash(soon, "assistant", "faulty-1")
 	f.check(t, Quarantined, "assistant", "faulty-1")
 	f.check(t, Quarantined, "assistant", "faulty-2")
-	f.check(t, Clear, "assistant", "rare")
+	f.check(t, Clear, "assistant")
+	f.check(t, Suspect, "assistant", "rare")
 }
 
 // A request as a whole and a part are found by the same comparison.
@@ -136,7 +183,7 @@
 	if d := f.Decide(whole, document); d.Verdict() != Quarantined || d.Cause() != whole {
 		t.Errorf("%+v", d)
 	}
-	if d := f.Decide(document); d.Verdict() != Clear {
+	if d := f.Decide(document); d.Verdict() != Suspect {
 		t.Errorf("the part is %s", d.Verdict())
 	}
 }
--- a/pkg/quarantine/decision.go
+++ b/pkg/quarantine/decision.go
@@ -23,7 +23,7 @@
 // Crashes is the number of independent crashes under what decides; 0 if the request is clear.
 func (d Decision) Crashes() int { return d.crashes }
 
-// Avoid are the builds to which the request must not be sent.
+// Avoid are the builds to which the request must not be sent, not even for a trial.
 func (d Decision) Avoid() []string { return d.avoid }
 
 // Decide returns the decision on a request with the given fingerprints.
@@ -40,7 +40,9 @@
 			}
 		case d.verdict != Quarantined:
 			d.verdict, d.cause, d.crashes = c.verdict, f, c.crashes
-			d.avoid = append(d.avoid, c.avoid...)
+			if c.verdict == Restricted || !c.mayBeAnother(request) {
+				d.avoid = append(d.avoid, c.avoid...)
+			}
 		}
 	}
 	return d
--- a/pkg/quarantine/entry.go
+++ b/pkg/quarantine/entry.go
@@ -60,12 +60,18 @@
 		}
 		return e.removeCleared() || changed
 	}
-	if len(e.crashes) >= maxCrashes || e.isCleared(crash.build, at) {
+	if e.isCleared(crash.build, at) {
 		return false
 	}
 	e.crashes = append(e.crashes, timedCrash{crash, at})
 	e.sortCrashes()
-	return true
+	if len(e.crashes) <= maxCrashes {
+		return true
+	}
+	// The oldest are kept, which tell what was a cause first.
+	removed := e.crashes[maxCrashes]
+	e.crashes = e.crashes[:maxCrashes]
+	return !removed.isSameProcess(crash)
 }
 
 // sortCrashes puts the oldest crash first. The order is the same in all tables.
