Quarantine: full records keep the oldest and the newest crashes; crashes of parts that ran before are shared sooner

And a record kept its 16 oldest crashes: once others explained them, no later one could count (TestCrashingPartIsFoundBehindFullRecord, failed before).

--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -241,7 +241,7 @@
 // subscribers, so that it misses no new record.
 func (p *Publisher) queueKnownRecords(s *subscriber) {
 	if p.source.Records != nil {
-		s.queueRecords(p.source.Records())
+		s.queueRecords(newQueuedRecords(p.source.Records()))
 	}
 }
 
--- a/pkg/feed/quarantine_records.go
+++ b/pkg/feed/quarantine_records.go
@@ -30,20 +30,34 @@
 	if len(records) == 0 {
 		return
 	}
+	queued := newQueuedRecords(records)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for s := range p.subscribers {
-		s.queueRecords(records)
+		s.queueRecords(queued)
 	}
 }
 
+// queuedRecord is a record with whether gateways need it at once.
+type queuedRecord struct {
+	quarantine.Record
+	isUrgent bool
+}
+
+func newQueuedRecords(records []quarantine.Record) (queued []queuedRecord) {
+	for _, r := range records {
+		queued = append(queued, queuedRecord{r, r.IsSuspicious()})
+	}
+	return queued
+}
+
 // wantsRecords reports whether quarantine records are sent to this follower.
 func (s *subscriber) wantsRecords() bool {
 	return s.hello.role == RoleGateway || s.hello.role == RoleNode
 }
 
 // queueRecords queues records, and wakes the sender at once if one of them is urgent.
-func (s *subscriber) queueRecords(records []quarantine.Record) {
+func (s *subscriber) queueRecords(records []queuedRecord) {
 	if !s.wantsRecords() {
 		return
 	}
@@ -54,11 +68,11 @@
 	}
 	urgent := false
 	for _, r := range records {
-		isUrgent := r.IsSuspicious() || s.sentRecords[r.Fingerprint()]
-		if s.hello.role == RoleNode || isUrgent {
-			s.records[r.Fingerprint()] = r
+		r.isUrgent = r.isUrgent || s.sentRecords[r.Fingerprint()]
+		if s.hello.role == RoleNode || r.isUrgent {
+			s.records[r.Fingerprint()] = r.Record
 		}
-		urgent = urgent || isUrgent
+		urgent = urgent || r.isUrgent
 	}
 	switch {
 	case len(s.records) == 0:
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -48,25 +48,29 @@
 // recorded for.
 type reportLimiters struct {
 	requests, parts *rate.Limiter
-	// completed bounds those of requests and parts that ran to completion before.
-	completed *rate.Limiter
+	// completedRequests and completedParts bound those of what ran to completion before.
+	completedRequests, completedParts *rate.Limiter
 }
 
 func newReportLimiters() reportLimiters {
 	return reportLimiters{
-		requests:  rate.NewLimiter(crashReportRate, crashReportBurst),
-		parts:     rate.NewLimiter(partReportRate, partReportBurst),
-		completed: rate.NewLimiter(crashReportRate, crashReportBurst),
+		requests:          rate.NewLimiter(crashReportRate, crashReportBurst),
+		parts:             rate.NewLimiter(partReportRate, partReportBurst),
+		completedRequests: rate.NewLimiter(crashReportRate, crashReportBurst),
+		completedParts:    rate.NewLimiter(partReportRate, partReportBurst),
 	}
 }
 
 // allow reports whether a record is shared that has a first crash only.
 func (l reportLimiters) allow(r quarantine.Record) bool {
+	isPart, hasCompleted := r.Fingerprint().Part() != "", len(r.CompletedOn()) > 0
 	switch {
-	case len(r.CompletedOn()) > 0:
-		return l.completed.Allow()
-	case r.Fingerprint().Part() != "":
+	case isPart && hasCompleted:
+		return l.completedParts.Allow()
+	case isPart:
 		return l.parts.Allow()
+	case hasCompleted:
+		return l.completedRequests.Allow()
 	}
 	return l.requests.Allow()
 }
@@ -102,6 +106,9 @@
 func (g *Gateway) admitQuarantined(q *request, d quarantine.Decision) (done func(), f *failure.Failure) {
 	cause := d.Cause()
 	g.recordArrival(cause)
+	if !d.MayBeTried() {
+		return nil, quarantinedFailure(q, d)
+	}
 	switch g.quarantine.BeginTrial(cause, g.tester) {
 	case quarantine.TrialGranted:
 		if g.hasFixedBuild(q) {
--- a/pkg/quarantine/causes_test.go
+++ b/pkg/quarantine/causes_test.go
@@ -150,6 +150,20 @@
 	f.check(t, Quarantined, "assistant", "faulty")
 }
 
+// What crashes servers is found although the crashes in its record, as many as a record keeps, are all
+// explained by others.
+func TestCrashingPartIsFoundBehindFullRecord(t *testing.T) {
+	f := newFleet()
+	f.complete(0, "turned")
+	for i := range maxCrashes {
+		f.crash(soon, "turned", fmt.Sprint("rare-", i/CrashesToQuarantine))
+	}
+	for range CrashesToQuarantine + crashesDiscounted {
+		f.crash(late, "turned")
+	}
+	f.check(t, Quarantined, "turned")
+}
+
 // Several parts may crash servers at the same time, and a rare one may be in flight at crashes of both.
 func TestSeveralCrashingParts(t *testing.T) {
 	f := newFleet()
--- a/pkg/quarantine/decision.go
+++ b/pkg/quarantine/decision.go
@@ -12,6 +12,7 @@
 	crashes  int
 	avoid    []string
 	suspects []Fingerprint
+	causes   int
 }
 
 // Verdict is the verdict on the request.
@@ -26,11 +27,20 @@
 // Avoid are the builds to which the request must not be sent, not even for a trial.
 func (d Decision) Avoid() []string { return d.avoid }
 
+// MayBeTried reports whether a quarantined request may be a trial of its cause: it has no other one, and no
+// suspect.
+func (d Decision) MayBeTried() bool { return d.causes == 1 && len(d.suspects) == 0 }
+
 // Decide returns the decision on a request with the given fingerprints.
 func (t *Table) Decide(request ...Fingerprint) Decision {
 	d := Decision{verdict: Clear}
+	counted := map[*cause]bool{}
 	for _, f := range request {
 		c := t.causes.of(f)
+		if c != nil && c.verdict != Suspect && c.describes(request) && !counted[c] {
+			counted[c] = true
+			d.causes++
+		}
 		switch {
 		case c == nil:
 		case c.verdict == Suspect || !c.describes(request):
--- a/pkg/quarantine/entry.go
+++ b/pkg/quarantine/entry.go
@@ -68,9 +68,8 @@
 	if len(e.crashes) <= maxCrashes {
 		return true
 	}
-	// The oldest are kept, which tell what was a cause first.
-	removed := e.crashes[maxCrashes]
-	e.crashes = e.crashes[:maxCrashes]
+	removed := e.crashes[maxOldCrashes]
+	e.crashes = slices.Delete(e.crashes, maxOldCrashes, maxOldCrashes+1)
 	return !removed.isSameProcess(crash)
 }
 
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -36,9 +36,11 @@
 	crashesToSuspect = 2
 	// crashesDiscounted is how many more crashes it takes on a build where it once ran to completion.
 	crashesDiscounted = 2
-	// maxCrashes bounds a record: about 40 bytes per crash. It is more than CrashesToQuarantine,
-	// since crashes that follow until all gateways have the record are explained by it.
-	maxCrashes = 16
+	// maxOldCrashes and maxNewCrashes bound a record, about 40 bytes per crash. The oldest tell what was
+	// a cause first, and the newest whether known causes explain what happens now.
+	maxOldCrashes = 8
+	maxNewCrashes = 16
+	maxCrashes    = maxOldCrashes + maxNewCrashes
 	// maxBuilds bounds the builds of completed runs; the latest are kept.
 	maxBuilds = 4
 	// sameFailureWindow is the time within which crashes in one failure domain count as one:
