Quarantine: completed runs clear crashes one by one; cleared records reach the gateways that have them

Records gave the time of the last completed run as an age; each process that passed one on added the time on the way, took the latest, and so the run moved towards now and cleared the crashes after it. Change: a run clears the crashes that its own gateway knows to be older, each by itself, and records carry which crashes are cleared. Nodes remember which suspicious records a gateway has, and answer crashes that they know to be cleared.

--- a/pkg/feed/publisher.go
+++ b/pkg/feed/publisher.go
@@ -290,7 +290,7 @@
 		if m.load != nil {
 			p.receiveLoad(*m.load)
 		}
-		p.receiveRecords(m.records)
+		p.receiveRecords(s, m.records)
 		if m.trialRequest != "" && p.source.OnTrialRequest != nil {
 			go p.source.OnTrialRequest(m.trialRequest, quarantine.TesterID(s.hello.self))
 		}
@@ -307,8 +307,9 @@
 }
 
 // receiveRecords passes the quarantine records of a follower to the source.
-func (p *Publisher) receiveRecords(records []quarantine.Record) {
+func (p *Publisher) receiveRecords(s *subscriber, records []quarantine.Record) {
 	if len(records) > 0 && p.source.OnRecords != nil {
+		s.recordReceived(records)
 		p.source.OnRecords(records)
 	}
 }
--- a/pkg/feed/quarantine_records.go
+++ b/pkg/feed/quarantine_records.go
@@ -22,8 +22,8 @@
 // urgent, at most 16 are sent to a gateway in 80 ms and to another node in 400 ms.
 const maxRecordsPerUpdate = 16
 
-// maxSentRecords bounds the fingerprints of the records that one follower was sent; a table has as many.
-const maxSentRecords = 1024
+// maxKnownRecords bounds the fingerprints of the records that one follower knows; a table has as many.
+const maxKnownRecords = 1024
 
 // QueueRecords queues records for the followers that need them.
 func (p *Publisher) QueueRecords(records []quarantine.Record) {
@@ -68,7 +68,8 @@
 	}
 	urgent := false
 	for _, r := range records {
-		r.isUrgent = r.isUrgent || s.sentRecords[r.Fingerprint()]
+		_, isQueued := s.records[r.Fingerprint()]
+		r.isUrgent = r.isUrgent || isQueued && s.hello.role == RoleGateway || s.knownRecords[r.Fingerprint()]
 		if s.hello.role == RoleNode || r.isUrgent {
 			s.records[r.Fingerprint()] = r.Record
 		}
@@ -83,16 +84,25 @@
 	}
 }
 
-// recordSent records that a suspicious record is sent, so that the follower soon gets its later changes
+// recordReceived records that the follower sent records, so that it gets their later changes.
+func (s *subscriber) recordReceived(records []quarantine.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		s.recordKnown(r)
+	}
+}
+
+// recordKnown records that the follower knows a suspicious record, so that it soon gets its later changes
 // too: a completed run may clear it.
-func (s *subscriber) recordSent(r quarantine.Record) {
+func (s *subscriber) recordKnown(r quarantine.Record) {
 	if !r.IsSuspicious() {
 		return
 	}
-	if len(s.sentRecords) >= maxSentRecords {
-		clear(s.sentRecords)
+	if len(s.knownRecords) >= maxKnownRecords {
+		clear(s.knownRecords)
 	}
-	s.sentRecords[r.Fingerprint()] = true
+	s.knownRecords[r.Fingerprint()] = true
 }
 
 // dequeueRecords removes the most urgent records from the queue and returns them. The caller holds
@@ -108,7 +118,7 @@
 	all = truncateRecords(quarantine.SortByCrashes(all), maxRecordsPerUpdate)
 	for _, r := range all {
 		delete(s.records, r.Fingerprint())
-		s.recordSent(r)
+		s.recordKnown(r)
 	}
 	if len(s.records) > 0 {
 		daemon.Wake(s.wakeBatched)
--- a/pkg/feed/quarantine_records_test.go
+++ b/pkg/feed/quarantine_records_test.go
@@ -94,3 +94,37 @@
 		}
 	}
 }
+
+// A completed run that clears a record must reach a gateway that has the record, or will get it, whatever
+// the order. It stayed quarantined there if the run was known before the record was sent.
+func TestClearedRecordReachesGatewaysThatHaveIt(t *testing.T) {
+	part := quarantine.NewPartFingerprint("document")
+	var crashes []quarantine.Crash
+	for _, server := range []string{"a", "b", "c"} {
+		crashes = append(crashes, quarantine.NewCrash(server, 1, server, "v1/1", 0, 0))
+	}
+	suspicious := []quarantine.Record{quarantine.NewRecord(part, crashes, nil, 0, "", 0, nil)}
+	cleared := []quarantine.Record{quarantine.NewRecord(part, nil, []string{"v1/1"}, 0, "", 0, nil)}
+	for name, before := range map[string]func(s *subscriber){
+		"it was sent":              func(s *subscriber) { s.queueRecords(newQueuedRecords(suspicious)); s.dequeue() },
+		"it is queued":             func(s *subscriber) { s.queueRecords(newQueuedRecords(suspicious)) },
+		"the gateway reported it":  func(s *subscriber) { s.recordReceived(suspicious) },
+		"the gateway has none yet": func(*subscriber) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSubscriber(Hello{role: RoleGateway})
+			before(s)
+			s.queueRecords(newQueuedRecords(cleared))
+			sent := s.dequeue().records
+			if name == "the gateway has none yet" {
+				if len(sent) > 0 {
+					t.Errorf("sent %v", sent)
+				}
+				return
+			}
+			if len(sent) != 1 || len(sent[0].Crashes()) > 0 {
+				t.Errorf("sent %v", sent)
+			}
+		})
+	}
+}
--- a/pkg/feed/subscriber.go
+++ b/pkg/feed/subscriber.go
@@ -25,7 +25,7 @@
 	primary         bool // loads, demands and peers are sent
 	registrations   map[string]registry.Registration
 	records         map[quarantine.Fingerprint]quarantine.Record
-	sentRecords     map[quarantine.Fingerprint]bool // records that were sent; later changes are sent too
+	knownRecords    map[quarantine.Fingerprint]bool // suspicious records that the follower has; their changes are sent
 	loads           map[string]Load                 // by engine
 	peers           map[string]*Peer                // changes by link address; nil for a removed peer
 	sendAllPeers    bool                            // the next Update has all peers
@@ -41,7 +41,7 @@
 	return &subscriber{
 		hello: hello, fallback: hello.fallback, wakeNow: make(chan struct{}, 1), wakeBatched: make(chan struct{}, 1),
 		primary: hello.role == RoleNode, sendAllPeers: hello.role == RoleNode, sendNodes: !hello.fallback, sendEvacuations: true,
-		records: map[quarantine.Fingerprint]quarantine.Record{}, sentRecords: map[quarantine.Fingerprint]bool{},
+		records: map[quarantine.Fingerprint]quarantine.Record{}, knownRecords: map[quarantine.Fingerprint]bool{},
 		registrations: map[string]registry.Registration{}, loads: map[string]Load{}, peers: map[string]*Peer{},
 	}
 }
--- a/pkg/quarantine/build.go
+++ b/pkg/quarantine/build.go
@@ -6,6 +6,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -28,6 +29,13 @@
 	return build[:slash], weights
 }
 
+// compareBuilds orders builds by their weights.
+func compareBuilds(a, b string) int {
+	softwareA, weightsA := splitBuild(a)
+	softwareB, weightsB := splitBuild(b)
+	return cmp.Or(cmp.Compare(weightsA, weightsB), cmp.Compare(softwareA, softwareB))
+}
+
 // MayBeFixed reports whether a build may run a request that crashed servers of other builds: its
 // software differs, or is the same with later weights. Earlier weights don't count, since a
 // restarted server may serve them for a while.
--- a/pkg/quarantine/causes.go
+++ b/pkg/quarantine/causes.go
@@ -75,7 +75,7 @@
 	}
 	delete(c.suspects, f)
 	if isSuspect {
-		c.suspects[f] = &entry{crashes: slices.Clone(e.crashes), completions: slices.Clone(e.completions)}
+		c.suspects[f] = &entry{crashes: slices.Clone(e.crashes), completedOn: slices.Clone(e.completedOn)}
 	}
 	found := findCauses(c.suspects)
 	c.found.Store(&found)
@@ -152,7 +152,7 @@
 func newCandidate(f Fingerprint, e *entry, explained map[process]bool, times map[process]time.Time) candidate {
 	c := candidate{fingerprint: f, entry: e, crashes: e.unexplainedCrashes(explained)}
 	for _, crash := range e.crashes {
-		if p := crash.process(); !explained[p] {
+		if p := crash.process(); !explained[p] && !crash.isCleared {
 			c.processes = append(c.processes, p)
 		}
 	}
@@ -165,7 +165,7 @@
 
 // enoughSince returns when the last of the first crashes that are enough happened.
 func (e *entry) enoughSince(explained map[process]bool, times map[process]time.Time) (since time.Time) {
-	first := entry{completions: e.completions}
+	first := entry{completedOn: e.completedOn}
 	for _, crash := range e.crashes {
 		first.crashes = append(first.crashes, crash)
 		if first.unexplainedCrashes(explained) >= CrashesToQuarantine {
--- a/pkg/quarantine/causes_test.go
+++ b/pkg/quarantine/causes_test.go
@@ -245,6 +245,19 @@
 	}
 }
 
+// Whoever sends crashes that a completed run cleared learns of it.
+func TestSenderOfClearedCrashesLearnsOfCompletion(t *testing.T) {
+	sender, receiver := newFleet(), newFleet()
+	for range CrashesToQuarantine {
+		sender.crash(soon, "document")
+	}
+	receiver.crash(0, "document")
+	receiver.complete(soon, "document")
+	changed, _ := receiver.Merge(sender.Records())
+	sender.Merge(changed)
+	sender.check(t, Clear, "document")
+}
+
 // A part that was quarantined by mistake gets a trial on the build where it once ran, and its completed run
 // clears it.
 func TestTrialOnBuildWhereItRan(t *testing.T) {
--- a/pkg/quarantine/entry.go
+++ b/pkg/quarantine/entry.go
@@ -10,16 +10,10 @@
 	"time"
 )
 
-// completion is the latest completed run on a build.
-type completion struct {
-	build string
-	at    time.Time
-}
-
 // entry is the local state of one record.
 type entry struct {
 	crashes     []timedCrash
-	completions []completion
+	completedOn []string // builds on which it ran to completion
 	// trials and tester are those of the record; trialsUsed is how many of them began here.
 	trials, trialsUsed int
 	tester             string
@@ -29,14 +23,11 @@
 
 // record returns the record to share.
 func (e *entry) record(f Fingerprint, now time.Time) Record {
-	r := Record{fingerprint: f, trials: e.trials, tester: e.tester, idle: now.Sub(e.lastActivity)}
-	for _, c := range e.completions {
-		r.completedOn = append(r.completedOn, c.build)
-		r.completionAges = append(r.completionAges, now.Sub(c.at))
-	}
+	r := Record{fingerprint: f, completedOn: slices.Clone(e.completedOn), trials: e.trials, tester: e.tester, idle: now.Sub(e.lastActivity)}
 	for _, crash := range e.crashes {
 		crash.age = now.Sub(crash.at)
 		r.crashes = append(r.crashes, crash.Crash)
+		r.cleared = append(r.cleared, crash.isCleared)
 	}
 	return r
 }
@@ -44,33 +35,46 @@
 // ----------------------------------------------------------------
 // Changes
 
-// addCrash adds a crash and reports whether that changes the entry.
-func (e *entry) addCrash(crash Crash, now time.Time) (changed bool) {
-	at := now.Add(-crash.age)
+// addCrash adds a crash. It reports whether that changes the entry, and whether the sender of the crash
+// does not know that it is cleared.
+func (e *entry) addCrash(crash timedCrash) (changed, outdated bool) {
 	for i := range e.crashes {
-		recorded := &e.crashes[i]
-		if !recorded.isSameProcess(crash) {
-			continue
-		}
-		changed = crash.knownCrashes > recorded.knownCrashes
-		recorded.knownCrashes = max(recorded.knownCrashes, crash.knownCrashes)
-		if at.Before(recorded.at) {
-			recorded.at = at
+		if recorded := &e.crashes[i]; recorded.isSameProcess(crash.Crash) {
+			changed, outdated = recorded.merge(crash)
 			e.sortCrashes()
+			return changed, outdated
 		}
-		return e.removeCleared() || changed
 	}
-	if e.isCleared(crash.build, at) {
-		return false
-	}
-	e.crashes = append(e.crashes, timedCrash{crash, at})
+	e.crashes = append(e.crashes, crash)
 	e.sortCrashes()
 	if len(e.crashes) <= maxCrashes {
-		return true
+		return true, false
 	}
-	removed := e.crashes[maxOldCrashes]
-	e.crashes = slices.Delete(e.crashes, maxOldCrashes, maxOldCrashes+1)
-	return !removed.isSameProcess(crash)
+	return !e.removeCrash().isSameProcess(crash.Crash), false
+}
+
+// merge merges what another process recorded of a crash.
+func (c *timedCrash) merge(o timedCrash) (changed, outdated bool) {
+	changed = o.knownCrashes > c.knownCrashes || o.isCleared && !c.isCleared
+	outdated = c.isCleared && !o.isCleared
+	c.knownCrashes = max(c.knownCrashes, o.knownCrashes)
+	c.isCleared = c.isCleared || o.isCleared
+	if o.at.Before(c.at) {
+		c.at = o.at
+	}
+	return changed, outdated
+}
+
+// removeCrash removes a crash from a full record: the oldest one that is cleared, or else one between the
+// oldest and the newest.
+func (e *entry) removeCrash() timedCrash {
+	i := slices.IndexFunc(e.crashes, func(c timedCrash) bool { return c.isCleared })
+	if i < 0 {
+		i = maxOldCrashes
+	}
+	removed := e.crashes[i]
+	e.crashes = slices.Delete(e.crashes, i, i+1)
+	return removed
 }
 
 // sortCrashes puts the oldest crash first. The order is the same in all tables.
@@ -78,34 +82,32 @@
 	slices.SortFunc(e.crashes, func(a, b timedCrash) int { return cmp.Or(a.at.Compare(b.at), a.process().compare(b.process())) })
 }
 
-// addCompletion adds a completed run on a build, which clears the crashes of that build before it. It
+// addCompletion adds a completed run on a build here, which clears the crashes of that build before it. It
 // reports whether the build is new or crashes were cleared.
 func (e *entry) addCompletion(build string, at time.Time) (changed bool) {
-	i := slices.IndexFunc(e.completions, func(c completion) bool { return c.build == build })
-	switch {
-	case i >= 0 && !at.After(e.completions[i].at):
-		return false
-	case i >= 0:
-		e.completions[i].at = at
-	case len(e.completions) < maxBuilds:
-		e.completions = append(e.completions, completion{build, at})
-		changed = true
-	default:
-		oldest := slices.MinFunc(e.completions, func(a, b completion) int { return a.at.Compare(b.at) })
-		if !at.After(oldest.at) {
-			return false
+	changed = e.addBuild(build)
+	for i := range e.crashes {
+		if c := &e.crashes[i]; c.build == build && !c.isCleared && !c.at.After(at) {
+			c.isCleared, changed = true, true
 		}
-		e.completions[slices.Index(e.completions, oldest)] = completion{build, at}
-		changed = true
 	}
-	return e.removeCleared() || changed
+	return changed
 }
 
-// removeCleared removes the crashes that a completed run clears, and reports whether there were any.
-func (e *entry) removeCleared() bool {
-	before := len(e.crashes)
-	e.crashes = slices.DeleteFunc(e.crashes, func(c timedCrash) bool { return e.isCleared(c.build, c.at) })
-	return len(e.crashes) < before
+// addBuild adds a build of a completed run, and reports whether it is new. The builds with the latest weights
+// are kept.
+func (e *entry) addBuild(build string) (changed bool) {
+	if slices.Contains(e.completedOn, build) {
+		return false
+	}
+	e.completedOn = append(e.completedOn, build)
+	slices.SortFunc(e.completedOn, compareBuilds)
+	if len(e.completedOn) <= maxBuilds {
+		return true
+	}
+	oldest := e.completedOn[0]
+	e.completedOn = e.completedOn[1:]
+	return oldest != build
 }
 
 // addTrial sets the gateway that may try the request again, and reports whether that is new.
@@ -132,25 +134,18 @@
 // ----------------------------------------------------------------
 // Which crashes count
 
-// isCleared reports whether a completed run on the build clears a crash at a time.
-func (e *entry) isCleared(build string, at time.Time) bool {
-	return slices.ContainsFunc(e.completions, func(c completion) bool { return c.build == build && !at.After(c.at) })
-}
-
 // hasCompletedOn reports whether it ever ran to completion on a build.
-func (e *entry) hasCompletedOn(build string) bool {
-	return slices.ContainsFunc(e.completions, func(c completion) bool { return c.build == build })
-}
+func (e *entry) hasCompletedOn(build string) bool { return slices.Contains(e.completedOn, build) }
 
 // hasCompletedElsewhere reports whether it ran to completion on a build other than the given ones.
 func (e *entry) hasCompletedElsewhere(builds []string) bool {
-	return slices.ContainsFunc(e.completions, func(c completion) bool { return !slices.Contains(builds, c.build) })
+	return slices.ContainsFunc(e.completedOn, func(build string) bool { return !slices.Contains(builds, build) })
 }
 
-// crashedBuilds returns the builds whose servers crashed.
+// crashedBuilds returns the builds whose servers crashed, without crashes that are cleared.
 func (e *entry) crashedBuilds() (builds []string) {
 	for _, crash := range e.crashes {
-		if !slices.Contains(builds, crash.build) {
+		if !crash.isCleared && !slices.Contains(builds, crash.build) {
 			builds = append(builds, crash.build)
 		}
 	}
@@ -166,7 +161,7 @@
 	var first, repeated []timedCrash
 	for _, crash := range e.crashes {
 		switch {
-		case explained[crash.process()]:
+		case crash.isCleared || explained[crash.process()]:
 		case e.hasCompletedOn(crash.build):
 			repeated = append(repeated, crash)
 		default:
@@ -204,10 +199,17 @@
 // isSuspicious reports whether its crashes may soon count against it. Where it ran to completion before,
 // they do so only once some of them count.
 func (e *entry) isSuspicious() bool {
-	if slices.ContainsFunc(e.crashes, func(c timedCrash) bool { return e.hasCompletedOn(c.build) }) {
-		return e.independentCrashes() > 0
+	count := 0
+	for _, crash := range e.crashes {
+		switch {
+		case crash.isCleared:
+		case e.hasCompletedOn(crash.build):
+			return e.independentCrashes() > 0
+		default:
+			count++
+		}
 	}
-	return len(e.crashes) > 1
+	return count > 1
 }
 
 // verdictAlone returns the verdict by this entry alone.
@@ -226,7 +228,8 @@
 // timedCrash is a crash with its time by the local clock.
 type timedCrash struct {
 	Crash
-	at time.Time
+	at        time.Time
+	isCleared bool // by a later run to completion on its build
 }
 
 // isSameFailureAs reports whether two crashes may have one cause in their failure domain, such as
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -86,8 +86,7 @@
 type Record struct {
 	// fingerprint identifies the request.
 	fingerprint Fingerprint
-	// crashes are the crashes of servers that ran the request, oldest first, without those that a
-	// completed run cleared.
+	// crashes are the crashes of servers that ran the request, oldest first.
 	crashes []Crash
 	// completedOn are the builds on which it ran to completion.
 	completedOn []string
@@ -98,27 +97,22 @@
 	// idle is the time since the record last changed, or since the request last arrived while it
 	// was quarantined, by the records of the sender of this message.
 	idle time.Duration
-	// completionAges are the times since the latest completed run on each of completedOn, by the clock
-	// of the sender of this message. Earlier releases send none.
-	completionAges []time.Duration
+	// cleared says, for each of crashes, that a later run to completion on its build cleared it. Where it
+	// is shorter, the others are not cleared.
+	cleared []bool
 }
 
-// completionAge returns the time since the latest completed run on a build of completedOn.
-func (r Record) completionAge(index int) time.Duration {
-	if index < len(r.completionAges) {
-		return r.completionAges[index]
-	}
-	return 0
-}
+// isCleared reports whether a completed run cleared one of crashes.
+func (r Record) isCleared(index int) bool { return index < len(r.cleared) && r.cleared[index] }
 
 // entry returns the state that the record alone describes.
 func (r Record) entry() *entry {
-	e, now := &entry{}, time.Time{}
-	for i, build := range r.completedOn {
-		e.addCompletion(build, now.Add(-r.completionAge(i)))
+	e := &entry{}
+	for _, build := range r.completedOn {
+		e.addBuild(build)
 	}
-	for _, crash := range r.crashes {
-		e.addCrash(crash, now)
+	for i, crash := range r.crashes {
+		e.addCrash(timedCrash{crash, time.Time{}.Add(-crash.age), r.isCleared(i)})
 	}
 	return e
 }
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -122,10 +122,10 @@
 	defer s.mu.Unlock()
 	now := t.now()
 	e := t.entry(s, f, now)
-	if at, ok := s.lastCompletion(f, crash.build); ok {
-		e.addCompletion(crash.build, at)
+	if _, ok := s.lastCompletion(f, crash.build); ok {
+		e.addBuild(crash.build)
 	}
-	if !e.addCrash(crash, now) {
+	if changed, _ = e.addCrash(timedCrash{crash, now.Add(-crash.age), false}); !changed {
 		return Record{}, false
 	}
 	e.lastActivity = now
@@ -177,14 +177,15 @@
 	e := t.entry(s, r.fingerprint, now.Add(-r.idle))
 	changed = e.mergeActivity(r.idle, now)
 	changed = e.addTrial(r.trials, r.tester) || changed
-	for i, build := range r.completedOn {
-		changed = e.addCompletion(build, now.Add(-r.completionAge(i))) || changed
+	for _, build := range r.completedOn {
+		changed = e.addBuild(build) || changed
 	}
-	for _, crash := range r.crashes {
+	for i, crash := range r.crashes {
+		isChanged, isOutdated := e.addCrash(timedCrash{crash, now.Add(-crash.age), r.isCleared(i)})
+		changed = changed || isChanged || isOutdated
 		if at, ok := s.lastCompletion(r.fingerprint, crash.build); ok {
 			cleared = e.addCompletion(crash.build, at) || cleared
 		}
-		changed = e.addCrash(crash, now) || changed
 	}
 	if cleared {
 		e.lastActivity = now
--- a/pkg/quarantine/wire_generated.go
+++ b/pkg/quarantine/wire_generated.go
@@ -60,15 +60,14 @@
 }
 
 // NewRecord returns a Record with the given fields.
-func NewRecord(fingerprint Fingerprint, crashes []Crash, completedOn []string, trials int, tester string, idle time.Duration, completionAges []time.Duration) Record {
-	return Record{fingerprint: fingerprint, crashes: crashes, completedOn: completedOn, trials: trials, tester: tester, idle: idle, completionAges: completionAges}
+func NewRecord(fingerprint Fingerprint, crashes []Crash, completedOn []string, trials int, tester string, idle time.Duration, cleared []bool) Record {
+	return Record{fingerprint: fingerprint, crashes: crashes, completedOn: completedOn, trials: trials, tester: tester, idle: idle, cleared: cleared}
 }
 
 // Fingerprint identifies the request.
 func (r Record) Fingerprint() Fingerprint { return r.fingerprint }
 
-// Crashes are the crashes of servers that ran the request, oldest first, without those that a
-// completed run cleared.
+// Crashes are the crashes of servers that ran the request, oldest first.
 func (r Record) Crashes() []Crash { return r.crashes }
 
 // CompletedOn are the builds on which it ran to completion.
@@ -85,16 +84,16 @@
 // was quarantined, by the records of the sender of this message.
 func (r Record) Idle() time.Duration { return r.idle }
 
-// CompletionAges are the times since the latest completed run on each of completedOn, by the clock
-// of the sender of this message. Earlier releases send none.
-func (r Record) CompletionAges() []time.Duration { return r.completionAges }
+// Cleared says, for each of crashes, that a later run to completion on its build cleared it. Where it
+// is shorter, the others are not cleared.
+func (r Record) Cleared() []bool { return r.cleared }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (r Record) EncodeMsgpack(enc *msgpack.Encoder) error {
 	if err := enc.EncodeArrayLen(7); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(r.fingerprint, r.crashes, r.completedOn, r.trials, r.tester, r.idle, r.completionAges)
+	return enc.EncodeMulti(r.fingerprint, r.crashes, r.completedOn, r.trials, r.tester, r.idle, r.cleared)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -103,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&r.fingerprint, &r.crashes, &r.completedOn, &r.trials, &r.tester, &r.idle, &r.completionAges}
+	fields := []any{&r.fingerprint, &r.crashes, &r.completedOn, &r.trials, &r.tester, &r.idle, &r.cleared}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
