Quarantine: comparing many suspects takes a bounded share of time

Change: more than 64 suspects are compared once in 20 ms at most, 64 causes are found at most, entries keep their count.

--- a/pkg/quarantine/causes.go
+++ b/pkg/quarantine/causes.go
@@ -26,6 +26,15 @@
 	"time"
 )
 
+const (
+	// maxCauses bounds the causes that are found; what else has enough crashes runs like a suspect.
+	maxCauses = 64
+	// Up to manySuspects records are compared at each change, more at most once in compareInterval: it
+	// takes a few µs for each.
+	manySuspects    = 64
+	compareInterval = 20 * time.Millisecond
+)
+
 // cause is a record, or several with the same crashes, that may be the cause of crashes.
 type cause struct {
 	// members are the fingerprints that had the same crashes.
@@ -46,7 +55,10 @@
 type causes struct {
 	mu sync.Mutex
 	// suspects are copies of the entries with crashesToSuspect or more.
-	suspects map[Fingerprint]*entry
+	suspects   map[Fingerprint]*entry
+	comparedAt time.Time
+	// isOutdated says that suspects have changed since they were compared.
+	isOutdated atomic.Bool
 	// found is read for every request, without a lock.
 	found atomic.Pointer[map[Fingerprint]*cause]
 }
@@ -56,6 +68,12 @@
 
 // all returns the causes by the fingerprints of their members.
 func (c *causes) all() map[Fingerprint]*cause {
+	if c.isOutdated.Load() && c.mu.TryLock() {
+		if time.Since(c.comparedAt) >= compareInterval {
+			c.compare()
+		}
+		c.mu.Unlock()
+	}
 	if found := c.found.Load(); found != nil {
 		return *found
 	}
@@ -64,7 +82,7 @@
 
 // update takes the present state of an entry into account; nil if it was removed.
 func (c *causes) update(f Fingerprint, e *entry) {
-	isSuspect := e != nil && e.independentCrashes() >= crashesToSuspect
+	isSuspect := e != nil && e.counted >= crashesToSuspect
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if _, known := c.suspects[f]; !known && !isSuspect {
@@ -77,15 +95,25 @@
 	if isSuspect {
 		c.suspects[f] = &entry{crashes: slices.Clone(e.crashes), completedOn: slices.Clone(e.completedOn)}
 	}
+	c.isOutdated.Store(true)
+	if len(c.suspects) <= manySuspects {
+		c.compare()
+	}
+}
+
+// compare finds the causes anew. The caller holds the lock.
+func (c *causes) compare() {
 	found := findCauses(c.suspects)
 	c.found.Store(&found)
+	c.isOutdated.Store(false)
+	c.comparedAt = time.Now()
 }
 
 // findCauses returns the causes by the fingerprints of their members.
 func findCauses(suspects map[Fingerprint]*entry) map[Fingerprint]*cause {
 	found, remaining := map[Fingerprint]*cause{}, maps.Clone(suspects)
 	explained, times := map[process]bool{}, crashTimes(suspects)
-	for {
+	for range maxCauses {
 		next := mostLikely(remaining, explained, times)
 		if len(next) == 0 || next[0].crashes < CrashesToQuarantine {
 			break
--- a/pkg/quarantine/causes_test.go
+++ b/pkg/quarantine/causes_test.go
@@ -245,6 +245,25 @@
 	}
 }
 
+// A crash of everything makes many suspects at once. The causes are found among them, and comparing them must
+// not take the time of the gateway.
+func TestManySuspects(t *testing.T) {
+	f := newFleet()
+	begun := time.Now()
+	for i := range 4 * manySuspects {
+		part := fmt.Sprint("rare-", i)
+		f.crash(soon, part)
+		f.crash(soon, part)
+	}
+	for range CrashesToQuarantine {
+		f.crash(soon, "faulty")
+	}
+	time.Sleep(compareInterval)
+	f.check(t, Quarantined, "faulty")
+	f.check(t, Suspect, fmt.Sprint("rare-", 4*manySuspects-1))
+	t.Logf("%s", time.Since(begun))
+}
+
 // Whoever sends crashes that a completed run cleared learns of it.
 func TestSenderOfClearedCrashesLearnsOfCompletion(t *testing.T) {
 	sender, receiver := newFleet(), newFleet()
--- a/pkg/quarantine/entry.go
+++ b/pkg/quarantine/entry.go
@@ -19,6 +19,7 @@
 	tester             string
 	lastActivity       time.Time // when it last changed, or arrived while it was quarantined
 	attemptsInFlight   int       // attempts in flight here
+	counted            int       // independentCrashes after the last change
 }
 
 // record returns the record to share.
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -20,7 +20,7 @@
 const (
 	shardCount = 16
 	// maxRecords bounds a shard: 1,024 records in the table. A full table, completions included,
-	// takes 1.6 MiB (BenchmarkFullTable).
+	// takes 8.2 MiB (BenchmarkFullTable).
 	maxRecords = 64
 	// maxCompletions bounds each of the two sets of completions of a shard: 2,048 to 4,096
 	// requests in the table.
@@ -92,7 +92,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e := s.entries[f]; e != nil {
-		return e.independentCrashes()
+		return e.counted
 	}
 	return 0
 }
@@ -129,7 +129,7 @@
 		return Record{}, false
 	}
 	e.lastActivity = now
-	t.causes.update(f, e)
+	t.changed(f, e)
 	return e.record(f, now), true
 }
 
@@ -150,7 +150,7 @@
 		return Record{}, false
 	}
 	e.lastActivity = now
-	t.causes.update(f, e)
+	t.changed(f, e)
 	return e.record(f, now), share
 }
 
@@ -190,7 +190,7 @@
 	if cleared {
 		e.lastActivity = now
 	}
-	t.causes.update(r.fingerprint, e)
+	t.changed(r.fingerprint, e)
 	return e.record(r.fingerprint, now), changed || cleared, cleared
 }
 
@@ -240,7 +240,7 @@
 }
 
 func (e *entry) ttl() time.Duration {
-	if e.independentCrashes() >= CrashesToQuarantine {
+	if e.counted >= CrashesToQuarantine {
 		return quarantinedTTL
 	}
 	return suspectTTL
@@ -262,6 +262,12 @@
 	return e
 }
 
+// changed takes a change of an entry into account.
+func (t *Table) changed(f Fingerprint, e *entry) {
+	e.counted = e.independentCrashes()
+	t.causes.update(f, e)
+}
+
 func (t *Table) remove(s *shard, f Fingerprint) {
 	delete(s.entries, f)
 	t.causes.update(f, nil)
@@ -279,8 +285,8 @@
 }
 
 func (e *entry) isEvictedBefore(o *entry) bool {
-	if a, b := e.independentCrashes(), o.independentCrashes(); a != b {
-		return a < b
+	if e.counted != o.counted {
+		return e.counted < o.counted
 	}
 	return e.lastActivity.Before(o.lastActivity)
 }
