--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -129,7 +129,7 @@
 		return Record{}, false
 	}
 	e.lastActivity = now
-	t.changed(f, e)
+	t.update(f, e)
 	return e.record(f, now), true
 }
 
@@ -150,7 +150,7 @@
 		return Record{}, false
 	}
 	e.lastActivity = now
-	t.changed(f, e)
+	t.update(f, e)
 	return e.record(f, now), share
 }
 
@@ -190,7 +190,7 @@
 	if cleared {
 		e.lastActivity = now
 	}
-	t.changed(r.fingerprint, e)
+	t.update(r.fingerprint, e)
 	return e.record(r.fingerprint, now), changed || cleared, cleared
 }
 
@@ -262,8 +262,8 @@
 	return e
 }
 
-// changed takes a change of an entry into account.
-func (t *Table) changed(f Fingerprint, e *entry) {
+// update takes a change of an entry into account.
+func (t *Table) update(f Fingerprint, e *entry) {
 	e.counted = e.independentCrashes()
 	t.causes.update(f, e)
 }
