--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,10 +14,15 @@
 
 // cases are the scripted cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(ctx context.Context, r *record, trouble bool) (broken bool, err error){
+	"unframed":     unframed,
 	"first-change": firstChange,
 }
 
 func main() {
+	if len(os.Args) == 4 && os.Args[1] == "worker" {
+		fmt.Fprintln(os.Stderr, serveUnframed(os.Args[2], os.Args[3]))
+		os.Exit(2)
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -55,6 +55,11 @@
 			w.deployment.record.say("worker %s: %v", w.id, err)
 		}
 	}()
+	w.sendBeats(ctx)
+}
+
+// sendBeats sends heartbeats until the context ends or the worker falls silent.
+func (w *worker) sendBeats(ctx context.Context) {
 	go func() {
 		for ctx.Err() == nil {
 			w.mu.Lock()
