--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,6 +14,7 @@
 
 // cases are the scripted cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(ctx context.Context, r *record, trouble bool) (broken bool, err error){
+	"departure":    departure,
 	"unframed":     unframed,
 	"first-change": firstChange,
 }
