--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -19,7 +19,6 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -263,21 +262,6 @@
 	_ = os.RemoveAll(d.folder)
 }
 
-// logLines returns the lines of a program's log that hold all the given words.
-func (d *deployment) logLines(name string, words ...string) (found []string) {
-	raw, _ := os.ReadFile(filepath.Join(d.folder, name+".log"))
-	for _, line := range strings.Split(string(raw), "\n") {
-		all := line != ""
-		for _, w := range words {
-			all = all && strings.Contains(line, w)
-		}
-		if all {
-			found = append(found, line)
-		}
-	}
-	return found
-}
-
 // startAll starts all machines, sends the first configuration and waits until the gateways are ready.
 func (d *deployment) startAll(ctx context.Context, version int) error {
 	for i := range d.controls {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -34,13 +34,12 @@
 	mu       sync.Mutex
 	sequence int
 	born     int64
-	state    string
 	silent   bool // it sends no heartbeats any more
 	arrivals []*arrival
 }
 
 func newWorker(d *deployment, id string, index, node int, workTime time.Duration) *worker {
-	w := &worker{deployment: d, id: id, index: index, node: node, workTime: workTime, client: newClient(), state: "ready", born: time.Now().UnixMilli()}
+	w := &worker{deployment: d, id: id, index: index, node: node, workTime: workTime, client: newClient(), born: time.Now().UnixMilli()}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/health", w.health)
 	mux.HandleFunc("/", w.serve)
@@ -78,7 +77,7 @@
 	rw.Header().Set("X-Instance-Id", w.id)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.state != "ready" {
+	if w.silent {
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -95,7 +94,7 @@
 	a := &arrival{id: id, at: time.Now()}
 	w.mu.Lock()
 	w.arrivals = append(w.arrivals, a)
-	leaving := w.state != "ready"
+	leaving := w.silent
 	w.mu.Unlock()
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.deployment.record.log("run     %s at worker %s", id, w.id)
@@ -120,7 +119,7 @@
 	w.sequence++
 	body, _ := json.Marshal(map[string]any{
 		"service": portal, "address": w.server.Addr, "zone": zoneOf(w.index), "version": "v1", "slots": 6,
-		"state": w.state, "cold_left_ms": 0, "sequence": w.sequence, "born": w.born,
+		"state": "ready", "cold_left_ms": 0, "sequence": w.sequence, "born": w.born,
 	})
 	w.mu.Unlock()
 	return w.call(ctx, http.MethodPut, body)
@@ -146,12 +145,6 @@
 	return -1
 }
 
-func (w *worker) setState(state string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.state = state
-}
-
 // end ends the worker with all of its connections.
 func (w *worker) end() {
 	w.mu.Lock()
