Logs: how a response ended, and what its probe said and when it began

An answer without a length that was cut by a crash was logged like any served request: neither its framing nor the result of the probe at its end, nor whether that probe began before the connection ended. The request line now has framing, end_sign and probe_ms, the attempt line probe_ms.

--- a/pkg/gateway/crash_probe.go
+++ b/pkg/gateway/crash_probe.go
@@ -71,7 +71,9 @@
 	if !closedByPeer(cause) {
 		return probeNotRun
 	}
-	probe, crash := x.backend.startCrashProbe(time.Now()), x.crash()
+	now := time.Now()
+	probe, crash := x.backend.startCrashProbe(now), x.crash()
+	x.request.ending.probeDelay = probe.startedAt.Sub(now)
 	select {
 	case <-probe.done:
 	case <-time.After(x.gateway.crashProbeWait(x.request.mostKnownCrashes())):
@@ -103,10 +105,19 @@
 // nor chunks ends with its connection, also where its backend server crashed. It returns probeNotRun for
 // others.
 func (x *exchange) probeEnd(response *http.Response) probeResult {
-	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
+	q := x.request
+	if q.ending.framing = framingOf(response); q.ending.framing != framedByClose {
 		return probeNotRun
 	}
-	probe := x.backend.startCrashProbe(time.Now())
+	q.ending.liveness = x.awaitEndProbe()
+	return q.ending.liveness
+}
+
+// awaitEndProbe probes the backend server and waits for the result.
+func (x *exchange) awaitEndProbe() probeResult {
+	now := time.Now()
+	probe := x.backend.startCrashProbe(now)
+	x.request.ending.probeDelay = probe.startedAt.Sub(now)
 	select {
 	case <-probe.done:
 	case <-time.After(x.gateway.crashProbeWait(1)):
@@ -118,6 +129,34 @@
 	return probeAlive
 }
 
+// responseEnding says how a response ended.
+type responseEnding struct {
+	framing    framing
+	liveness   probeResult   // of the backend server, if the response ended with its connection
+	probeDelay time.Duration // from the end of the connection to the start of the probe; may be negative
+}
+
+// framing is what marks the end of a response body.
+type framing string
+
+const (
+	framedByLength framing = "length"
+	framedByChunks framing = "chunks"
+	// framedByClose is a response without a length or chunks: it ends with its connection.
+	framedByClose framing = "close"
+)
+
+// framingOf returns what marks the end of a response body.
+func framingOf(response *http.Response) framing {
+	switch {
+	case response.ContentLength >= 0:
+		return framedByLength
+	case len(response.TransferEncoding) > 0:
+		return framedByChunks
+	}
+	return framedByClose
+}
+
 // probeWaitAfter returns how long the next attempt waits for a probe, by the number of crashes that
 // were known when the last attempt was sent.
 func probeWaitAfter(knownCrashes int) time.Duration {
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -51,7 +51,7 @@
 func (g *Gateway) recordAttempt(q *request, end attemptEnd, reason string) {
 	q.lastAttempt = string(end) + " at " + q.lastBackend + ": " + reason
 	g.metrics.attempts.WithLabelValues(string(end)).Inc()
-	_ = level.Info(g.process.Logger).Log("msg", "attempt", "request", q.head.ID, "fingerprint", q.fingerprint, "parts", q.loggedParts(), "end", string(end), "sign", string(q.liveness), "backend", q.lastBackend,
+	_ = level.Info(g.process.Logger).Log("msg", "attempt", "request", q.head.ID, "fingerprint", q.fingerprint, "parts", q.loggedParts(), "end", string(end), "sign", string(q.liveness), "probe_ms", q.ending.probeDelay.Milliseconds(), "backend", q.lastBackend,
 		"service", q.service.Name(), "sent", q.sent, "left_ms", q.remaining().Milliseconds(), "idle_ms", q.millisSinceLastEvent(),
 		"version", q.versionExpiry.served, "lapses_ms", q.millisUntilExpiry(), "interrupted", q.takeInterrupted(), "why", reason)
 }
@@ -72,7 +72,8 @@
 		"configuration", q.configNumber, "organisation", q.organisation, "backend", q.lastBackend, "sent", q.sent,
 		"sent_ms", q.timeToLastSend.Milliseconds(), "came_back", q.refusedBefore, "forecast_ms", q.firstEventForecast.Milliseconds(), "first_ms", q.timeToFirstByte.Milliseconds(), "pause_ms", q.longestEventGap.Milliseconds(), "idle_ms", q.millisSinceLastEvent(),
 		"objective_ms", objective.Milliseconds(), "pause_objective_ms", pauseObjective.Milliseconds(), "allowed_ms", q.head.Timeout.Milliseconds(), "ms", time.Since(q.started).Milliseconds(),
-		"version", q.versionExpiry.served, "lapses_ms", q.millisUntilExpiry(), "stopping_ms", g.stop.elapsedMillis(q.started), "limited", q.blockedByLimits, "interrupted", q.takeInterrupted(), "why", reason)
+		"version", q.versionExpiry.served, "lapses_ms", q.millisUntilExpiry(), "stopping_ms", g.stop.elapsedMillis(q.started), "limited", q.blockedByLimits, "interrupted", q.takeInterrupted(),
+		"framing", string(q.ending.framing), "end_sign", string(q.ending.liveness), "probe_ms", q.ending.probeDelay.Milliseconds(), "why", reason)
 }
 
 // loggedParts returns the ids of the shared parts of the prompt, as far as they fit into a log line.
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -65,12 +65,13 @@
 	blockedByLimits    bool                            // only limits of backend servers kept it from being sent
 	isTrial            bool                            // it is quarantined, and is tried once on another build
 	fallback           *bufferedResponse
-	liveness           probeResult // what is known of the server of the last broken attempt
-	mayHaveRun         bool        // an attempt ran or has an unknown outcome
-	headWritten        bool        // the response head was written to the caller
-	lastEvent          string      // id of the last event that the caller has
-	lastAttempt        string      // how the last attempt ended, for logs and refusals
-	lastBackend        string      // incarnation of the last backend server
+	liveness           probeResult    // what is known of the server of the last broken attempt
+	ending             responseEnding // how the last response ended, for logs
+	mayHaveRun         bool           // an attempt ran or has an unknown outcome
+	headWritten        bool           // the response head was written to the caller
+	lastEvent          string         // id of the last event that the caller has
+	lastAttempt        string         // how the last attempt ended, for logs and refusals
+	lastBackend        string         // incarnation of the last backend server
 	timeToFirstByte    time.Duration
 	timeToLastSend     time.Duration // from the start to the last attempt
 	lastEventAt        time.Time     // when the last event was relayed
--- a/pkg/logline/table.go
+++ b/pkg/logline/table.go
@@ -55,8 +55,8 @@
 
 	// ----------------------------------------------------------------
 	// Gateways
-	{"request", gateway, "A request ended: `outcome` and `why`, the backend server, and the duration of each phase.", "run `tidepost explain` on these lines"},
-	{"attempt", gateway, "An attempt did not complete the request: `end` and `why`, the shared `parts` of its prompt, the state of its server as `sign`, and the check that `interrupted` a running stream.", "run `tidepost explain --request ID`"},
+	{"request", gateway, "A request ended: `outcome` and `why`, the backend server, and the duration of each phase. `framing` is what marked the end of the response; where that was the close of its connection, `end_sign` is the state of the server, by a probe that began `probe_ms` later.", "run `tidepost explain` on these lines"},
+	{"attempt", gateway, "An attempt did not complete the request: `end` and `why`, the shared `parts` of its prompt, the state of its server as `sign`, by a probe that began `probe_ms` after the connection ended, and the check that `interrupted` a running stream.", "run `tidepost explain --request ID`"},
 	{"standby attempt", gateway, "A second attempt of a stream whose attempt at `running` seemed stuck for `reason`; `outcome` says whether it took over, was canceled since the running attempt continued, or failed.", "if most are canceled, servers or their VMs are overloaded"},
 	{"stager did not answer a reservation request", gateway, "The stager of an engine did not answer in time; the gateway asks it for no reservations for a while.", "if it persists for one `stager`, check its process and its link"},
 	{"backend server out of reach", gateway, "Dials to the backend server time out; the gateway retries the requests that wait there on other servers.", "check the VM and the network path to it"},
