Gateway: only an answer of the process shows that a server did not crash

Callers got half of an answer without a length as a whole one, with 200 and a length that fits, when its server was killed; on routes whose requests may run only once too.

Cause: the probe at the end of the answer was a dial, and an accepted dial counted as a living process. The kernel closes a killed process's connections first and its listening socket last, and accepts meanwhile. Two more faults by reading: a probe in flight was used also if it began before the connection ended, and no result in 150 ms counted as whole.

Change: the probe is a request that runs nothing (an engine's report, the health of others), sent after the end of the connection, on an idle connection or a new one. Any response is proof that the process lives; a refused connection or a response of another process that it crashed; a connection that breaks is neither, and the next is tried. A response that ends with its connection is complete only with that proof; else the attempt has broken. Broken attempts use the same probe, so quarantine does. A probe is shared only if it covers the end of the connection in question.

TestCrashProbe keeps its checks; the dial that it asked for is now a probe, and the crash comes after the first one has ended, as its text says. The fake servers and engines answer probes and don't count them as runs.

--- a/pkg/gateway/backend.go
+++ b/pkg/gateway/backend.go
@@ -42,7 +42,7 @@
 	lastByteAt  atomicTime  // when the last bytes arrived from it
 	dialing     atomic.Bool // whether dials that test its reachability are in progress
 	dialTimes   dialTimes   // results of these dials
-	crashProbes crashProbes // dials after broken connections, which show whether the server crashed
+	crashProbes crashProbes // probes after ended connections, which show whether the server crashed
 
 	mu                        sync.Mutex
 	registration              registry.Registration
--- a/pkg/gateway/buffered.go
+++ b/pkg/gateway/buffered.go
@@ -45,12 +45,11 @@
 	if len(body) == maxBuffered {
 		return x.passThrough(response, body)
 	}
-	end := x.probeEnd(response)
-	if end == probeCrashed {
-		return x.recordBroken("the response ended with its backend server", io.EOF)
+	if err := x.confirmEnd(response); err != nil {
+		return x.recordBroken("the response ended with its connection", err)
 	}
 	x.conn.Finish(response)
-	x.recordCompletion(response, end)
+	x.recordCompletion(response)
 	x.recordPlainRun()
 	buffered := &bufferedResponse{response.StatusCode, response.Header, body}
 	if response.StatusCode >= http.StatusInternalServerError {
@@ -131,12 +130,9 @@
 	if err == nil {
 		_, err = io.Copy(deadlineWriter{q}, rest)
 	}
-	end := probeNotRun
 	if err == nil {
-		end = x.probeEnd(response)
-	}
-	if end == probeCrashed {
-		err, rest.err = io.EOF, io.EOF
+		err = x.confirmEnd(response)
+		rest.err = err
 	}
 	if err != nil {
 		x.conn.Abort()
@@ -147,7 +143,7 @@
 	}
 	x.conn.Finish(response)
 	x.backend.recordSuccess()
-	x.recordCompletion(response, end)
+	x.recordCompletion(response)
 	x.recordPlainRun()
 	x.gateway.recordOutcome(q, outcomeServed, response.Status)
 	return true
--- a/pkg/gateway/crash_probe.go
+++ b/pkg/gateway/crash_probe.go
@@ -1,14 +1,18 @@
 // ================================================================
-// Finds out whether a backend server crashed during an attempt. A connection that the server closed
-// proves little: it may have aborted only that answer. So the gateway connects to the server again
-// at once. If the process has crashed, its port is closed and the connection is refused within one
-// round trip. All attempts that break at one moment share a probe.
+// Finds out whether a backend server crashed when one of its connections ended. The end of a connection
+// proves little: the server may have closed only that one. Nor does a new connection prove that the process
+// still runs: when a process dies, the kernel closes its listening socket last, and accepts connections
+// until then. Proof is either of
 //
-// On a link saturated with weight chunks a round trip takes longer than the next attempt can wait.
-// That attempt then starts, and the crash is recorded when the connection is refused.
+//   - a refused connection: no process listens on the port any more
+//   - a response to a probe that was sent after the connection had ended (liveness_probe.go)
 //
-// A server that is powered off or partitioned answers no connection attempt. Whether it crashed is
-// not known, and nothing is recorded against the request.
+// All attempts that break at one moment share a probe. An attempt that broke waits only briefly for the
+// result before the next one starts; a crash is recorded when it is known. A response that ended with its
+// connection is complete only if its backend server is known to have lived on.
+//
+// A server that is powered off or partitioned neither refuses connections nor responds. Whether it crashed
+// is not known, and nothing is recorded against the request.
 // ================================================================
 
 package gateway
@@ -22,20 +26,24 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/tidepost/tidepost/pkg/upstream"
 )
 
-// probeResult is the result of a probe after an attempt broke.
+// probeResult is what is known of a backend server after one of its connections ended.
 type probeResult string
 
 const (
 	// probeNotRun means that the server did not close the connection, so no probe was made.
 	probeNotRun probeResult = "none"
-	// probeCrashed means that the connection was refused: no process listens on the port.
+	// probeCrashed means that the process has ended: a connection was refused, or another process responded.
 	probeCrashed probeResult = "ended"
-	// probeAlive means that the connection was accepted, or that it timed out.
+	// probeAlive means that the process responded.
 	probeAlive probeResult = "lives"
 	// probePending means that the probe is still in flight.
 	probePending probeResult = "late"
+	// probeUnanswered means that the probe ended with neither.
+	probeUnanswered probeResult = "unanswered"
 )
 
 const (
@@ -47,16 +55,21 @@
 	// whether there is a next attempt at all, and the probe may take suspectProbeWait.
 	firstProbeWait   = 30 * time.Millisecond
 	suspectProbeWait = 150 * time.Millisecond
-	// probeReuseWindow is how long a refused probe is valid for other attempts: those that break
+	// crashReuseWindow is how long a known crash is valid for other attempts: those that break
 	// with one crash do so within milliseconds.
-	probeReuseWindow = 200 * time.Millisecond
+	crashReuseWindow = 200 * time.Millisecond
 )
 
-// crashProbe is a connection attempt to a backend server after an attempt broke.
+// errUnconfirmed ends a response that may have been cut short by a crash.
+var errUnconfirmed = errors.New("its backend server did not confirm that it still runs")
+
+// crashProbe is a probe of a backend server.
 type crashProbe struct {
 	startedAt time.Time
 	done      chan struct{}
-	refused   bool // valid once done is closed
+	// Both are valid once done is closed.
+	result probeResult
+	sentAt time.Time // when the probe was sent that the server responded to
 }
 
 // crashProbes holds the last probe of a backend server. The zero value has none.
@@ -65,96 +78,99 @@
 	last *crashProbe
 }
 
-// probeCrash finds out whether the backend server crashed after the attempt broke with an error,
-// and records it if so.
-func (x *exchange) probeCrash(cause error) probeResult {
-	if !closedByPeer(cause) {
-		return probeNotRun
-	}
-	now := time.Now()
-	probe, crash := x.backend.startCrashProbe(now), x.crash()
-	x.request.ending.probeDelay = probe.startedAt.Sub(now)
+// isDone reports whether the probe has ended.
+func (p *crashProbe) isDone() bool {
 	select {
-	case <-probe.done:
-	case <-time.After(x.gateway.crashProbeWait(x.request.mostKnownCrashes())):
-		go func() {
-			<-probe.done
-			if probe.refused {
-				x.recordCrash(crash)
-			}
-		}()
-		return probePending
+	case <-p.done:
+		return true
+	default:
+		return false
 	}
-	if !probe.refused {
-		return probeAlive
+}
+
+// covers reports whether the result of a probe that is done tells whether the backend server crashed when
+// a connection ended. A response to a probe that was sent earlier proves nothing about a crash since then.
+func (p *crashProbe) covers(ended time.Time) bool {
+	switch p.result {
+	case probeCrashed:
+		return ended.Sub(p.startedAt) < crashReuseWindow
+	case probeAlive:
+		return !p.sentAt.Before(ended)
 	}
-	x.recordCrash(crash)
-	return probeCrashed
+	return !p.startedAt.Before(ended)
 }
 
-// mostKnownCrashes returns how many crashes were known, when the last attempt was made, of the request or
-// that part of its prompt which had most.
-func (q *request) mostKnownCrashes() (most int) {
-	for _, crashes := range q.knownCrashes {
-		most = max(most, crashes)
+// startCrashProbe starts a probe of the backend server, or returns one in flight or one whose result covers
+// the time at which a connection ended.
+func (b *backend) startCrashProbe(ended time.Time, probe livenessProbe) *crashProbe {
+	b.crashProbes.mu.Lock()
+	defer b.crashProbes.mu.Unlock()
+	if last := b.crashProbes.last; last != nil && (!last.isDone() || last.covers(ended)) {
+		return last
 	}
-	return most
+	p := &crashProbe{startedAt: time.Now(), done: make(chan struct{})}
+	b.crashProbes.last = p
+	go func() {
+		defer close(p.done)
+		// The context of a caller would not fit: it may be canceled, and other attempts share the
+		// result.
+		p.result, p.sentAt = probe.run(context.Background(), probeTimeout)
+	}()
+	return p
 }
 
-// probeEnd finds out whether a complete response is known to be complete: one that has neither a length
-// nor chunks ends with its connection, also where its backend server crashed. It returns probeNotRun for
-// others.
-func (x *exchange) probeEnd(response *http.Response) probeResult {
-	q := x.request
-	if q.ending.framing = framingOf(response); q.ending.framing != framedByClose {
-		return probeNotRun
+// awaitLiveness probes the backend server after one of its connections ended, and waits for the result. It
+// returns probePending once ctx ends.
+func (x *exchange) awaitLiveness(ctx context.Context, ended time.Time) (probeResult, *crashProbe) {
+	for {
+		p := x.backend.startCrashProbe(ended, x.livenessProbe())
+		select {
+		case <-p.done:
+			if p.covers(ended) {
+				return p.result, p
+			}
+		case <-ctx.Done():
+			return probePending, p
+		}
 	}
-	q.ending.liveness = x.awaitEndProbe()
-	return q.ending.liveness
 }
 
-// awaitEndProbe probes the backend server and waits for the result.
-func (x *exchange) awaitEndProbe() probeResult {
-	now := time.Now()
-	probe := x.backend.startCrashProbe(now)
-	x.request.ending.probeDelay = probe.startedAt.Sub(now)
-	select {
-	case <-probe.done:
-	case <-time.After(x.gateway.crashProbeWait(1)):
-		return probePending
+// probeCrash finds out whether the backend server crashed after the attempt broke with an error,
+// and records it if so.
+func (x *exchange) probeCrash(cause error) probeResult {
+	if !closedByPeer(cause) {
+		return probeNotRun
 	}
-	if probe.refused {
-		return probeCrashed
+	ended, crash := time.Now(), x.crash()
+	ctx, cancel := context.WithTimeout(context.Background(), x.gateway.crashProbeWait(x.request.mostKnownCrashes()))
+	defer cancel()
+	result, p := x.awaitLiveness(ctx, ended)
+	x.request.ending.probeDelay = p.startedAt.Sub(ended)
+	switch result {
+	case probeCrashed:
+		x.recordCrash(crash)
+	case probePending:
+		go x.recordLateCrash(crash, ended)
 	}
-	return probeAlive
+	return result
 }
 
-// responseEnding says how a response ended.
-type responseEnding struct {
-	framing    framing
-	liveness   probeResult   // of the backend server, if the response ended with its connection
-	probeDelay time.Duration // from the end of the connection to the start of the probe; may be negative
+// recordLateCrash records a crash that becomes known after the next attempt has started.
+func (x *exchange) recordLateCrash(crash observedCrash, ended time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	if result, _ := x.awaitLiveness(ctx, ended); result == probeCrashed {
+		x.recordCrash(crash)
+	}
 }
 
-// framing is what marks the end of a response body.
-type framing string
-
-const (
-	framedByLength framing = "length"
-	framedByChunks framing = "chunks"
-	// framedByClose is a response without a length or chunks: it ends with its connection.
-	framedByClose framing = "close"
-)
-
-// framingOf returns what marks the end of a response body.
-func framingOf(response *http.Response) framing {
-	switch {
-	case response.ContentLength >= 0:
-		return framedByLength
-	case len(response.TransferEncoding) > 0:
-		return framedByChunks
+// mostKnownCrashes returns how many crashes were known, when the last attempt was made, of the request or
+// that part of its prompt which had most.
+func (q *request) mostKnownCrashes() (most int) {
+	for _, crashes := range q.knownCrashes {
+		most = max(most, crashes)
 	}
-	return framedByClose
+	return most
 }
 
 // probeWaitAfter returns how long the next attempt waits for a probe, by the number of crashes that
@@ -176,31 +192,35 @@
 	return false
 }
 
-// isReusable reports whether the probe is valid for an attempt that broke now: it is in flight, or
-// was refused a moment ago. A probe that was accepted proves nothing about a crash since then.
-func (p *crashProbe) isReusable(now time.Time) bool {
-	select {
-	case <-p.done:
-		return p.refused && now.Sub(p.startedAt) < probeReuseWindow
-	default:
-		return true
-	}
+// ----------------------------------------------------------------
+// Responses that end with their connection
+
+// responseEnding says how a response ended.
+type responseEnding struct {
+	framing    upstream.Framing
+	liveness   probeResult   // of the backend server, if the response ended with its connection
+	probeDelay time.Duration // from the end of the connection to the start of the probe; may be negative
 }
 
-// startCrashProbe starts a probe of the backend server, or returns a recent one.
-func (b *backend) startCrashProbe(now time.Time) *crashProbe {
-	b.crashProbes.mu.Lock()
-	defer b.crashProbes.mu.Unlock()
-	if last := b.crashProbes.last; last != nil && last.isReusable(now) {
-		return last
+// confirmEnd returns why a response that was read to its end is not known to be complete; nil if it is.
+// A response that has neither a length nor chunks ends with its connection, also where its backend server
+// crashed.
+func (x *exchange) confirmEnd(response *http.Response) error {
+	q := x.request
+	q.ending = responseEnding{framing: upstream.FramingOf(response)}
+	if q.ending.framing != upstream.FramedByClose {
+		return nil
 	}
-	probe := &crashProbe{startedAt: now, done: make(chan struct{})}
-	b.crashProbes.last = probe
-	go func() {
-		defer close(probe.done)
-		// The context of a caller would not fit: it may be canceled, and other attempts share the
-		// result.
-		probe.refused = b.pool.RefusesDial(context.Background(), probeTimeout)
-	}()
-	return probe
+	ended := time.Now()
+	ctx, cancel := context.WithTimeout(q.ctx, min(q.remaining(), probeTimeout))
+	defer cancel()
+	result, p := x.awaitLiveness(ctx, ended)
+	q.ending.liveness, q.ending.probeDelay = result, p.startedAt.Sub(ended)
+	switch result {
+	case probeAlive:
+		return nil
+	case probeCrashed:
+		return io.EOF
+	}
+	return errUnconfirmed
 }
--- a/pkg/gateway/crash_probe_test.go
+++ b/pkg/gateway/crash_probe_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/tidepost/tidepost/pkg/metric"
 	"github.com/tidepost/tidepost/pkg/registry"
 )
 
@@ -41,23 +42,25 @@
 	}
 	b := backendAt(l.Addr().String())
 	now := time.Now()
-	first := b.startCrashProbe(now)
+	ask := livenessProbe{pool: b.pool, readResponse: readNativeResponse, results: metric.NewCounters(metric.GatewayProbes, "result")}
+	first := b.startCrashProbe(now, ask)
 	<-first.done
-	if first.refused {
+	if first.result == probeCrashed {
 		t.Error("the probe of a listening server was refused")
 	}
 	if err := l.Close(); err != nil {
 		t.Fatal(err)
 	}
-	second := b.startCrashProbe(now)
+	now = time.Now()
+	second := b.startCrashProbe(now, ask)
 	if second == first {
 		t.Error("an accepted probe was reused after the crash")
 	}
 	<-second.done
-	if !second.refused {
+	if second.result != probeCrashed {
 		t.Error("the probe of a closed port was not refused")
 	}
-	if b.startCrashProbe(now.Add(probeReuseWindow/2)) != second || b.startCrashProbe(now.Add(2*probeReuseWindow)) == second {
+	if b.startCrashProbe(now.Add(crashReuseWindow/2), ask) != second || b.startCrashProbe(now.Add(2*crashReuseWindow), ask) == second {
 		t.Error("a refused probe was reused for too long, or not at all")
 	}
 }
--- a/pkg/gateway/crashing_request_test.go
+++ b/pkg/gateway/crashing_request_test.go
@@ -31,9 +31,10 @@
 // all connections.
 type crashingServer struct {
 	*fakeBackend
-	mu      sync.Mutex
-	conns   []net.Conn
-	crashed bool
+	portLast bool // its port closes only after it has accepted one more connection
+	mu       sync.Mutex
+	conns    []net.Conn
+	crashed  bool
 }
 
 // crashingServers are fake servers that crash, and the number of crashes so far.
@@ -109,6 +110,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.crashed {
+		_ = s.listener.Close()
 		_ = conn.Close()
 	}
 	s.conns = append(s.conns, conn)
@@ -118,7 +120,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashed = true
-	_ = s.listener.Close()
+	if !s.portLast {
+		_ = s.listener.Close()
+	}
 	for _, conn := range s.conns {
 		_ = conn.Close()
 	}
--- a/pkg/gateway/fake_backend_test.go
+++ b/pkg/gateway/fake_backend_test.go
@@ -30,6 +30,7 @@
 	listener    net.Listener
 	script      responseScript
 	onAccept    func(net.Conn) // called with each connection; may be nil
+	onProbe     responseScript // responds to probes; nil responds at once
 
 	mu          sync.Mutex
 	receivedIDs []string // ids of the received requests
@@ -77,6 +78,12 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Method == http.MethodOptions {
+			if !s.respondToProbe(conn, r) {
+				return
+			}
+			continue
+		}
 		s.mu.Lock()
 		s.receivedIDs = append(s.receivedIDs, r.Header.Get(headerID))
 		s.mu.Unlock()
@@ -89,12 +96,26 @@
 	}
 }
 
+// respondToProbe responds to a probe and reports whether to keep the connection.
+func (s *fakeBackend) respondToProbe(conn net.Conn, r *http.Request) (keep bool) {
+	respond := s.onProbe
+	if respond == nil {
+		respond = respondWith("200 OK", "")
+	}
+	w := bufio.NewWriter(conn)
+	defer func() { _ = w.Flush() }()
+	return respond(w, r)
+}
+
 func (s *fakeBackend) requests() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return append([]string(nil), s.receivedIDs...)
 }
 
+// probeResponse is the response of a server in virtual time to a probe.
+const probeResponse = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
 // respondWith returns a script that answers every request completely.
 func respondWith(status, body string) responseScript {
 	return func(w *bufio.Writer, r *http.Request) bool {
@@ -228,7 +249,7 @@
 
 // do sends a request and returns the response. An error in reading the body is returned with
 // the bytes read before it.
-func (f *fixture) do(t *testing.T, r *http.Request) (status int, header http.Header, body string, readError error) {
+func (f *fixture) do(t testing.TB, r *http.Request) (status int, header http.Header, body string, readError error) {
 	t.Helper()
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -20,6 +20,7 @@
 	inFlight          prometheus.Gauge
 	configNumber      prometheus.Gauge
 	serverCrashes     prometheus.Counter
+	probes            *prometheus.CounterVec
 	quarantined       prometheus.Gauge
 	quarantinedParts  prometheus.Gauge
 	limitedServers    prometheus.Gauge
@@ -40,6 +41,7 @@
 		inFlight:          metric.NewGauge(metric.GatewayInFlight),
 		configNumber:      metric.NewGauge(metric.GatewayConfigNumber),
 		serverCrashes:     metric.NewCounter(metric.GatewayServerCrashes),
+		probes:            metric.NewCounters(metric.GatewayProbes, "result"),
 		quarantined:       metric.NewGauge(metric.GatewayQuarantined),
 		quarantinedParts:  metric.NewGauge(metric.GatewayQuarantinedParts),
 		limitedServers:    metric.NewGauge(metric.GatewayLimitedServers),
@@ -49,6 +51,6 @@
 		uncounted:         metric.NewCounter(metric.GatewayRetriesUncounted),
 		evacuatedDomains:  metric.NewGauge(metric.GatewayEvacuatedDomains),
 	}
-	r.MustRegister(m.requests, m.attempts, m.reservations, m.silentConnections, m.firstEvent, m.inFlight, m.configNumber, m.serverCrashes, m.quarantined, m.quarantinedParts, m.limitedServers, m.limitSkips, m.interrupted, m.borrowed, m.uncounted, m.evacuatedDomains)
+	r.MustRegister(m.requests, m.attempts, m.reservations, m.silentConnections, m.firstEvent, m.inFlight, m.configNumber, m.serverCrashes, m.probes, m.quarantined, m.quarantinedParts, m.limitedServers, m.limitSkips, m.interrupted, m.borrowed, m.uncounted, m.evacuatedDomains)
 	return m
 }
--- a/pkg/gateway/native_protocol.go
+++ b/pkg/gateway/native_protocol.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/serverlimit"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
+	"github.com/tidepost/tidepost/pkg/upstream"
 )
 
 // Headers of the gateway's own protocol.
@@ -31,7 +33,7 @@
 
 // NativeProtocol returns the gateway's own protocol.
 func NativeProtocol() Protocol {
-	return Protocol{Name: "own", ReadyPath: "/readyz", ReadRequest: readNativeRequest, Prepare: prepareNative, ReadResponse: readNativeResponse, StreamIdleTimeout: nativeStreamIdleTimeout}
+	return Protocol{Name: "own", ReadyPath: "/readyz", ReadRequest: readNativeRequest, Prepare: prepareNative, ReadResponse: readNativeResponse, Probe: nativeProbe, StreamIdleTimeout: nativeStreamIdleTimeout}
 }
 
 // nativeStreamIdleTimeout returns the silence after which callers are assumed to give up, since
@@ -78,6 +80,15 @@
 	}
 }
 
+// nativeProbe asks for the health path, or else sends the no-op request of HTTP.
+func nativeProbe(s *serviceconfig.Service, incarnation string) upstream.Request {
+	header := http.Header{headerIncarnation: {incarnation}}
+	if path := s.HealthPath(); path != "" {
+		return upstream.Request{Method: http.MethodGet, URI: path, Header: header}
+	}
+	return upstream.Request{Method: http.MethodOptions, URI: "*", Header: header}
+}
+
 func readNativeResponse(_ int, h http.Header) ResponseHead {
 	version, _ := strconv.ParseUint(h.Get(headerVersion), 10, 64)
 	return ResponseHead{
--- a/pkg/gateway/path_bench_test.go
+++ b/pkg/gateway/path_bench_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,3 +56,33 @@
 		}
 	}
 }
+
+// BenchmarkResponseWithoutLength measures responses that end with their connection, one after the other:
+// the time that callers wait, and what the backend server gets for each besides the request.
+//
+//	go test ./pkg/gateway -run '^$' -bench WithoutLength
+func BenchmarkResponseWithoutLength(b *testing.B) {
+	var connections, probes atomic.Int64
+	s := newFakeBackendWithAccept(b, "i-0", func(w *bufio.Writer, r *http.Request) bool {
+		writeUnframed(w, r, "text/plain", "whole")
+		return false
+	}, func(net.Conn) { connections.Add(1) })
+	s.onProbe = func(w *bufio.Writer, r *http.Request) bool {
+		probes.Add(1)
+		return respondWith("200 OK", "")(w, r)
+	}
+	f := newFixture(b, serviceconfig.Once, false, s)
+	var times []time.Duration
+	for b.Loop() {
+		started := time.Now()
+		if status, _, body, err := f.do(b, f.request(b, http.MethodPost, "id", "a soft breakfast")); status != http.StatusOK || body != "whole" {
+			b.Fatal(status, body, err)
+		}
+		times = append(times, time.Since(started))
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-µs")
+	b.ReportMetric(float64(connections.Load())/float64(len(times)), "connections/op")
+	b.ReportMetric(float64(probes.Load())/float64(len(times)), "probes/op")
+}
--- a/pkg/gateway/protocol.go
+++ b/pkg/gateway/protocol.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/serverlimit"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
+	"github.com/tidepost/tidepost/pkg/upstream"
 )
 
 // RequestHead is what the headers of a request say.
@@ -85,6 +87,9 @@
 	Prepare func(h http.Header, a Attempt)
 	// ReadResponse reads the head of a response.
 	ReadResponse func(status int, h http.Header) ResponseHead
+	// Probe returns a request, without a host, to which a backend server of the service with the given
+	// incarnation responds without running anything.
+	Probe func(s *serviceconfig.Service, incarnation string) upstream.Request
 	// StreamIdleTimeout returns the silence after which the caller of a stream gives up, from the
 	// route's objectives for the first event and for gaps between events.
 	StreamIdleTimeout func(objective, gap time.Duration) time.Duration
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -201,12 +201,12 @@
 	}
 }
 
-// recordCompletion records that the request ran to completion where its answer shows that. An answer that
-// ends with its connection does so only if the backend server still runs, by the probe at its end. An answer
-// that reports a failure says nothing of the parts of the prompt, which may not have been read.
-func (x *exchange) recordCompletion(answer *http.Response, end probeResult) {
+// recordCompletion records that the request ran to completion where its answer, which is known to be
+// complete, shows that. An answer that reports a failure says nothing of the parts of the prompt, which may
+// not have been read.
+func (x *exchange) recordCompletion(answer *http.Response) {
 	g, q := x.gateway, x.request
-	if end == probePending || !ranToCompletion(answer.StatusCode) {
+	if !ranToCompletion(answer.StatusCode) {
 		return
 	}
 	completed := q.fingerprints
--- a/pkg/gateway/scripted_engine_test.go
+++ b/pkg/gateway/scripted_engine_test.go
@@ -149,6 +149,11 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
+		if request.Method == http.MethodOptions {
+			e.waitAwake()
+			_, _ = io.WriteString(conn, probeResponse)
+			continue
+		}
 		r := &scriptedRun{engine: e, requestID: request.Header.Get(headerID), receivedAt: time.Now(), connection: madeAt}
 		e.mu.Lock()
 		e.runs = append(e.runs, r)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -103,14 +103,13 @@
 
 func (x *exchange) streamEnded(response *http.Response, gaps *eventGapMeter) bool {
 	q := x.request
-	end := x.probeEnd(response)
-	if end == probeCrashed {
-		return x.streamBroken(io.EOF)
+	if err := x.confirmEnd(response); err != nil {
+		return x.streamBroken(err)
 	}
 	x.conn.Finish(response)
 	x.backend.recordSuccess()
 	q.recordRunTime(&x.gateway.silenceDetector, time.Now(), time.Since(x.started))
-	x.recordCompletion(response, end)
+	x.recordCompletion(response)
 	if meanGap, ok := gaps.mean(); ok {
 		x.backend.recordSlowdown(meanGap.Seconds() / nominalGap.Seconds())
 	}
--- a/pkg/gateway/stream_engine_test.go
+++ b/pkg/gateway/stream_engine_test.go
@@ -244,6 +244,10 @@
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
 		time.Sleep(e.delay())
+		if request.Method == http.MethodOptions {
+			_, _ = io.WriteString(conn, probeResponse)
+			continue
+		}
 		r := e.enqueue(request)
 		disconnected := make(chan struct{})
 		go func() {
--- a/pkg/metric/table.go
+++ b/pkg/metric/table.go
@@ -34,6 +34,7 @@
 	GatewayFirstEvent         = "tidepost_gateway_first_event_seconds"
 	GatewayInFlight           = "tidepost_gateway_requests_in_flight"
 	GatewayServerCrashes      = "tidepost_gateway_ended_backend_servers_total"
+	GatewayProbes             = "tidepost_gateway_probes_total"
 	GatewayQuarantined        = "tidepost_gateway_quarantined_requests"
 	GatewayQuarantinedParts   = "tidepost_gateway_quarantined_parts"
 	GatewayLimitedServers     = "tidepost_gateway_limited_backend_servers"
@@ -84,6 +85,7 @@
 	{GatewayFirstEvent, "gateway", "Time to the response or to the first event of a stream, in seconds.", "if it is over the objective, there are too few backend servers, or they are slow"},
 	{GatewayInFlight, "gateway", "Requests in flight.", "if it keeps growing, backend servers hang"},
 	{GatewayServerCrashes, "gateway", "Attempts during which the backend server crashed: its port was closed right afterwards.", "if it grows by more than the requests of one server at a time, one request may crash servers; the log lines of the attempts have its fingerprint"},
+	{GatewayProbes, "gateway", "Probes of backend servers after their connections ended, by result.", "if 'unanswered' grows, responses without a length are not delivered although they may be complete; check the path to the backend servers and their connection limits"},
 	{GatewayQuarantined, "gateway", "Requests quarantined because backend servers crashed while they ran them.", "if above zero, find the fingerprint in the log lines 'request ends backend servers', and why the servers crash"},
 	{GatewayQuarantinedParts, "gateway", "Parts of prompts quarantined because backend servers crashed while they ran requests with them.", "if above zero, find the part in the log lines 'request ends backend servers', and why the servers crash"},
 	{GatewayLimitedServers, "gateway", "Backend servers that advertise a limit on the requests they accept, as known to this gateway.", "if above zero, a backend server is overloaded; the log lines 'backend server names a limit' show which one and its limit"},
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -112,19 +112,6 @@
 	return true
 }
 
-// RefusesDial reports whether a dial is refused within dialTimeout, which means that no
-// process listens there. An unanswered dial is not a refusal.
-func (p *Pool) RefusesDial(ctx context.Context, dialTimeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := p.dial(ctx, "tcp", p.address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	_ = conn.Close()
-	return false
-}
-
 // takeIdle removes and returns the most recently used idle connection, or nil.
 func (p *Pool) takeIdle() *Connection {
 	p.mu.Lock()
