Agent: a response that ends with its connection is complete only if its engine still runs

The agent took the end of the connection for the end of the response; streams were safe, since they need a closing event.

Cause: the end of a connection says nothing about the process behind it. Found by reading all places where a response body is read to its end. Change: after such an end the agent pings the engine, with the no-op request of HTTP, and marks the response as complete only if the process responds.

--- a/pkg/agent/requests.go
+++ b/pkg/agent/requests.go
@@ -16,6 +16,7 @@
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/invariant"
 	"github.com/tidepost/tidepost/pkg/link"
+	"github.com/tidepost/tidepost/pkg/upstream"
 )
 
 const (
@@ -103,7 +104,7 @@
 	if err := checkDigest(r, response.Header); err != nil {
 		return err
 	}
-	return a.forwardResponse(s, r, response)
+	return a.forwardResponse(ctx, s, backend, r, response)
 }
 
 // checkDigest returns an error for a response of another version than requested.
@@ -117,8 +118,9 @@
 }
 
 // forwardResponse sends the response in numbered parts. The last part marks the response
-// as complete; a streamed response is complete only if it ends with streamEndEvent.
-func (a *Agent) forwardResponse(s *link.Stream, r contract.Request, response *http.Response) error {
+// as complete; a streamed response is complete only if it ends with streamEndEvent, and another one that
+// ends with its connection only if the backend server still runs.
+func (a *Agent) forwardResponse(ctx context.Context, s *link.Stream, backend *engine.Engine, r contract.Request, response *http.Response) error {
 	sequence := uint64(0)
 	send := func(status int, contentType string, body []byte, end bool) error {
 		part := contract.NewResponsePart(r.Attempt(), sequence, status, contentType, body, end, nil, r.Digest())
@@ -149,6 +151,11 @@
 	if streamed && !bytes.Contains(tail, []byte(streamEndEvent)) {
 		return failure.New(failure.BackendFailed, "the stream ended without its closing event").WithRan(failure.RanUnknown)
 	}
+	if !streamed && upstream.FramingOf(response) == upstream.FramedByClose {
+		if err := backend.Ping(ctx); err != nil {
+			return failure.New(failure.BackendFailed, "the response ended with its connection: %v", err).WithRan(failure.RanUnknown)
+		}
+	}
 	return send(0, "", nil, true)
 }
 
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -98,6 +98,8 @@
 	// error means that no response came; the failure states whether the request may have been
 	// executed.
 	SendRequest func(ctx context.Context, r contract.Request) (*http.Response, error)
+	// Ping returns an error unless the process responds to a request that runs nothing.
+	Ping func(ctx context.Context) error
 }
 
 // NewHTTP returns the engine at a base URL.
@@ -109,7 +111,7 @@
 		client:    &http.Client{Transport: newTransport()},
 		singleUse: &http.Client{Transport: singleUse},
 	}
-	return &Engine{SendOrder: h.sendOrder, ReadState: h.readState, SendRequest: h.sendRequest}
+	return &Engine{SendOrder: h.sendOrder, ReadState: h.readState, SendRequest: h.sendRequest, Ping: h.ping}
 }
 
 // maxIdleConnections is the number of idle connections to the engine kept for reuse.
@@ -143,6 +145,20 @@
 	return h.callState(ctx, http.MethodGet, "/v1/state", nil)
 }
 
+func (h httpEngine) ping(ctx context.Context) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodOptions, h.base, nil)
+	if err != nil {
+		return err
+	}
+	request.URL.Path, request.URL.Opaque = "", "*" // the no-op request of HTTP
+	response, err := h.client.Do(request)
+	if err != nil {
+		return failure.New(failure.BackendFailed, "engine: %v", err)
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxStateBytes))
+	return response.Body.Close()
+}
+
 func (h httpEngine) callState(ctx context.Context, method, path string, body io.Reader) (State, error) {
 	request, err := http.NewRequestWithContext(ctx, method, h.base+path, body)
 	if err != nil {
