Control: departures of backend servers are agreed on before they are acknowledged

Cause: the node acknowledged what it alone knew. It queued the departure for its followers and asked only whether it had been in contact with a quorum; the queue waits up to 40 ms after an Update. The same for heartbeats that say draining. A server that has its acknowledgement does not repeat itself.

Change: a departure is a command of the control log, and is acknowledged once a majority has it on disk. It expires with the registrations that it revokes, and does not cover a later start of the incarnation. Repeated draining heartbeats are not proposed again.

The harness of cluster_test.go can isolate a node's publisher and start its nodes later; its checks are unchanged.

--- a/pkg/control/cluster_test.go
+++ b/pkg/control/cluster_test.go
@@ -18,6 +18,7 @@
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/disk"
 	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 	"github.com/tidepost/tidepost/pkg/settings"
@@ -25,7 +26,7 @@
 
 // cluster is a set of control nodes on loopback addresses with disks in memory.
 type cluster struct {
-	t           *testing.T
+	t           testing.TB
 	nodes       []*testNode
 	clockOffset atomic.Int64 // nanoseconds by which the clock of named versions is ahead
 }
@@ -36,28 +37,40 @@
 	bootstrap                      bool
 	disk                           *disk.Memory
 	unreachable                    map[string]bool // link addresses that the node cannot dial
+	isolatedPublisher              bool            // what the node queues for its followers reaches nobody
 	node                           *Node
 	signals                        chan os.Signal
 	result                         chan error
 	silencer                       silenced.Conns // the links that the node dialed
 }
 
-func newCluster(t *testing.T, size int) *cluster {
+func newCluster(t testing.TB, size int) *cluster {
+	c := newUnstartedCluster(t, size)
+	c.startAll()
+	return c
+}
+
+// newUnstartedCluster returns a cluster whose nodes do not run yet.
+func newUnstartedCluster(t testing.TB, size int) *cluster {
 	c := &cluster{t: t}
 	for i := range size {
 		c.nodes = append(c.nodes, &testNode{
 			name: fmt.Sprintf("control-%d", i), linkAddress: loopback.FreeAddress(t), httpAddress: loopback.FreeAddress(t), bootstrap: true, disk: disk.NewMemory(),
 		})
 	}
+	return c
+}
+
+// startAll starts all nodes, which end with the test.
+func (c *cluster) startAll() {
 	for _, n := range c.nodes {
 		c.start(n)
 	}
-	t.Cleanup(func() {
+	c.t.Cleanup(func() {
 		for _, n := range c.nodes {
 			c.stop(n)
 		}
 	})
-	return c
 }
 
 func (c *cluster) start(n *testNode) {
@@ -87,6 +100,9 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	if n.isolatedPublisher {
+		n.node.service.publisher = feed.NewPublisher(feed.PublisherConfig{})
+	}
 	n.node.service.state.now = func() time.Time { return time.Now().Add(time.Duration(c.clockOffset.Load())) }
 	// The nodes of a test share an IP address, so the seeds need their ports.
 	n.node.member.config.seeds = func() []string { return c.seeds() }
--- a/pkg/control/node_follower.go
+++ b/pkg/control/node_follower.go
@@ -53,17 +53,22 @@
 
 // receiveNodeUpdate processes an Update from the control node at address.
 func (n *Node) receiveNodeUpdate(address string, u feed.Update) {
-	for _, r := range u.Registrations() {
-		if accepted, changed := n.service.registry.ReceiveRelayed(r); changed {
-			n.service.publisher.QueueRegistrations(accepted)
-			n.service.logRegistration(accepted)
-		}
-	}
+	n.service.receiveRelayed(u.Registrations())
 	n.service.state.MergeAges(u.NamedVersions(), string(feed.RoleNode), address)
 	n.service.mergeRecords(u.Records())
 	n.service.publisher.ReceiveNodeUpdate(address, u)
 }
 
+// receiveRelayed processes registrations that did not come from the backend servers themselves.
+func (s *Service) receiveRelayed(registrations []registry.Registration) {
+	for _, r := range registrations {
+		if accepted, changed := s.registry.ReceiveRelayed(r); changed {
+			s.publisher.QueueRegistrations(accepted)
+			s.logRegistration(accepted)
+		}
+	}
+}
+
 // expireRegistrations publishes backend servers that have become silent, and removes what nodes and
 // followers reported once it is outdated.
 func (n *Node) expireRegistrations(ctx context.Context) error {
--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -123,7 +123,7 @@
 }
 
 // ReceiveHeartbeat processes a heartbeat of a backend server. That a server drains is acknowledged
-// only while a quorum is confirmed: an isolated node cannot inform the followers of other nodes.
+// once the control nodes have agreed on it.
 func (s *Service) ReceiveHeartbeat(r registry.Registration) error {
 	if err := s.checkService(r); err != nil {
 		return err
@@ -135,7 +135,7 @@
 	}
 	s.metrics.heartbeats.Inc()
 	if r.State() == registry.Draining {
-		return s.requireQuorum()
+		return s.agreeOnDeparture(r)
 	}
 	return nil
 }
@@ -153,14 +153,29 @@
 	return failure.New(failure.BadRequest, "incarnation %q belongs to service %q, and service %q is not configured", r.Incarnation(), held.Service(), r.Service())
 }
 
-// Deregister marks a backend server as gone. It is acknowledged only while a quorum is confirmed.
+// Deregister marks a backend server as gone. It is acknowledged once the control nodes have agreed on it.
 func (s *Service) Deregister(incarnation string) error {
 	r, changed := s.registry.MarkGone(incarnation)
 	if changed {
 		s.publisher.QueueRegistrations(r)
 		s.logRegistration(r)
 	}
-	return s.requireQuorum()
+	return s.agreeOnDeparture(r)
+}
+
+// agreeOnDeparture commits to the control log that a backend server drains or has left. Its acknowledgement
+// is the last that the server says, so it must not depend on a process that may be killed. The followers of
+// this node learn of it at once, since it is true whether or not the nodes agree.
+func (s *Service) agreeOnDeparture(r registry.Registration) error {
+	if err := s.requireQuorum(); err != nil || s.state.departures.Covers(r) {
+		return err
+	}
+	departure := s.state.departures.New(r)
+	_, err := s.propose(context.Background(), command{departure: &departure})
+	if err != nil {
+		_ = level.Warn(s.logger).Log("msg", "departure not agreed", "backend", r.Incarnation(), "state", string(r.State()), "err", err)
+	}
+	return err
 }
 
 // requireQuorum fails with NoQuorum unless a quorum is confirmed.
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -1,8 +1,8 @@
 // ================================================================
 // The replicated state of the control nodes: the newest service configuration, the named versions of
-// each model's weights, of which the newest is in force, and the evacuated failure domains. Numbers,
-// versions and the revisions of domains only increase, so a command that is applied twice or late
-// changes nothing.
+// each model's weights, of which the newest is in force, the evacuated failure domains, and the backend
+// servers that drain or have left. Numbers, versions, the revisions of domains and the states of one start of
+// a server only increase, so a command that is applied twice or late changes nothing.
 // ================================================================
 
 // Package control implements the control node. Control nodes replicate the service configuration
@@ -22,6 +22,7 @@
 	"github.com/tidepost/tidepost/pkg/controllog"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/placement"
+	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
@@ -55,6 +56,8 @@
 	version *ModelVersion
 	// evacuation changes whether a failure domain is evacuated.
 	evacuation *placement.Change
+	// departure is a backend server that drains or has left.
+	departure *registry.Departure
 }
 
 // snapshotData is the content of a snapshot: the whole state.
@@ -68,6 +71,8 @@
 	versions []feed.NamedVersion
 	// evacuations are the states of the failure domains that were ever evacuated.
 	evacuations []placement.DomainState
+	// departures are the backend servers that drain or have left recently.
+	departures []registry.Departure
 }
 
 // State is the replicated state on one node. It is safe for concurrent use.
@@ -85,8 +90,11 @@
 	onVersionChanges func(changes []feed.VersionChange, source, from string)
 	// onEvacuations receives the failure domains that have been evacuated, or not any more.
 	onEvacuations func(changed []placement.DomainState)
+	// onDepartures receives the backend servers that drain or have left.
+	onDepartures func(changed []registry.Registration)
 
 	evacuations placement.Evacuations
+	departures  *registry.Departures
 	named       *feed.VersionTable // versions that the log has named
 	reported    *feed.VersionTable // versions that other processes reported, possibly before the log names them
 
@@ -106,8 +114,9 @@
 func NewState(onChange func()) *State {
 	return &State{
 		onChange: onChange, now: time.Now, onVersionChanges: func([]feed.VersionChange, string, string) {},
-		onEvacuations: func([]placement.DomainState) {},
-		named:         feed.NewVersionTable(), reported: feed.NewVersionTable(),
+		onEvacuations: func([]placement.DomainState) {}, onDepartures: func([]registry.Registration) {},
+		departures: registry.NewDepartures(registrationTTL, nil),
+		named:      feed.NewVersionTable(), reported: feed.NewVersionTable(),
 	}
 }
 
@@ -130,12 +139,22 @@
 	if changed {
 		s.onChange()
 	}
+	if c.departure != nil {
+		s.mergeDepartures(*c.departure)
+	}
 	if c.evacuation != nil {
 		return s.applyEvacuation(*c.evacuation)
 	}
 	return nil
 }
 
+// mergeDepartures adds departures of backend servers.
+func (s *State) mergeDepartures(departures ...registry.Departure) {
+	if changed := s.departures.Merge(departures...); len(changed) > 0 {
+		s.onDepartures(changed)
+	}
+}
+
 // applyEvacuation applies the change of a failure domain and returns its outcome.
 func (s *State) applyEvacuation(c placement.Change) placement.Outcome {
 	outcome := s.evacuations.Apply(c)
@@ -196,7 +215,7 @@
 }
 
 func (s *State) snapshot() ([]byte, error) {
-	return msgpack.Marshal(snapshotData{configuration: s.Configuration(), versions: s.NamedVersions(), evacuations: s.evacuations.All()})
+	return msgpack.Marshal(snapshotData{configuration: s.Configuration(), versions: s.NamedVersions(), evacuations: s.evacuations.All(), departures: s.departures.All()})
 }
 
 // restore merges a snapshot into the state. Newer state is kept: a node that reopens its disk has
@@ -213,6 +232,7 @@
 	if evacuations := s.evacuations.Merge(d.evacuations); len(evacuations) > 0 {
 		s.onEvacuations(evacuations)
 	}
+	s.mergeDepartures(d.departures...)
 	return nil
 }
 
--- a/pkg/control/wire_generated.go
+++ b/pkg/control/wire_generated.go
@@ -9,6 +9,7 @@
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/placement"
 	"github.com/tidepost/tidepost/pkg/quarantine"
+	"github.com/tidepost/tidepost/pkg/registry"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
@@ -91,16 +92,16 @@
 }
 
 // newCommand returns a command with the given fields.
-func newCommand(configuration *Configuration, version *ModelVersion, evacuation *placement.Change) command {
-	return command{configuration: configuration, version: version, evacuation: evacuation}
+func newCommand(configuration *Configuration, version *ModelVersion, evacuation *placement.Change, departure *registry.Departure) command {
+	return command{configuration: configuration, version: version, evacuation: evacuation, departure: departure}
 }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (c command) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(3); err != nil {
+	if err := enc.EncodeArrayLen(4); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(c.configuration, c.version, c.evacuation)
+	return enc.EncodeMulti(c.configuration, c.version, c.evacuation, c.departure)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -109,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&c.configuration, &c.version, &c.evacuation}
+	fields := []any{&c.configuration, &c.version, &c.evacuation, &c.departure}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
@@ -256,16 +257,16 @@
 }
 
 // newSnapshotData returns a snapshotData with the given fields.
-func newSnapshotData(configuration *Configuration, versions []feed.NamedVersion, evacuations []placement.DomainState) snapshotData {
-	return snapshotData{configuration: configuration, versions: versions, evacuations: evacuations}
+func newSnapshotData(configuration *Configuration, versions []feed.NamedVersion, evacuations []placement.DomainState, departures []registry.Departure) snapshotData {
+	return snapshotData{configuration: configuration, versions: versions, evacuations: evacuations, departures: departures}
 }
 
 // EncodeMsgpack writes the fields in order, as one array.
 func (s snapshotData) EncodeMsgpack(enc *msgpack.Encoder) error {
-	if err := enc.EncodeArrayLen(3); err != nil {
+	if err := enc.EncodeArrayLen(4); err != nil {
 		return err
 	}
-	return enc.EncodeMulti(s.configuration, s.versions, s.evacuations)
+	return enc.EncodeMulti(s.configuration, s.versions, s.evacuations, s.departures)
 }
 
 // DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
@@ -274,7 +275,7 @@
 	if err != nil {
 		return err
 	}
-	fields := []any{&s.configuration, &s.versions, &s.evacuations}
+	fields := []any{&s.configuration, &s.versions, &s.evacuations, &s.departures}
 	for i := 0; i < count; i++ {
 		if i >= len(fields) {
 			err = dec.Skip()
--- a/pkg/logline/table.go
+++ b/pkg/logline/table.go
@@ -40,6 +40,7 @@
 	{"evacuation in force", gateway, "The backend servers of the failure domain `domain` get no new requests from now on, or get them again, as `evacuated` says.", "compare `revision` with that of the other gateways"},
 	{"started", every, "The process started and serves at `address` in `failure_domain`.", "nothing"},
 	{"stopping", gateway, "The gateway received a stop signal and exits within `limit`.", "nothing"},
+	{"departure not agreed", control, "The nodes did not agree in time that a backend server drains or has left, and its call was not acknowledged.", "if it happens without a partition or a failing disk, look at the leader's log"},
 	{"draining", entry + ", " + agent, "The process accepts no new work because of `reason` and completes what is in flight.", "nothing"},
 	{"stopped", every, "The process exits; `err` is null after a requested stop.", "if `err` is set, fix the fault that it names"},
 	{"reloaded", every, "The process reloaded its settings file.", "nothing"},
--- a/pkg/registry/wire_generated.go
+++ b/pkg/registry/wire_generated.go
@@ -8,6 +8,45 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// NewDeparture returns a Departure with the given fields.
+func NewDeparture(registration Registration, at uint64) Departure {
+	return Departure{registration: registration, at: at}
+}
+
+// Registration has the state Draining or Gone.
+func (d Departure) Registration() Registration { return d.registration }
+
+// At is when it was received, in Unix milliseconds.
+func (d Departure) At() uint64 { return d.at }
+
+// EncodeMsgpack writes the fields in order, as one array.
+func (d Departure) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if err := enc.EncodeArrayLen(2); err != nil {
+		return err
+	}
+	return enc.EncodeMulti(d.registration, d.at)
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote, of this version or another.
+func (d *Departure) DecodeMsgpack(dec *msgpack.Decoder) error {
+	count, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	fields := []any{&d.registration, &d.at}
+	for i := 0; i < count; i++ {
+		if i >= len(fields) {
+			err = dec.Skip()
+		} else {
+			err = dec.Decode(fields[i])
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // NewHolding returns a Holding with the given fields.
 func NewHolding(model string, version uint64, from int, to int) Holding {
 	return Holding{model: model, version: version, from: from, to: to}
@@ -79,7 +118,7 @@
 // State is its lifecycle state.
 func (r Registration) State() State { return r.state }
 
-// WarmupLeft is the remaining time for which it is slow after its start.
+// WarmupLeft is for how much longer it warms up and accepts only a low rate of requests.
 func (r Registration) WarmupLeft() time.Duration { return r.warmupLeft }
 
 // Holdings are the weights that it serves.
