--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -4,6 +4,7 @@
 //	POST /v1/orders            a fenced order: load, unload
 //	GET  /v1/state             instance, digests loaded, load, fence
 //	POST /v1/chat/completions  a request; server-sent events when streamed
+//	OPTIONS *                  a ping; any response will do
 //
 // Engine is a concrete type with function fields, so that a test can replace one function without a
 // server.
