--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -26,6 +26,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -115,6 +116,7 @@
 	namedAt map[uint64]time.Time
 	// links and servers are the proxies, by the third octet of the address.
 	links, servers map[int][]*faultproxy.Proxy
+	standins       sync.WaitGroup // the running stand-in servers
 }
 
 // startCluster starts a cluster, puts its configuration and waits until it is ready. Logs go to
@@ -131,7 +133,11 @@
 		links: map[int][]*faultproxy.Proxy{}, servers: map[int][]*faultproxy.Proxy{},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
+	// The next cluster of a process uses the same ports.
+	t.Cleanup(func() {
+		cancel()
+		cl.standins.Wait()
+	})
 	// Cleanups run in reverse order, so the programs end before the proxies.
 	cl.startProxies()
 	cl.startServers(ctx)
@@ -243,11 +249,11 @@
 
 func (cl *cluster) startServers(ctx context.Context) {
 	serve := func(run func(context.Context, string) error, address string) {
-		go func() {
+		cl.standins.Go(func() {
 			if err := run(ctx, address); err != nil {
 				cl.t.Error(err)
 			}
-		}()
+		})
 	}
 	serve(cl.origin.Run, cl.address(plainVMs, 0, originPort))
 	for i := range cl.config.engines {
@@ -285,11 +291,11 @@
 		SameInstance: cl.config.sameInstance, EngineParams: params,
 	}
 	cl.crashing = append(cl.crashing, s)
-	go func() {
+	cl.standins.Go(func() {
 		if err := s.Run(ctx); err != nil {
 			cl.t.Error(err)
 		}
-	}()
+	})
 }
 
 func (cl *cluster) sendHeartbeats(ctx context.Context, instance, service string, kind, index int, engine *standin.Engine) {
