--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -163,14 +163,17 @@
 	return s.agreeOnDeparture(r)
 }
 
-// agreeOnDeparture commits to the control log that a backend server drains or has left. Its acknowledgement
-// is the last that the server says, so it must not depend on a process that may be killed. The followers of
-// this node learn of it at once, since it is true whether or not the nodes agree.
+// agreeOnDeparture commits to the control log that a backend server drains or has left. A server does not
+// repeat what was acknowledged, so the nodes must know it even if this one is killed. The followers of this
+// node are told before, since the departure is a fact whether or not the nodes agree.
 func (s *Service) agreeOnDeparture(r registry.Registration) error {
-	if err := s.requireQuorum(); err != nil || s.state.departures.Covers(r) {
+	if err := s.requireQuorum(); err != nil {
 		return err
 	}
-	departure := s.state.departures.New(r)
+	if s.state.departures.Covers(r) {
+		return nil
+	}
+	departure := s.state.departures.AsOfNow(r)
 	_, err := s.propose(context.Background(), command{departure: &departure})
 	if err != nil {
 		_ = level.Warn(s.logger).Log("msg", "departure not agreed", "backend", r.Incarnation(), "state", string(r.State()), "err", err)
--- a/pkg/registry/departures.go
+++ b/pkg/registry/departures.go
@@ -1,8 +1,8 @@
 // ================================================================
-// The departures of backend servers that the control nodes have agreed on. A backend server stops sending
-// heartbeats, or its process, once its departure is acknowledged, so nobody repeats what is then forgotten.
-// Departures therefore pass through the control log before they are acknowledged, and outlive the processes
-// that knew them. They are kept only as long as a registration that they revoke may still be around.
+// The departures of backend servers that the control nodes have agreed on. A backend server does not repeat a
+// departure that was acknowledged, so one that is forgotten afterwards is forgotten for good. Departures
+// therefore pass through the control log before they are acknowledged. They are kept as long as a
+// registration that they revoke may still be around.
 // ================================================================
 
 package registry
@@ -40,8 +40,8 @@
 	return &Departures{now: now, ttl: ttl, byIncarnation: map[string]Departure{}}
 }
 
-// New returns a departure as of now.
-func (d *Departures) New(r Registration) Departure {
+// AsOfNow returns the departure that a registration reports, as received now.
+func (d *Departures) AsOfNow(r Registration) Departure {
 	return Departure{r, uint64(d.now().UnixMilli())}
 }
 
@@ -63,13 +63,20 @@
 	return changed
 }
 
-// Covers reports whether it is known that the start of a registration drains or has left.
+// Covers reports whether it is known that the start of a registration drains, or has left if the registration
+// says so.
 func (d *Departures) Covers(r Registration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.expire()
 	last, known := d.byIncarnation[r.incarnation]
-	return known && last.registration.startedAt >= r.startedAt && (r.state == Draining || last.registration.state == Gone)
+	switch {
+	case !known || last.registration.startedAt < r.startedAt:
+		return false
+	case last.registration.startedAt > r.startedAt:
+		return true
+	}
+	return r.state == Draining || last.registration.state == Gone
 }
 
 // All returns all departures, sorted by incarnation.
