Staging: order lines tell the age of the verification, and how long reads and the order took

order given has verify_ms, rewritten, order_ms and oldest_ms, the age of the first chunk's verification when the engine answered; a histogram has the ages. Ages are measured with a clock that includes suspensions. No change of logic.

--- a/pkg/staging/activate.go
+++ b/pkg/staging/activate.go
@@ -49,11 +49,12 @@
 		defer endDrain()
 		report.Running = running
 	}
-	if err := s.verifyStagedChunks(ctx, c); err != nil {
+	checked, err := s.verifyStagedChunks(ctx, c)
+	if err != nil {
 		_ = level.Warn(s.process.Logger).Log("msg", "staged chunks not verified", "err", err)
 		return busyInterval
 	}
-	s.sendOrder(ctx, c, report, due, service.Interruptible())
+	s.sendOrder(ctx, c, checked, report, due, service.Interruptible())
 	return busyInterval
 }
 
@@ -61,12 +62,17 @@
 // The control nodes agree on versions and these only rise, so an order for an older one, for
 // instance from a partitioned stager, is refused. interrupt makes the engine interrupt its running
 // requests, which must be able to resume on other engines.
-func (s *Stager) sendOrder(ctx context.Context, c *weightsCopy, report Report, due feed.VersionInfo, interrupt bool) {
+func (s *Stager) sendOrder(ctx context.Context, c *weightsCopy, checked verification, report Report, due feed.VersionInfo, interrupt bool) {
 	version := c.manifest.version
 	order := Order{Model: c.manifest.model, Version: version, Sequence: report.Sequence, Fence: version, Interrupts: interrupt}
+	sentAt := s.now()
 	err := s.protocol.SendOrder(ctx, s.settings.Engine(), order)
+	answeredAt := s.now()
+	age := checked.age(answeredAt)
+	s.metrics.verificationAge.Observe(age.Seconds())
 	_ = level.Info(s.process.Logger).Log("msg", "order given", "model", order.Model, "version", version, "due", due.Version(),
-		"sequence", order.Sequence, "running", report.Running, "since_named_ms", sinceNamed(due), "err", err)
+		"sequence", order.Sequence, "running", report.Running, "since_named_ms", sinceNamed(due), "verify_ms", checked.duration().Milliseconds(),
+		"rewritten", checked.rewritten, "order_ms", (answeredAt - sentAt).Milliseconds(), "oldest_ms", age.Milliseconds(), "err", err)
 	switch {
 	case err == nil:
 		s.awaitOrder(ctx, order)
@@ -107,7 +113,8 @@
 }
 
 // verifyStagedChunks reads every chunk back and rewrites the corrupt ones.
-func (s *Stager) verifyStagedChunks(ctx context.Context, c *weightsCopy) error {
+func (s *Stager) verifyStagedChunks(ctx context.Context, c *weightsCopy) (verification, error) {
+	v := verification{beganAt: s.now()}
 	for number, digest := range c.manifest.digests {
 		data, err := s.readStagedChunk(ctx, c.manifest.model, number)
 		if err == nil && digestOf(data) == digest {
@@ -116,12 +123,26 @@
 		_ = level.Warn(s.process.Logger).Log("msg", "staged chunk corrupt; writing it again", "chunk", number, "err", err)
 		s.metrics.chunks.WithLabelValues(string(sourceCorrupt)).Inc()
 		if err := s.stageChunk(ctx, c, number); err != nil {
-			return err
+			return verification{}, err
 		}
+		v.rewritten++
 	}
-	return nil
+	v.endedAt = s.now()
+	return v, nil
+}
+
+// verification is one verification of all staged chunks. Times are readings of Stager.now.
+type verification struct {
+	beganAt, endedAt time.Duration
+	rewritten        int // corrupt chunks that were written again
 }
 
+// duration returns how long the verification took.
+func (v verification) duration() time.Duration { return v.endedAt - v.beganAt }
+
+// age returns how long ago the first chunk was verified, since which it may have turned corrupt.
+func (v verification) age(now time.Duration) time.Duration { return now - v.beganAt }
+
 func (s *Stager) readStagedChunk(ctx context.Context, model string, number int) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
--- a/pkg/staging/drain_test.go
+++ b/pkg/staging/drain_test.go
@@ -6,11 +6,13 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
+	"github.com/tidepost/tidepost/pkg/suspension"
 )
 
 // testStager returns a stager, without its loops, whose engine answers with the given reports in
@@ -22,8 +24,11 @@
 		reads++
 		return r, nil
 	}
-	m := &Member{protocol: Protocol{ReadReport: readReport}, process: &daemon.Process{Logger: log.NewNopLogger()}}
-	return &Stager{Member: m, loadChanged: make(chan struct{}, 1)}
+	m := &Member{
+		protocol: Protocol{ReadReport: readReport}, process: &daemon.Process{Logger: log.NewNopLogger()},
+		metrics: newMetrics(prometheus.NewRegistry()),
+	}
+	return &Stager{Member: m, loadChanged: make(chan struct{}, 1), now: suspension.New().Elapsed}
 }
 
 // Guards against this failure: an order that waited for the longest stream kept an engine nearly
@@ -88,7 +93,7 @@
 	}
 	c, _ := testCopy(1)
 	report := Report{Sequence: 3}
-	s.sendOrder(t.Context(), c, report, feed.VersionInfo{}, true)
+	s.sendOrder(t.Context(), c, verification{}, report, feed.VersionInfo{}, true)
 	if len(orders) != 1 || orders[0].Fence != c.manifest.version {
 		t.Fatalf("orders: %+v", orders)
 	}
--- a/pkg/staging/metrics.go
+++ b/pkg/staging/metrics.go
@@ -12,15 +12,17 @@
 
 // metrics are the metrics of a stager.
 type metrics struct {
-	chunks  *prometheus.CounterVec
-	version prometheus.Gauge
+	chunks          *prometheus.CounterVec
+	version         prometheus.Gauge
+	verificationAge prometheus.Histogram
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
 	m := &metrics{
-		chunks:  metric.NewCounters(metric.StagerChunks, "source"),
-		version: metric.NewGauge(metric.StagerVersionServed),
+		chunks:          metric.NewCounters(metric.StagerChunks, "source"),
+		version:         metric.NewGauge(metric.StagerVersionServed),
+		verificationAge: metric.NewHistogram(metric.StagerVerificationAge),
 	}
-	r.MustRegister(m.chunks, m.version)
+	r.MustRegister(m.chunks, m.version, m.verificationAge)
 	return m
 }
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -59,6 +59,8 @@
 	draining    atomic.Bool
 	loadChanged chan struct{}
 	suspension  *suspension.Watch
+	// now reads a clock that includes suspensions, by which the ages of verifications are measured.
+	now func() time.Duration
 	// reportCache and reservations serve the gateways' slot reservations.
 	reportCache  reportCache
 	reservations reservation.Controller
@@ -73,6 +75,7 @@
 		return nil, err
 	}
 	s := &Stager{settings: c, loadChanged: make(chan struct{}, 1), suspension: suspension.New()}
+	s.now = s.suspension.Elapsed
 	s.seeds = daemon.NewSeeds(path, c, settings.LoadStager, process.Logger)
 	hello := feed.NewHello(feed.RoleStager, process.Identity, c.Service(), c.Engine(), nil, false)
 	seeds := func() []string { return link.WithPortOf(s.seeds.Get(), process.Identity.Address()) }
--- a/pkg/suspension/suspension.go
+++ b/pkg/suspension/suspension.go
@@ -70,6 +70,10 @@
 // Total returns the total duration of all suspensions detected so far.
 func (w *Watch) Total() time.Duration { return time.Duration(w.total.Load()) }
 
+// Elapsed returns a reading of the clock that includes suspensions. Only differences of readings
+// have a meaning.
+func (w *Watch) Elapsed() time.Duration { return w.boot() }
+
 // Run checks the clocks every checkInterval until the context ends.
 func (w *Watch) Run(ctx context.Context) error { return daemon.Every(ctx, checkInterval, w.Check) }
 
