Stand-in engine: staging is unchecked, orders name layers, and chunks may turn corrupt

What callers saw: answers made with weights of which a staged chunk had been bad for more than 3 s when the engine took the order. No soak could show it. Cause on our side: weightStore.accept answered 409 for a bad chunk and no chunk ever turned bad, whereas the protocol says that staging is unchecked, that what lies there may turn bad, and that an order takes it as it is.

The stand-in now does what the protocol says: orders have a range of layers; what isn't held is taken from the staging area when the order is accepted, beside the work for the same version, else after it; while another version loads no model is reported; an engine without all layers answers 421. Reads of chunks may be slow, orders may be taken late, and random chunks may turn corrupt.

The check with the 409 hid the fault and is gone. What replaces it: each load is recorded with the time for which its worst chunk had been bad, each request with that of the weights on which it begins, and every cluster of the soak fails at its end if that was more than 3 s; where the test corrupts no chunk, if any load had a bad chunk at all. So no bad load that got a 409 before goes unnoticed, in any soak test.

A request that waited at the engine while its version went away is refused now; before, it could begin without one.

--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -77,6 +77,8 @@
 	unframed        bool
 	// crashDelay is the time from the start of an answer to the crash, if it isn't the usual one.
 	crashDelay time.Duration
+	// weightFaults are the faults of the engines that don't crash.
+	weightFaults weightFaults
 	// toleratedLosses is how many control nodes may be lost at the same time.
 	toleratedLosses int
 }
@@ -132,6 +134,7 @@
 		origin: &standin.Origin{ChunkTime: chunkServiceTime}, namedAt: map[uint64]time.Time{},
 		links: map[int][]*faultproxy.Proxy{}, servers: map[int][]*faultproxy.Proxy{},
 	}
+	t.Cleanup(cl.checkWeights)
 	ctx, cancel := context.WithCancel(context.Background())
 	// The next cluster of a process uses the same ports.
 	t.Cleanup(func() {
@@ -259,6 +262,7 @@
 	for i := range cl.config.engines {
 		e := standin.NewEngine(fmt.Sprintf("e-%d", i+1), engineFigures, cl.runLog)
 		cl.engines = append(cl.engines, e)
+		cl.startWeightFaults(ctx, i, e)
 		serve(e.Run, cl.address(engineVMs, i, serverTargetPort))
 		cl.sendHeartbeats(ctx, e.Instance, standin.EngineService, engineVMs, i, e)
 	}
