Soak: weights with chunks that turned corrupt between verification and order (fails)

What callers saw: answers made with weights of which a chunk had been bad for more than 3 s when the engine took the order. The test runs the real programs with 6 engines; reads of a staged chunk take 120 ms and one chunk of each engine turns corrupt every 200 ms, while two versions are named under load. It asks that no request begins on weights that were taken with a chunk bad for more than 3 s, that all engines come to serve the last version, and that each request that ran is answered.

The bad chunks have low numbers: they are verified first, 3.8 s before the order.

--- a/soak/weights_test.go
+++ b/soak/weights_test.go
@@ -1,6 +1,6 @@
 // ================================================================
-// Staged chunks of weights that turn corrupt before an engine takes them. Every cluster checks at its end that
-// no request ran on such weights.
+// Staged chunks of weights that turn corrupt before an engine takes them, with the real programs and a fixed
+// seed. Every cluster checks at its end that no request ran on such weights.
 // ================================================================
 
 package soak
@@ -9,13 +9,23 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"testing"
 	"time"
 
 	"github.com/tidepost/tidepost/platform/standin"
 )
 
-// maxBadTime is for how long a staged chunk may have been bad when an engine takes it.
-const maxBadTime = 3 * time.Second
+const (
+	// maxBadTime is for how long a staged chunk may have been bad when an engine takes it.
+	maxBadTime = 3 * time.Second
+	// weightsPause is the time between two new versions of the weights, and weightsDeadline that within
+	// which each must be in use.
+	weightsPause    = 8 * time.Second
+	weightsDeadline = 10 * time.Second
+	// weightsAfterwards is how long callers go on once all engines serve the last version.
+	weightsAfterwards = time.Second
+)
 
 // weightFaults describes what happens to the engines' staged chunks and orders.
 type weightFaults struct {
@@ -92,3 +102,58 @@
 		cl.t.Errorf("%s", s)
 	}
 }
+
+// awaitVersion waits until every engine has served a version, at most for a time from now. It returns for
+// each engine that has how long after the naming of the version that was, in ascending order.
+func (cl *cluster) awaitVersion(version uint64, limit time.Duration) (reached []time.Duration) {
+	const pollInterval = 10 * time.Millisecond
+	pending := slices.Clone(cl.engines)
+	for deadline := time.Now().Add(limit); len(pending) > 0 && time.Now().Before(deadline); time.Sleep(pollInterval) {
+		pending = slices.DeleteFunc(pending, func(e *standin.Engine) bool {
+			if e.ServedVersion() != version {
+				return false
+			}
+			reached = append(reached, time.Since(cl.namedAt[version]))
+			return true
+		})
+	}
+	return reached
+}
+
+// Guards against orders that engines take so long after the verification of the staged chunks that they load
+// chunks that have turned corrupt since.
+func TestNoRequestRunsOnWeightsThatWereBadWhenTaken(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults weightFaults
+	}{
+		{"slow reads", weightFaults{readTime: always(120 * time.Millisecond), corruptInterval: 200 * time.Millisecond}},
+	} {
+		t.Run(c.name, func(t *testing.T) { testWeightFaults(t, c.faults) })
+	}
+}
+
+// always returns the same time for all engines.
+func always(d time.Duration) func(engine int) time.Duration {
+	return func(int) time.Duration { return d }
+}
+
+// testWeightFaults names two versions under load, and checks that all engines come to serve the last one and
+// callers are served throughout. The cluster checks the weights at its end.
+func testWeightFaults(t *testing.T, faults weightFaults) {
+	cl := startCluster(t, clusterConfig{
+		control: 3, gateways: 2, engines: 6, plain: 1, plainServiceTime: plainServiceTime, rolloutDeadline: weightsDeadline, weightFaults: faults,
+	}, logFolder(t))
+	end := cl.startKeepAliveCallers(t)
+	const first, last = standin.FirstVersion + 1, standin.FirstVersion + 2
+	cl.nameVersion(t.Context(), first)
+	time.Sleep(weightsPause)
+	cl.nameVersion(t.Context(), last)
+	reached := cl.awaitVersion(last, longDeadline)
+	time.Sleep(weightsAfterwards)
+	checkAnswered(t, cl, end())
+	fmt.Printf("weights: %s; last version served after %v\n", cl.summarizeLoads(), reached)
+	if len(reached) < len(cl.engines) {
+		t.Errorf("%d of %d engines came to serve version %d within %s", len(reached), len(cl.engines), last, longDeadline)
+	}
+}
