Staging: the age of each chunk's verification is bounded when the engine takes the order

One such load serves until the next version.

Cause: verifyStagedChunks read the chunks one after the other and the order followed the last. Nothing bounded how old the first verification was when the engine took the order, neither while the reads were slow (31 ms a read are enough for 96 chunks) nor while the order was: SendOrder had no deadline, and an engine takes an order whose call has ended. A chunk that turns bad in between is loaded.

The order has a deadline, and the engine's report shows that it was taken where the answer is lost. - Right before the order the engine's report is read again and the age is checked again: this process may have been stopped since.

--- a/pkg/logline/table.go
+++ b/pkg/logline/table.go
@@ -118,7 +118,8 @@
 	{"staged chunks not verified", stager, "The engine did not report which chunks it has.", "check the engine"},
 	{"staged chunk corrupt; writing it again", stager, "A staged chunk no longer matches its digest; the stager writes it again.", "check the memory and disk of the VM"},
 	{"engine not reached while draining", stager, "The engine did not report its running requests while it was being drained.", "check the engine"},
-	{"order given", stager, "The stager ordered the engine to load `version` while `running` requests were running or queued; `err` if that failed. The verification of the staged chunks took `verify_ms`, with `rewritten` corrupt ones, and the order `order_ms`; the oldest verification of a chunk was `oldest_ms` old when the engine answered.", "if `running` is high, engines are at capacity during the rollout; if `oldest_ms` comes near 3000, the VM is overloaded"},
+	{"order not sent", stager, "An order was not sent, since the oldest verification of a chunk was `oldest_ms` old, or the engine had taken another order meanwhile; the stager verifies again.", "if it repeats, check the load of the VM and whether another stager uses the engine"},
+	{"order given", stager, "The stager ordered the engine to load the `layers` of `version` while `running` requests were running or queued; `err` if that failed. The verification of the staged chunks took `verify_ms`, with `rewritten` corrupt ones, and the order `order_ms`; the oldest verification of a chunk was `oldest_ms` old at most when the engine took it.", "if `running` is high, engines are at capacity during the rollout; if `oldest_ms` comes near 3000, the VM is overloaded"},
 
 	// ----------------------------------------------------------------
 	// Entries and agents
--- a/pkg/metric/table.go
+++ b/pkg/metric/table.go
@@ -100,7 +100,7 @@
 	{GatewayConfigNumber, "gateway", "Number of the service configuration in force on this gateway.", "if gateways differ for more than 2 s, one is partitioned from the control nodes"},
 	{StagerChunks, "stager", "Chunks by source: origin, peer or engine, and corrupt ones as spoilt.", "if many come from the origin, peers are unreachable; if many are spoilt, check the source"},
 	{StagerVersionServed, "stager", "Version that the engine of this VM serves.", "if it is behind the target version, read the stager's log lines"},
-	{StagerVerificationAge, "stager", "Age of the oldest verification of a staged chunk when the engine answered an order to load it, in seconds.", "if it comes near 3 s, the VM or its engine is overloaded: weights that turn bad meanwhile are loaded unnoticed"},
+	{StagerVerificationAge, "stager", "Greatest age of the verification of a staged chunk when the engine took an order to load it, in seconds.", "if it comes near 3 s, the VM or its engine is overloaded, and layers are loaded several times"},
 	{LinkProbes, "all", "Liveness checks of links on which an answer was late, by result: speaks, replaced, unreached or unknown.", "replaced: connections go silent without a reset, check the network between the VMs; unreached: a VM is down or partitioned; many speaks: processes are slow or links full"},
 	{LogLinesDropped, "all", "Log lines dropped because their reader was too slow.", "read the logs faster, or raise log.level"},
 	{InvariantBroken, "both", "Failed invariant checks; any value above zero is a bug.", "report it with the output of tidepost timeline -o jsonl"},
--- a/pkg/staging/activate.go
+++ b/pkg/staging/activate.go
@@ -11,10 +11,12 @@
 	"context"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
@@ -25,23 +27,27 @@
 	// sent.
 	firstOrderShare = 0.38
 	lastOrderShare  = 0.88
-	// orderTimeout is how long the stager waits for an order to be carried out before it sends
-	// another.
+	// orderTimeout is how long the stager waits for the answer to an order, and then for it to be
+	// carried out, before it sends another.
 	orderTimeout = 6 * time.Second
+	// orderPollInterval is the time between reports that are read while an order is not answered.
+	orderPollInterval = 250 * time.Millisecond
 )
 
 // activate makes the engine serve a complete copy once its order time has come, and returns the
 // time until the next step. due is the version that is due first; the copy is of that version or a
-// later one.
+// later one. If verification is slow, each call loads as many further layers as were verified in time.
 func (s *Stager) activate(ctx context.Context, c *weightsCopy, report Report, due feed.VersionInfo, service *serviceconfig.Service) time.Duration {
+	layers := layerCount(service)
 	if s.staged != c {
+		s.verification = newVerification(len(c.manifest.digests), layers)
 		if err := s.stageChunks(ctx, c); err != nil {
 			_ = level.Warn(s.process.Logger).Log("msg", "chunks not staged", "err", err)
 			return busyInterval
 		}
 		s.staged = c
 	}
-	if wait := time.Until(s.orderTime(c, report, due)); wait > 0 {
+	if wait := time.Until(s.orderTime(c, report, due, layers)); wait > 0 {
 		return min(wait, idleInterval)
 	}
 	if report.Running > 0 && service.Interruptible() {
@@ -49,38 +55,101 @@
 		defer endDrain()
 		report.Running = running
 	}
-	checked, err := s.verifyStagedChunks(ctx, c)
+	verified, err := s.verifyLayers(ctx, c, s.soundLayers(report, c.manifest).to)
 	if err != nil {
 		_ = level.Warn(s.process.Logger).Log("msg", "staged chunks not verified", "err", err)
 		return busyInterval
 	}
-	s.sendOrder(ctx, c, checked, report, due, service.Interruptible())
+	s.sendOrder(ctx, c, verified, report, due, service.Interruptible())
 	return busyInterval
 }
 
-// sendOrder sends the order and waits until it is carried out. Its fencing token is the version.
-// The control nodes agree on versions and these only rise, so an order for an older one, for
-// instance from a partitioned stager, is refused. interrupt makes the engine interrupt its running
-// requests, which must be able to resume on other engines.
-func (s *Stager) sendOrder(ctx context.Context, c *weightsCopy, checked verification, report Report, due feed.VersionInfo, interrupt bool) {
-	version := c.manifest.version
-	order := Order{Model: c.manifest.model, Version: version, Sequence: report.Sequence, Fence: version, Interrupts: interrupt}
+// layerCount returns the number of layers of a service's model; 1 if it is loaded as a whole.
+func layerCount(service *serviceconfig.Service) int { return max(service.Engine().Layers(), 1) }
+
+// soundLayers returns the layers of a version that the engine holds and that are known to be sound,
+// if these are the first ones; no layers otherwise.
+func (s *Stager) soundLayers(report Report, m Manifest) layerRange {
+	known, held := s.sound.Load(), loadOf(report, m.model)
+	if known == nil || !known.explains(held) || held.version != m.version || held.layers.from > 0 {
+		return layerRange{}
+	}
+	return held.layers
+}
+
+// sendOrder has the engine load some layers besides the sound ones before them, and waits until the
+// order is carried out. The order's fencing token is the version. The control nodes agree on versions
+// and these only rise, so an order for an older one, for instance from a partitioned stager, is
+// refused. interrupt makes the engine interrupt its running requests, which must be able to resume on
+// other engines.
+//
+// The engine may take the order long after it was sent. Until it has, the chunks are verified again,
+// so that each verification is recent whenever the engine takes the order.
+func (s *Stager) sendOrder(ctx context.Context, c *weightsCopy, verified verifiedLayers, report Report, due feed.VersionInfo, interrupt bool) {
+	version, layers := c.manifest.version, verified.layers
+	order := Order{
+		Model: c.manifest.model, Version: version, Sequence: report.Sequence, Fence: version, Interrupts: interrupt,
+		Partial: layers.to < s.verification.layers, Layers: layers.to,
+	}
 	sentAt := s.now()
-	err := s.protocol.SendOrder(ctx, s.settings.Engine(), order)
-	answeredAt := s.now()
-	age := checked.age(answeredAt)
+	if !s.mayOrder(ctx, report, layers, sentAt) {
+		return
+	}
+	endVerification := s.keepVerified(ctx, c, layers)
+	err := s.callOrder(ctx, order, report)
+	takenBy := s.now()
+	endVerification()
+	age := s.verification.maxAge(layers, sentAt, takenBy)
 	s.metrics.verificationAge.Observe(age.Seconds())
-	_ = level.Info(s.process.Logger).Log("msg", "order given", "model", order.Model, "version", version, "due", due.Version(),
-		"sequence", order.Sequence, "running", report.Running, "since_named_ms", sinceNamed(due), "verify_ms", checked.duration().Milliseconds(),
-		"rewritten", checked.rewritten, "order_ms", (answeredAt - sentAt).Milliseconds(), "oldest_ms", age.Milliseconds(), "err", err)
+	_ = level.Info(s.process.Logger).Log("msg", "order given", "model", order.Model, "version", version, "due", due.Version(), "layers", layers.String(),
+		"sequence", order.Sequence, "running", report.Running, "since_named_ms", sinceNamed(due), "verify_ms", verified.took.Milliseconds(),
+		"rewritten", verified.rewritten, "order_ms", (takenBy - sentAt).Milliseconds(), "oldest_ms", age.Milliseconds(), "err", err)
 	switch {
 	case err == nil:
-		s.awaitOrder(ctx, order)
+		if age <= maxVerificationAge {
+			s.sound.Store(&load{report.StartedAt, report.Sequence + 1, version, layerRange{0, layers.to}})
+		}
+		s.awaitOrder(ctx)
 	case failure.Is(err, failure.StaleOrder):
 		s.refusedFence = refusedFence{order.Fence, report.Sequence, report.StartedAt}
 	}
 }
 
+// mayOrder reports whether an order may be sent now: the verifications are recent, although this
+// process may have been stopped since, and the engine has taken no other order since the report.
+func (s *Stager) mayOrder(ctx context.Context, report Report, layers layerRange, now time.Duration) bool {
+	latest, err := s.report(ctx)
+	age := s.verification.maxAge(layers, now, s.now())
+	if err == nil && age <= maxVerificationAge && !latest.Busy && latest.Sequence == report.Sequence && latest.StartedAt == report.StartedAt {
+		return true
+	}
+	_ = level.Warn(s.process.Logger).Log("msg", "order not sent", "oldest_ms", age.Milliseconds(), "sequence", report.Sequence, "sequence_now", latest.Sequence,
+		"busy", latest.Busy, "err", err)
+	return false
+}
+
+// callOrder sends an order and returns once the engine has answered or its report shows that it has
+// taken an order since the given report. After orderTimeout the outcome is unknown: the engine may
+// still take the order.
+func (s *Stager) callOrder(ctx context.Context, o Order, before Report) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	var taken atomic.Bool
+	go func() {
+		_ = daemon.Every(ctx, orderPollInterval, func() {
+			if r, err := s.report(ctx); err == nil && r.Sequence > before.Sequence && r.StartedAt == before.StartedAt {
+				taken.Store(true)
+				cancel()
+			}
+		})
+	}()
+	err := s.protocol.SendOrder(ctx, s.settings.Engine(), o)
+	if taken.Load() {
+		return nil
+	}
+	return err
+}
+
 // refusedFence is a fencing token that the engine refused because it had seen a higher one, the
 // number of orders that the engine had taken by then, and when the engine had started. The zero
 // value blocks no order.
@@ -96,65 +165,12 @@
 	return fence <= r.fence && report.Sequence >= r.sequence && report.StartedAt == r.started
 }
 
-// stageChunks writes every chunk to the engine's staging area.
-func (s *Stager) stageChunks(ctx context.Context, c *weightsCopy) error {
-	for number := range c.manifest.digests {
-		if err := s.stageChunk(ctx, c, number); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (s *Stager) stageChunk(ctx context.Context, c *weightsCopy, number int) error {
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
-	defer cancel()
-	return s.protocol.PutChunk(ctx, s.settings.Engine(), c.manifest.model, number, c.get(number))
-}
-
-// verifyStagedChunks reads every chunk back and rewrites the corrupt ones.
-func (s *Stager) verifyStagedChunks(ctx context.Context, c *weightsCopy) (verification, error) {
-	v := verification{beganAt: s.now()}
-	for number, digest := range c.manifest.digests {
-		data, err := s.readStagedChunk(ctx, c.manifest.model, number)
-		if err == nil && digestOf(data) == digest {
-			continue
-		}
-		_ = level.Warn(s.process.Logger).Log("msg", "staged chunk corrupt; writing it again", "chunk", number, "err", err)
-		s.metrics.chunks.WithLabelValues(string(sourceCorrupt)).Inc()
-		if err := s.stageChunk(ctx, c, number); err != nil {
-			return verification{}, err
-		}
-		v.rewritten++
-	}
-	v.endedAt = s.now()
-	return v, nil
-}
-
-// verification is one verification of all staged chunks. Times are readings of Stager.now.
-type verification struct {
-	beganAt, endedAt time.Duration
-	rewritten        int // corrupt chunks that were written again
-}
-
-// duration returns how long the verification took.
-func (v verification) duration() time.Duration { return v.endedAt - v.beganAt }
-
-// age returns how long ago the first chunk was verified, since which it may have turned corrupt.
-func (v verification) age(now time.Duration) time.Duration { return now - v.beganAt }
-
-func (s *Stager) readStagedChunk(ctx context.Context, model string, number int) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
-	defer cancel()
-	return s.protocol.GetChunk(ctx, s.settings.Engine(), model, number)
-}
-
 // orderTime returns when this engine gets its order. The order times of the engines are spread over
 // the part of the rollout limit in which orders are sent, or over what is left of it once the copy
-// is complete. An engine that serves no version has no requests to interrupt, so it gets its order
-// at once.
-func (s *Stager) orderTime(c *weightsCopy, report Report, due feed.VersionInfo) time.Time {
-	if len(report.Holdings) == 0 || due.NamedAt().IsZero() {
+// is complete. An engine that serves no complete version has no requests to interrupt, so it gets its
+// order at once.
+func (s *Stager) orderTime(c *weightsCopy, report Report, due feed.VersionInfo, layers int) time.Time {
+	if completeVersion(report.Holdings, c.manifest.model, layers) == 0 || due.NamedAt().IsZero() {
 		return time.Time{}
 	}
 	order := s.rolloutOrder(c.manifest.model)
@@ -192,16 +208,13 @@
 	return order
 }
 
-// awaitOrder waits until the engine serves the ordered version, at most for orderTimeout. It
-// returns early if the engine does not answer or has not taken the order.
-func (s *Stager) awaitOrder(ctx context.Context, o Order) {
+// awaitOrder waits until the engine has carried out an order, at most for orderTimeout. It returns
+// early if the engine does not answer or has not taken the order.
+func (s *Stager) awaitOrder(ctx context.Context) {
 	until := time.Now().Add(orderTimeout)
 	for ctx.Err() == nil && time.Now().Before(until) {
 		report, err := s.report(ctx)
-		if err != nil || completeVersion(report.Holdings, o.Model, 0) == o.Version && !report.Busy {
-			return
-		}
-		if !report.Busy && report.Sequence == o.Sequence {
+		if err != nil || !report.Busy {
 			return
 		}
 		select {
--- a/pkg/staging/drain_test.go
+++ b/pkg/staging/drain_test.go
@@ -85,15 +85,17 @@
 // A fencing token that was refused because of a higher one is not used again until the engine has
 // restarted and lost both.
 func TestRefusedFencingTokenIsNotReused(t *testing.T) {
-	s := testStager(Report{})
+	report := Report{Sequence: 3}
+	s := testStager(report)
 	var orders []Order
 	s.protocol.SendOrder = func(_ context.Context, _ string, o Order) error {
 		orders = append(orders, o)
 		return failure.New(failure.StaleOrder, "fencing token 5 was seen")
 	}
 	c, _ := testCopy(1)
-	report := Report{Sequence: 3}
-	s.sendOrder(t.Context(), c, verification{}, report, feed.VersionInfo{}, true)
+	s.verification = newVerification(1, 1)
+	s.verification.add(0, s.now())
+	s.sendOrder(t.Context(), c, verifiedLayers{layers: layerRange{0, 1}}, report, feed.VersionInfo{}, true)
 	if len(orders) != 1 || orders[0].Fence != c.manifest.version {
 		t.Fatalf("orders: %+v", orders)
 	}
@@ -116,7 +118,8 @@
 		return failure.New(failure.Conflict, "an order is being carried out")
 	}
 	c, _ := testCopy(1)
-	s.staged = c
+	s.staged, s.verification = c, newVerification(1, 1)
+	s.sound.Store(&load{})
 	engine := serviceconfig.NewEngine(16, []string{"menu"}, 1, 1, 8, time.Millisecond, 0, 0, 0, 0, 0, 0)
 	for _, interruptible := range []bool{false, true} {
 		service := serviceconfig.NewService("menu", "", 0, "", engine, interruptible, 0)
--- a/pkg/staging/protocol.go
+++ b/pkg/staging/protocol.go
@@ -54,6 +54,10 @@
 	// Interrupts is true if the engine must interrupt its running requests. Otherwise it completes
 	// them first.
 	Interrupts bool
+	// Partial is true if the engine must hold only the first Layers layers of the model, which may be
+	// none; it drops any others and loads those that it does not hold. Otherwise it must hold all.
+	Partial bool
+	Layers  int
 }
 
 // Protocol is the protocol of the engine and the origin. All addresses are IP:PORT.
--- /dev/null
+++ b/pkg/staging/sound_load.go
@@ -0,0 +1,55 @@
+// ================================================================
+// Which load of the engine is known to be sound: its layers were loaded from chunks that had been
+// verified at most maxVerificationAge before, or that were found intact afterwards. Each order raises
+// the engine's count of orders, so a load that no order of this process explains is noticed by the
+// count, for example one whose order was taken after its call had ended.
+// ================================================================
+
+package staging
+
+import "fmt"
+
+// layerRange is a range of a model's layers, to exclusive.
+type layerRange struct{ from, to int }
+
+// isEmpty reports whether the range has no layer.
+func (r layerRange) isEmpty() bool { return r.from >= r.to }
+
+// contains reports whether all layers of another range are in this one.
+func (r layerRange) contains(other layerRange) bool { return r.from <= other.from && other.to <= r.to }
+
+// String returns the range as from-to.
+func (r layerRange) String() string { return fmt.Sprintf("%d-%d", r.from, r.to) }
+
+// load is what an engine holds after a number of orders.
+type load struct {
+	startedAt, sequence uint64 // of the engine's report
+	version             uint64
+	layers              layerRange
+}
+
+// loadOf returns the load of a model that the engine reports.
+func loadOf(report Report, model string) load {
+	l := load{startedAt: report.StartedAt, sequence: report.Sequence}
+	for _, h := range report.Holdings {
+		if h.Model() == model && h.To() > h.From() {
+			l.version = h.Version()
+			l.layers = layerRange{h.From(), h.To()}
+		}
+	}
+	return l
+}
+
+// isSameAs reports whether the engine has taken no order between two reports.
+func (l load) isSameAs(other load) bool {
+	return l.startedAt == other.startedAt && l.sequence == other.sequence
+}
+
+// explains reports whether all layers that the engine reports are part of the known load. Without
+// layers the engine serves nothing, so nothing has to be known.
+func (l load) explains(reported load) bool {
+	if reported.layers.isEmpty() {
+		return true
+	}
+	return l.isSameAs(reported) && l.version == reported.version && l.layers.contains(reported.layers)
+}
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -48,12 +48,14 @@
 	seeds         *daemon.Reloadable[[]string]
 	servedVersion atomic.Uint64 // the version that the engine served at the last check
 	// ready is the newest complete copy, downloading the version that is being downloaded, and
-	// staged the copy whose chunks are in the engine's staging area. Only the control loop uses
-	// staged.
+	// staged the copy whose chunks are in the engine's staging area, with their verification. Only
+	// the control loop uses staged and verification.
 	ready        atomic.Pointer[weightsCopy]
 	downloading  atomic.Uint64
 	staged       *weightsCopy
-	refusedFence refusedFence // the last order that the engine refused for its fencing token
+	verification *verification
+	sound        atomic.Pointer[load] // the newest load that is known to be sound; nil before the first report
+	refusedFence refusedFence         // the last order that the engine refused for its fencing token
 	// draining is set while the engine must get no new requests although it has no order yet.
 	// loadChanged triggers an immediate load report.
 	draining    atomic.Bool
@@ -145,7 +147,7 @@
 		return idleInterval
 	}
 	want := s.newestNamed(model)
-	served := completeVersion(report.Holdings, model, max(service.Engine().Layers(), 1))
+	served := completeVersion(report.Holdings, model, layerCount(service))
 	s.metrics.version.Set(float64(served))
 	s.servedVersion.Store(served)
 	if served >= want.Version() {
