Staging: a load that no order explains serves only once it is known to be sound

What callers would have seen: answers made with the chunks of two versions, or with chunks long bad. An order whose call has ended may still be taken, after the chunks of the next version were staged, or with verifications of any age; so may the order of a stager that has ended. The engine then reports a complete version, and gateways and registry call it sound.

Cause: what the engine holds was taken from its report alone, as if each load were one that this process had verified.

Change: the engine counts its orders, so the stager knows for which count it has verified a load. Any other one gets no requests (no version in load reports, no reservations) until it is known to be sound: its chunks were verified at all times since the order was sent, or are read back intact, since a chunk does not become intact by itself. The engine drops the layers for which neither holds, and these are loaded again; it does not load a layer anew that it holds. A stager that starts beside a load in progress reads it back; one that starts beside a finished load takes it as sound.

--- a/pkg/staging/activate.go
+++ b/pkg/staging/activate.go
@@ -70,8 +70,8 @@
 // soundLayers returns the layers of a version that the engine holds and that are known to be sound,
 // if these are the first ones; no layers otherwise.
 func (s *Stager) soundLayers(report Report, m Manifest) layerRange {
-	known, held := s.sound.Load(), loadOf(report, m.model)
-	if known == nil || !known.explains(held) || held.version != m.version || held.layers.from > 0 {
+	held := loadOf(report, m.model)
+	if !s.sound.Load().explains(held) || held.version != m.version || held.layers.from > 0 {
 		return layerRange{}
 	}
 	return held.layers
@@ -95,6 +95,7 @@
 	if !s.mayOrder(ctx, report, layers, sentAt) {
 		return
 	}
+	s.lastOrder = sentOrder{loadOf(report, order.Model), sentAt}
 	endVerification := s.keepVerified(ctx, c, layers)
 	err := s.callOrder(ctx, order, report)
 	takenBy := s.now()
--- a/pkg/staging/loads.go
+++ b/pkg/staging/loads.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/tidepost/tidepost/pkg/feed"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
 const (
@@ -57,6 +58,18 @@
 	if err != nil {
 		return feed.Load{}, false
 	}
-	version := completeVersion(report.Holdings, model, max(service.Engine().Layers(), 1))
-	return feed.NewLoad(service.Name(), s.settings.Engine(), model, version, report.Running, report.Queued, report.StepTimeRatio, report.Busy || s.draining.Load(), s.isExchanging()), true
+	version, busy := s.usableVersion(report, model, service)
+	if !report.Busy && !s.isSound(report, model) {
+		s.wakeLoop()
+	}
+	return feed.NewLoad(service.Name(), s.settings.Engine(), model, version, report.Running, report.Queued, report.StepTimeRatio, busy, s.isExchanging()), true
+}
+
+// usableVersion returns the version with which the engine may serve requests; 0 if there is none. busy
+// reports whether the engine must get no new requests for now.
+func (s *Stager) usableVersion(report Report, model string, service *serviceconfig.Service) (version uint64, busy bool) {
+	if !s.isSound(report, model) {
+		return 0, true
+	}
+	return completeVersion(report.Holdings, model, layerCount(service)), report.Busy || s.draining.Load()
 }
--- a/pkg/staging/reservations.go
+++ b/pkg/staging/reservations.go
@@ -72,8 +72,7 @@
 
 // decide grants or refuses a reservation.
 func (s *Stager) decide(request reservation.Request, model string, service *serviceconfig.Service, report Report) reservation.Response {
-	version := completeVersion(report.Holdings, model, max(service.Engine().Layers(), 1))
-	busy := report.Busy || s.draining.Load()
+	version, busy := s.usableVersion(report, model, service)
 	work := reservation.Work{Running: report.Running, Queued: report.Queued, StepTimeRatio: report.StepTimeRatio}
 	var granted bool
 	var firstEventIn time.Duration
--- a/pkg/staging/sound_load.go
+++ b/pkg/staging/sound_load.go
@@ -7,7 +7,10 @@
 
 package staging
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // layerRange is a range of a model's layers, to exclusive.
 type layerRange struct{ from, to int }
@@ -45,6 +48,37 @@
 	return l.startedAt == other.startedAt && l.sequence == other.sequence
 }
 
+// isNextAfter reports whether the engine has taken one order since an earlier report.
+func (l load) isNextAfter(before load) bool {
+	return l.startedAt == before.startedAt && l.sequence == before.sequence+1
+}
+
+// sentOrder is when an order was sent, and what the engine held then.
+type sentOrder struct {
+	before load
+	sentAt time.Duration // a reading of Stager.now
+}
+
+// firstLoad returns the load that is taken to be sound when the first report of an engine arrives. An
+// order that is being carried out then was sent by an earlier process, whose verifications are not
+// known.
+func firstLoad(report Report, model string) load {
+	l := loadOf(report, model)
+	if report.Busy {
+		return load{startedAt: l.startedAt, sequence: l.sequence - 1}
+	}
+	return l
+}
+
+// keptLayers returns the first layers of a load that the engine had before and kept, since it has taken
+// one order since.
+func (l load) keptLayers(before load) layerRange {
+	if !l.isNextAfter(before) || l.version != before.version || l.layers.from > 0 || before.layers.from > 0 {
+		return layerRange{}
+	}
+	return layerRange{0, min(l.layers.to, before.layers.to)}
+}
+
 // explains reports whether all layers that the engine reports are part of the known load. Without
 // layers the engine serves nothing, so nothing has to be known.
 func (l load) explains(reported load) bool {
--- a/pkg/staging/sound_load_test.go
+++ b/pkg/staging/sound_load_test.go
@@ -52,6 +52,41 @@
 	}
 }
 
+// Guards against weights that consist of the chunks of two versions: an order whose call has ended is
+// taken after the chunks of the next version were staged.
+func TestLateOrderDoesNotServeChunksOfNextVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		second, third := fullCopy(t, 2), fullCopy(t, 3)
+		e := newStandinEngine(second, third)
+		e.orderDelay = func(uint64) time.Duration { return 2 * orderTimeout }
+		s := stagerOf(t, e)
+		name(s, second)
+		testLoads(t, e, s, 3, 1, func() {
+			time.Sleep(orderTimeout / 2)
+			name(s, third)
+		})
+	})
+}
+
+// Guards against a load that an earlier process ordered and whose verification nobody knows.
+func TestLoadOrderedByEarlierProcessIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := fullCopy(t, 2)
+		e := newStandinEngine(c)
+		for number := range testChunks {
+			e.staged[number] = c.get(number)
+		}
+		e.spoil(testChunks / 2)
+		time.Sleep(maxVerificationAge + time.Second)
+		if err := e.load(Order{Version: 2}); err != nil {
+			t.Fatal(err)
+		}
+		s := stagerOf(t, e)
+		name(s, c)
+		testLoads(t, e, s, 2, 1, func() {})
+	})
+}
+
 // testLoads spoils chunks at random until the end of rolloutTime, and checks that each version is
 // offered to gateways only while the engine holds it intact, and the last one by then.
 func testLoads(t *testing.T, e *standinEngine, s *Stager, last, seed uint64, besides func()) {
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -55,6 +55,7 @@
 	staged       *weightsCopy
 	verification *verification
 	sound        atomic.Pointer[load] // the newest load that is known to be sound; nil before the first report
+	lastOrder    sentOrder            // the last order that was sent; only the control loop uses it
 	refusedFence refusedFence         // the last order that the engine refused for its fencing token
 	// draining is set while the engine must get no new requests although it has no order yet.
 	// loadChanged triggers an immediate load report.
@@ -146,6 +147,9 @@
 		// The engine is down, and it serves no version after its restart.
 		return idleInterval
 	}
+	if !report.Busy && !s.isSound(report, model) {
+		return s.recheckLoad(ctx, model, report, service)
+	}
 	want := s.newestNamed(model)
 	served := completeVersion(report.Holdings, model, layerCount(service))
 	s.metrics.version.Set(float64(served))
