Staging: what proves that a load is sound takes writes and restarts into account

Now a chunk that may have been written since the engine's load was last as known proves nothing by being intact; nor do chunks of another copy than the staged one. - A write counted as a verification from its beginning, but until its end the engine loads what was there before. A check now has two times: the age before a write runs until its end, the age after it from its beginning. A write that failed may take effect later; no chunk is proven by reading after one. - Engines that do not report their start count orders anew after a restart, so a late load with the same count was taken for the known one. An engine that reports no layers, and no order in progress, makes what was known void. Only the control loop changes what is known; load reports and reservations read it.

TestReservationsAreGranted... gives the stager its first report, as the control loop does.

--- a/pkg/staging/activate.go
+++ b/pkg/staging/activate.go
@@ -39,13 +39,15 @@
 // later one. If verification is slow, each call loads as many further layers as were verified in time.
 func (s *Stager) activate(ctx context.Context, c *weightsCopy, report Report, due feed.VersionInfo, service *serviceconfig.Service) time.Duration {
 	layers := layerCount(service)
-	if s.staged != c {
-		s.verification = newVerification(len(c.manifest.digests), layers)
-		if err := s.stageChunks(ctx, c); err != nil {
+	if s.staged == nil || s.staged.copy != c {
+		s.staged = newStagedCopy(c, layers)
+	}
+	if !s.staged.isComplete {
+		if err := s.stageChunks(ctx, s.staged); err != nil {
 			_ = level.Warn(s.process.Logger).Log("msg", "chunks not staged", "err", err)
 			return busyInterval
 		}
-		s.staged = c
+		s.staged.isComplete = true
 	}
 	if wait := time.Until(s.orderTime(c, report, due, layers)); wait > 0 {
 		return min(wait, idleInterval)
@@ -55,12 +57,12 @@
 		defer endDrain()
 		report.Running = running
 	}
-	verified, err := s.verifyLayers(ctx, c, s.soundLayers(report, c.manifest).to)
+	verified, err := s.verifyLayers(ctx, s.staged, s.soundLayers(report, c.manifest).to)
 	if err != nil {
 		_ = level.Warn(s.process.Logger).Log("msg", "staged chunks not verified", "err", err)
 		return busyInterval
 	}
-	s.sendOrder(ctx, c, verified, report, due, service.Interruptible())
+	s.sendOrder(ctx, s.staged, verified, report, due, service.Interruptible())
 	return busyInterval
 }
 
@@ -71,7 +73,7 @@
 // if these are the first ones; no layers otherwise.
 func (s *Stager) soundLayers(report Report, m Manifest) layerRange {
 	held := loadOf(report, m.model)
-	if !s.sound.Load().explains(held) || held.version != m.version || held.layers.from > 0 {
+	if !s.isSound(report, m.model) || held.version != m.version || held.layers.from > 0 {
 		return layerRange{}
 	}
 	return held.layers
@@ -85,22 +87,22 @@
 //
 // The engine may take the order long after it was sent. Until it has, the chunks are verified again,
 // so that each verification is recent whenever the engine takes the order.
-func (s *Stager) sendOrder(ctx context.Context, c *weightsCopy, verified verifiedLayers, report Report, due feed.VersionInfo, interrupt bool) {
-	version, layers := c.manifest.version, verified.layers
+func (s *Stager) sendOrder(ctx context.Context, staged *stagedCopy, verified verifiedLayers, report Report, due feed.VersionInfo, interrupt bool) {
+	manifest, layers := staged.copy.manifest, verified.layers
+	version := manifest.version
 	order := Order{
-		Model: c.manifest.model, Version: version, Sequence: report.Sequence, Fence: version, Interrupts: interrupt,
-		Partial: layers.to < s.verification.layers, Layers: layers.to,
+		Model: manifest.model, Version: version, Sequence: report.Sequence, Fence: version, Interrupts: interrupt,
+		Partial: layers.to < staged.layers, Layers: layers.to,
 	}
 	sentAt := s.now()
-	if !s.mayOrder(ctx, report, layers, sentAt) {
+	if !s.mayOrder(ctx, staged, layers, report, sentAt) {
 		return
 	}
-	s.lastOrder = sentOrder{loadOf(report, order.Model), sentAt}
-	endVerification := s.keepVerified(ctx, c, layers)
+	endVerification := s.keepVerified(ctx, staged, layers)
 	err := s.callOrder(ctx, order, report)
 	takenBy := s.now()
 	endVerification()
-	age := s.verification.maxAge(layers, sentAt, takenBy)
+	age := staged.maxAge(layers, sentAt, takenBy)
 	s.metrics.verificationAge.Observe(age.Seconds())
 	_ = level.Info(s.process.Logger).Log("msg", "order given", "model", order.Model, "version", version, "due", due.Version(), "layers", layers.String(),
 		"sequence", order.Sequence, "running", report.Running, "since_named_ms", sinceNamed(due), "verify_ms", verified.took.Milliseconds(),
@@ -118,10 +120,11 @@
 
 // mayOrder reports whether an order may be sent now: the verifications are recent, although this
 // process may have been stopped since, and the engine has taken no other order since the report.
-func (s *Stager) mayOrder(ctx context.Context, report Report, layers layerRange, now time.Duration) bool {
+func (s *Stager) mayOrder(ctx context.Context, staged *stagedCopy, layers layerRange, report Report, now time.Duration) bool {
 	latest, err := s.report(ctx)
-	age := s.verification.maxAge(layers, now, s.now())
+	age := staged.maxAge(layers, now, s.now())
 	if err == nil && age <= maxVerificationAge && !latest.Busy && latest.Sequence == report.Sequence && latest.StartedAt == report.StartedAt {
+		s.unchangedAt = now
 		return true
 	}
 	_ = level.Warn(s.process.Logger).Log("msg", "order not sent", "oldest_ms", age.Milliseconds(), "sequence", report.Sequence, "sequence_now", latest.Sequence,
--- a/pkg/staging/drain_test.go
+++ b/pkg/staging/drain_test.go
@@ -93,9 +93,9 @@
 		return failure.New(failure.StaleOrder, "fencing token 5 was seen")
 	}
 	c, _ := testCopy(1)
-	s.verification = newVerification(1, 1)
-	s.verification.add(0, s.now())
-	s.sendOrder(t.Context(), c, verifiedLayers{layers: layerRange{0, 1}}, report, feed.VersionInfo{}, true)
+	staged := newStagedCopy(c, 1)
+	staged.addVerification(0, s.now())
+	s.sendOrder(t.Context(), staged, verifiedLayers{layers: layerRange{0, 1}}, report, feed.VersionInfo{}, true)
 	if len(orders) != 1 || orders[0].Fence != c.manifest.version {
 		t.Fatalf("orders: %+v", orders)
 	}
@@ -118,7 +118,8 @@
 		return failure.New(failure.Conflict, "an order is being carried out")
 	}
 	c, _ := testCopy(1)
-	s.staged, s.verification = c, newVerification(1, 1)
+	s.staged = newStagedCopy(c, 1)
+	s.staged.isComplete = true
 	s.sound.Store(&load{})
 	engine := serviceconfig.NewEngine(16, []string{"menu"}, 1, 1, 8, time.Millisecond, 0, 0, 0, 0, 0, 0)
 	for _, interruptible := range []bool{false, true} {
--- a/pkg/staging/engine_standin_test.go
+++ b/pkg/staging/engine_standin_test.go
@@ -158,7 +158,7 @@
 // worstOf returns for how long the worst chunk of a layer of a version has been bad; the lock is held.
 func (e *standinEngine) worstOf(version uint64, layer int) time.Duration {
 	var worst time.Duration
-	first, end := newVerification(testChunks, testLayers).chunksOf(layerRange{layer, layer + 1})
+	first, end := chunksOf(layerRange{layer, layer + 1}, testChunks, testLayers)
 	for number := first; number < end; number++ {
 		if digestOf(e.staged[number]) != e.manifests[version].digests[number] {
 			worst = max(worst, time.Since(e.changedAt[number]))
--- a/pkg/staging/recheck.go
+++ b/pkg/staging/recheck.go
@@ -1,8 +1,8 @@
 // ================================================================
-// Loads that no order with a known outcome explains. They are sound if their chunks were verified all
-// the time since the order was sent. Otherwise the chunks are read back after the load: a chunk does not
-// become intact by itself, so one that is intact after the load was intact when it was loaded, as long
-// as nobody has written it meanwhile. Layers with other chunks are dropped and loaded again.
+// Loads that no order with a known outcome explains. A chunk of such a load was intact, or corrupt for
+// maxVerificationAge at most, if its checks were that recent at all times at which the engine may have
+// taken the order; or if it is read back intact after the load and was not written in between, since a
+// chunk does not become intact by itself. Layers with other chunks are dropped and loaded again.
 // ================================================================
 
 package staging
@@ -16,18 +16,36 @@
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
-// isSound reports whether the load that the engine reports is known to be sound.
+// isSound reports whether the load that the engine reports is known to be sound. Without layers the
+// engine serves nothing, so nothing has to be known.
 func (s *Stager) isSound(report Report, model string) bool {
-	first := firstLoad(report, model)
-	s.sound.CompareAndSwap(nil, &first)
-	return s.sound.Load().explains(loadOf(report, model))
+	known, reported := s.sound.Load(), loadOf(report, model)
+	return reported.layers.isEmpty() || known != nil && known.explains(reported)
+}
+
+// observe updates what is known of the engine's load by a report whose reading began at a time. Only the
+// control loop calls it, which also sends the orders.
+func (s *Stager) observe(report Report, model string, began time.Duration) {
+	reported := loadOf(report, model)
+	known := s.sound.Load()
+	switch {
+	case known == nil:
+		first := firstLoad(report, model)
+		s.sound.Store(&first)
+	case reported.layers.isEmpty() && !report.Busy && !known.isSameAs(reported):
+		// The engine has restarted, perhaps with the same count of orders as before.
+		s.sound.Store(&reported)
+	case !known.isSameAs(reported):
+		return
+	}
+	s.unchangedAt = began
 }
 
 // recheckLoad finds out which layers of a load are sound, and has the engine drop the others. It
 // returns the time until the next step. Meanwhile the engine gets no new requests.
 func (s *Stager) recheckLoad(ctx context.Context, model string, report Report, service *serviceconfig.Service) time.Duration {
 	held := loadOf(report, model)
-	sound := s.intactLayers(ctx, model, held, layerCount(service))
+	sound := s.provenLayers(ctx, model, held, layerCount(service))
 	_ = level.Warn(s.process.Logger).Log("msg", "load not explained by an order", "model", model, "version", held.version, "layers", held.layers.String(),
 		"sound", sound.String(), "sequence", held.sequence)
 	if sound == held.layers {
@@ -39,40 +57,49 @@
 	return busyInterval
 }
 
-// intactLayers returns the first layers of a load that the engine had before, or whose chunks are
-// intact in the staging area.
-func (s *Stager) intactLayers(ctx context.Context, model string, held load, layers int) layerRange {
+// provenLayers returns the first layers of a load that the engine had before, or whose chunks are known
+// to have been intact when they were loaded.
+func (s *Stager) provenLayers(ctx context.Context, model string, held load, allLayers int) layerRange {
 	kept := held.keptLayers(*s.sound.Load())
-	if s.wereVerifiedSinceOrder(model, held, layerRange{kept.to, held.layers.to}) {
-		return held.layers
-	}
+	takenBy := s.now()
 	manifest, err := s.findManifest(ctx, model, held.version)
-	if err != nil || held.layers.from > 0 {
+	if err != nil || held.layers.from > 0 || !s.mayProve(manifest) {
 		return kept
 	}
-	v := newVerification(len(manifest.digests), layers)
-	first, end := v.chunksOf(layerRange{kept.to, held.layers.to})
-	err = forEachChunk(ctx, first, end, func() bool { return true }, func(ctx context.Context, number int) error {
-		began := s.now()
-		data, err := s.readStagedChunk(ctx, model, number)
-		if err == nil && digestOf(data) == manifest.digests[number] {
-			v.add(number, began)
-		}
+	chunks := len(manifest.digests)
+	intact := make([]bool, chunks)
+	first, end := chunksOf(layerRange{kept.to, held.layers.to}, chunks, allLayers)
+	err = forEachChunk(ctx, first, end, hasTime, func(ctx context.Context, number int) error {
+		intact[number] = s.wasRecentlyChecked(number, takenBy) || s.isReadBackIntact(ctx, manifest, number)
 		return nil
 	})
 	if err != nil {
 		return kept
 	}
-	return layerRange{0, min(v.layersSince(kept.to, 0).to, held.layers.to)}
+	proven := leadingLayers(kept.to, chunks, allLayers, func(number int) bool { return intact[number] })
+	return layerRange{0, min(proven.to, held.layers.to)}
+}
+
+// mayProve reports whether this process has written no chunks of another copy, which would hide what
+// was there.
+func (s *Stager) mayProve(m Manifest) bool {
+	return s.staged == nil || s.staged.copy.manifest.model == m.model && s.staged.copy.manifest.version == m.version
+}
+
+// wasRecentlyChecked reports whether the latest check of a chunk was recent at all times from when the
+// engine's load was last as known until another time.
+func (s *Stager) wasRecentlyChecked(number int, until time.Duration) bool {
+	return s.staged != nil && s.staged.maxChunkAge(number, s.unchangedAt, until) <= maxVerificationAge
 }
 
-// wereVerifiedSinceOrder reports whether the last order was for the version of a load, and the
-// verifications of the loaded chunks were recent at all times since it was sent.
-func (s *Stager) wereVerifiedSinceOrder(model string, held load, loaded layerRange) bool {
-	if s.staged == nil || s.staged.manifest.model != model || s.staged.manifest.version != held.version || !held.isNextAfter(s.lastOrder.before) {
+// isReadBackIntact reports whether a chunk is intact now and was not written since the engine's load
+// was last as known.
+func (s *Stager) isReadBackIntact(ctx context.Context, m Manifest, number int) bool {
+	if s.staged != nil && s.staged.wasWrittenSince(number, s.unchangedAt) {
 		return false
 	}
-	return s.verification.maxAge(loaded, s.lastOrder.sentAt, s.now()) <= maxVerificationAge
+	data, err := s.readStagedChunk(ctx, m.model, number)
+	return err == nil && digestOf(data) == m.digests[number]
 }
 
 // dropLayers has the engine drop the layers of a load that are not known to be sound.
--- a/pkg/staging/reservations_test.go
+++ b/pkg/staging/reservations_test.go
@@ -34,6 +34,7 @@
 	}
 	for _, test := range tests {
 		s := testStager(test.report)
+		s.observe(test.report, "menu", 0)
 		s.draining.Store(test.draining)
 		response := requestReservation(s, test.report)
 		if response.Granted() != test.granted || response.Load().Busy() != (test.draining || test.report.Busy) {
--- a/pkg/staging/sound_load.go
+++ b/pkg/staging/sound_load.go
@@ -7,10 +7,7 @@
 
 package staging
 
-import (
-	"fmt"
-	"time"
-)
+import "fmt"
 
 // layerRange is a range of a model's layers, to exclusive.
 type layerRange struct{ from, to int }
@@ -53,12 +50,6 @@
 	return l.startedAt == before.startedAt && l.sequence == before.sequence+1
 }
 
-// sentOrder is when an order was sent, and what the engine held then.
-type sentOrder struct {
-	before load
-	sentAt time.Duration // a reading of Stager.now
-}
-
 // firstLoad returns the load that is taken to be sound when the first report of an engine arrives. An
 // order that is being carried out then was sent by an earlier process, whose verifications are not
 // known.
@@ -79,11 +70,7 @@
 	return layerRange{0, min(l.layers.to, before.layers.to)}
 }
 
-// explains reports whether all layers that the engine reports are part of the known load. Without
-// layers the engine serves nothing, so nothing has to be known.
+// explains reports whether all layers that the engine reports are part of the known load.
 func (l load) explains(reported load) bool {
-	if reported.layers.isEmpty() {
-		return true
-	}
 	return l.isSameAs(reported) && l.version == reported.version && l.layers.contains(reported.layers)
 }
--- a/pkg/staging/staged_chunks.go
+++ b/pkg/staging/staged_chunks.go
@@ -28,22 +28,26 @@
 	chunkCallDelay = 50 * time.Millisecond
 )
 
+// hasTime is for forEachChunk where the time is not limited.
+func hasTime() bool { return true }
+
 // stageChunks writes every chunk to the engine's staging area.
-func (s *Stager) stageChunks(ctx context.Context, c *weightsCopy) error {
-	return forEachChunk(ctx, 0, len(c.manifest.digests), func() bool { return true }, func(ctx context.Context, number int) error {
-		return s.stageChunk(ctx, c, number)
+func (s *Stager) stageChunks(ctx context.Context, staged *stagedCopy) error {
+	return forEachChunk(ctx, 0, len(staged.copy.manifest.digests), hasTime, func(ctx context.Context, number int) error {
+		return s.stageChunk(ctx, staged, number)
 	})
 }
 
 // stageChunk writes a chunk, which is intact from then on.
-func (s *Stager) stageChunk(ctx context.Context, c *weightsCopy, number int) error {
+func (s *Stager) stageChunk(ctx context.Context, staged *stagedCopy, number int) error {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	began := s.now()
-	if err := s.protocol.PutChunk(ctx, s.settings.Engine(), c.manifest.model, number, c.get(number)); err != nil {
+	if err := s.protocol.PutChunk(ctx, s.settings.Engine(), staged.copy.manifest.model, number, staged.copy.get(number)); err != nil {
+		staged.addFailedWrite(number)
 		return err
 	}
-	s.verification.add(number, began)
+	staged.addWrite(number, began, s.now())
 	return nil
 }
 
@@ -62,16 +66,16 @@
 
 // verifyLayers verifies the staged chunks of the layers from a first one on, as many layers as
 // verificationTime allows. It fails with CorruptChunk if not one layer was verified.
-func (s *Stager) verifyLayers(ctx context.Context, c *weightsCopy, from int) (verifiedLayers, error) {
-	v, began := s.verification, s.now()
+func (s *Stager) verifyLayers(ctx context.Context, staged *stagedCopy, from int) (verifiedLayers, error) {
+	began := s.now()
 	hasTime := func() bool {
 		took := s.now() - began
-		return took < verificationTime || took < maxVerificationAge && v.layersSince(from, began).isEmpty()
+		return took < verificationTime || took < maxVerificationAge && staged.checkedLayers(from, began).isEmpty()
 	}
 	var rewritten atomic.Int64
-	first, end := v.chunksOf(layerRange{from, v.layers})
+	first, end := staged.chunksOf(layerRange{from, staged.layers})
 	err := forEachChunk(ctx, first, end, hasTime, func(ctx context.Context, number int) error {
-		intact, err := s.verifyChunk(ctx, c, number)
+		intact, err := s.verifyChunk(ctx, staged, number)
 		if !intact {
 			rewritten.Add(1)
 		}
@@ -80,20 +84,21 @@
 	if err != nil {
 		return verifiedLayers{}, err
 	}
-	layers := v.layersSince(from, began)
+	layers := staged.checkedLayers(from, began)
 	if layers.isEmpty() {
-		return verifiedLayers{}, failure.New(failure.CorruptChunk, "no layer of %s version %d was verified within %s; check the load of the VM and the engine", c.manifest.model, c.manifest.version, maxVerificationAge)
+		return verifiedLayers{}, failure.New(failure.CorruptChunk, "no layer of %s version %d was verified within %s; check the load of the VM and the engine",
+			staged.copy.manifest.model, staged.copy.manifest.version, maxVerificationAge)
 	}
 	return verifiedLayers{layers, s.now() - began, int(rewritten.Load())}, nil
 }
 
 // verifyChunk reads a chunk back, and writes it again if it is corrupt. intact reports whether it was
 // not.
-func (s *Stager) verifyChunk(ctx context.Context, c *weightsCopy, number int) (intact bool, err error) {
+func (s *Stager) verifyChunk(ctx context.Context, staged *stagedCopy, number int) (intact bool, err error) {
 	began := s.now()
-	data, err := s.readStagedChunk(ctx, c.manifest.model, number)
-	if err == nil && digestOf(data) == c.manifest.digests[number] {
-		s.verification.add(number, began)
+	data, err := s.readStagedChunk(ctx, staged.copy.manifest.model, number)
+	if err == nil && digestOf(data) == staged.copy.manifest.digests[number] {
+		staged.addVerification(number, began)
 		return true, nil
 	}
 	if ctx.Err() != nil {
@@ -101,16 +106,16 @@
 	}
 	_ = level.Warn(s.process.Logger).Log("msg", "staged chunk corrupt; writing it again", "chunk", number, "err", err)
 	s.metrics.chunks.WithLabelValues(string(sourceCorrupt)).Inc()
-	return false, s.stageChunk(ctx, c, number)
+	return false, s.stageChunk(ctx, staged, number)
 }
 
 // keepVerified verifies the chunks of some layers at intervals until the returned function is called.
-func (s *Stager) keepVerified(ctx context.Context, c *weightsCopy, layers layerRange) (end func()) {
+func (s *Stager) keepVerified(ctx context.Context, staged *stagedCopy, layers layerRange) (end func()) {
 	ctx, cancel := context.WithCancel(ctx)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = daemon.Every(ctx, reverifyInterval, func() { s.verifyAgain(ctx, c, layers) })
+		_ = daemon.Every(ctx, reverifyInterval, func() { s.verifyAgain(ctx, staged, layers) })
 	}()
 	return func() {
 		cancel()
@@ -118,10 +123,10 @@
 	}
 }
 
-func (s *Stager) verifyAgain(ctx context.Context, c *weightsCopy, layers layerRange) {
-	first, end := s.verification.chunksOf(layers)
-	err := forEachChunk(ctx, first, end, func() bool { return true }, func(ctx context.Context, number int) error {
-		_, err := s.verifyChunk(ctx, c, number)
+func (s *Stager) verifyAgain(ctx context.Context, staged *stagedCopy, layers layerRange) {
+	first, end := staged.chunksOf(layers)
+	err := forEachChunk(ctx, first, end, hasTime, func(ctx context.Context, number int) error {
+		_, err := s.verifyChunk(ctx, staged, number)
 		return err
 	})
 	if err != nil && ctx.Err() == nil {
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -48,15 +48,17 @@
 	seeds         *daemon.Reloadable[[]string]
 	servedVersion atomic.Uint64 // the version that the engine served at the last check
 	// ready is the newest complete copy, downloading the version that is being downloaded, and
-	// staged the copy whose chunks are in the engine's staging area, with their verification. Only
-	// the control loop uses staged and verification.
-	ready        atomic.Pointer[weightsCopy]
-	downloading  atomic.Uint64
-	staged       *weightsCopy
-	verification *verification
-	sound        atomic.Pointer[load] // the newest load that is known to be sound; nil before the first report
-	lastOrder    sentOrder            // the last order that was sent; only the control loop uses it
-	refusedFence refusedFence         // the last order that the engine refused for its fencing token
+	// staged the copy that is written to the engine's staging area; nil before the first. Only the
+	// control loop uses staged.
+	ready       atomic.Pointer[weightsCopy]
+	downloading atomic.Uint64
+	staged      *stagedCopy
+	// sound is the newest load that is known to be sound, nil before the first report, and unchangedAt
+	// when the reading of the last report began by which the engine had taken no order since. Only the
+	// control loop changes them.
+	sound        atomic.Pointer[load]
+	unchangedAt  time.Duration
+	refusedFence refusedFence // the last order that the engine refused for its fencing token
 	// draining is set while the engine must get no new requests although it has no order yet.
 	// loadChanged triggers an immediate load report.
 	draining    atomic.Bool
@@ -142,11 +144,13 @@
 	if !ok {
 		return busyInterval
 	}
+	began := s.now()
 	report, err := s.report(ctx)
 	if err != nil {
 		// The engine is down, and it serves no version after its restart.
 		return idleInterval
 	}
+	s.observe(report, model, began)
 	if !report.Busy && !s.isSound(report, model) {
 		return s.recheckLoad(ctx, model, report, service)
 	}
