Gateway: whether a server takes requests is checked again before one is sent

What callers and servers would see: a request reaches a backend server long after a departure of it was acknowledged (DRAIN), or a failure domain that was evacuated. The server may be gone by then, and the attempt is lost.

Cause: whether a server drains, has left or is evacuated was checked when it was chosen (departures) or before the dial (evacuations). Up to eight reservations and permits of 40 ms each and a dial of up to 350 ms follow, and nothing bounded the time in which this process stands still, by SIGSTOP or on a full machine. All other conditions of an attempt (quarantine, build, version, permit, time left) were checked after the dial already.

Evidence: TestServerThatLeavesAfterTheChoiceGetsNoRequest, in virtual time: the gateway learns that the chosen server drains, has left or is evacuated while it reserves a slot or dials, and stands still for 2 s then.

Mend: the one function that every attempt passes checks both before the dial, where it saves the dial, and after it. A server that may not receive the request ends the attempt before a byte is sent, and another one is chosen, as with evacuations before. No request is refused that had another server, and nothing is waited for.

Measured: the test passes, 10 of 10 with the race detector; all tests of pkg/gateway pass (156 s).

Left: a pause between this check and the write of the request, which no check of the sender bounds.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -90,25 +90,49 @@
 }
 
 // connect returns a connection to a backend server, or nil. Every attempt passes here, so no way of choosing
-// a server leads to one that may not receive the request.
+// a server leads to one that may not receive the request. That is checked again after the dial, because a
+// departure may arrive during the dial or while this process stands still.
 func (g *Gateway) connect(q *request, b *backend) *attemptConn {
 	q.tried[b] = true
-	registration := b.latestRegistration()
-	q.lastBackend, q.liveness = registration.Incarnation(), probeNotRun
-	if verdict := g.placement.Decide(q.constraint, registration.Domain()); verdict != placement.Allowed {
-		g.recordAttempt(q, attemptNotAllowed, string(verdict))
+	q.lastBackend, q.liveness = b.latestRegistration().Incarnation(), probeNotRun
+	if !g.mayReceive(q, b) {
 		return nil
 	}
 	pooled, err := b.pool.Get(q.ctx, min(dialTimeout, q.remaining()))
-	if err == nil {
-		return &attemptConn{Connection: pooled}
+	if err != nil {
+		g.recordUnreachable(q, b, err)
+		return nil
+	}
+	if !g.mayReceive(q, b) {
+		pooled.Close()
+		return nil
+	}
+	return &attemptConn{Connection: pooled}
+}
+
+// mayReceive reports whether a backend server may receive the request, and records an attempt that ends
+// because it may not.
+func (g *Gateway) mayReceive(q *request, b *backend) bool {
+	registration := b.latestRegistration()
+	if state := registration.State(); state.Leaves() {
+		g.recordAttempt(q, attemptNotAllowed, string(state))
+		return false
 	}
-	if q.ctx.Err() == nil {
-		b.recordFailure(time.Now())
-		g.startDials(b)
-		g.recordAttempt(q, attemptUnreachable, err.Error())
+	if verdict := g.placement.Decide(q.constraint, registration.Domain()); verdict != placement.Allowed {
+		g.recordAttempt(q, attemptNotAllowed, string(verdict))
+		return false
+	}
+	return true
+}
+
+// recordUnreachable records an attempt that got no connection, unless the request has ended.
+func (g *Gateway) recordUnreachable(q *request, b *backend, err error) {
+	if q.ctx.Err() != nil {
+		return
 	}
-	return nil
+	b.recordFailure(time.Now())
+	g.startDials(b)
+	g.recordAttempt(q, attemptUnreachable, err.Error())
 }
 
 // countAttempt counts an attempt that is about to be sent.
