Ages that arrive after a suspension are not increased by it

What callers would see: after one VM was suspended for some seconds, all gateways take weights for that much older than they are. They stop using engines with the old version, and stagers order, that much too early; requests are refused meanwhile.

Cause: the ages of named versions stand still while a VM is suspended, so a check every 250 ms adds the suspension to all of them. An age that arrived after the VM had resumed and before that check includes the suspension already, and so does the age 0 of a version that was named then; both got it a second time. The greatest age that any process knows is taken by all others, so the error spreads from one VM and stays.

Mend: gateways and control nodes look for a suspension before they merge ages (two readings of clocks for each update), and a check returns only when all suspensions so far have been added, also one that another goroutine detected.

Left: stagers (pkg/staging) merge ages in the same way, without the check.

--- a/pkg/control/node.go
+++ b/pkg/control/node.go
@@ -122,6 +122,7 @@
 	n.service.member = n.member
 	n.nodeFollower = n.newNodeFollower()
 	n.suspension.OnResume(n.service.state.addSuspension)
+	n.service.state.checkSuspension = n.suspension.Check
 	n.suspension.OnResume(n.member.forgetLeader)
 	n.suspension.OnResume(process.LogSuspension)
 	process.Endpoint.Handle(link.KindControlLog, n.member.serveMessages)
--- a/pkg/control/state.go
+++ b/pkg/control/state.go
@@ -85,6 +85,9 @@
 type State struct {
 	onChange func()
 	now      func() time.Time
+	// checkSuspension adds a suspension of the VM that was not detected yet to the ages. It is called
+	// before ages are merged: those that arrive after the VM has resumed include the suspension.
+	checkSuspension func()
 	// onVersionChanges receives changes of versions and their ages, with the kind of their source
 	// and its address.
 	onVersionChanges func(changes []feed.VersionChange, source, from string)
@@ -113,7 +116,7 @@
 // made the change.
 func NewState(onChange func()) *State {
 	return &State{
-		onChange: onChange, now: time.Now, onVersionChanges: func([]feed.VersionChange, string, string) {},
+		onChange: onChange, now: time.Now, checkSuspension: func() {}, onVersionChanges: func([]feed.VersionChange, string, string) {},
 		onEvacuations: func([]placement.DomainState) {}, onDepartures: func([]registry.Registration) {},
 		departures: registry.NewDepartures(registrationTTL, nil),
 		named:      feed.NewVersionTable(), reported: feed.NewVersionTable(),
@@ -178,6 +181,7 @@
 // mergeNamed adds versions that the log names, with ages that were reported earlier, and reports
 // whether any change is significant.
 func (s *State) mergeNamed(versions []feed.NamedVersion, source string) bool {
+	s.checkSuspension()
 	now := s.now()
 	added := s.named.Merge(versions, now)
 	s.onVersionChanges(added, source, "")
@@ -200,6 +204,7 @@
 // MergeAges takes the ages of versions from another node or a follower. It does not name a version:
 // the age of a version that is not applied here yet is kept until the log names the version.
 func (s *State) MergeAges(versions []feed.NamedVersion, source, from string) {
+	s.checkSuspension()
 	now := s.now()
 	s.reported.Merge(versions, now)
 	raised := s.named.MergeAges(versions, now)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -150,6 +150,8 @@
 // applyUpdate applies an update from a control node. An older configuration than the current
 // one is ignored.
 func (g *Gateway) applyUpdate(address string, u feed.Update) {
+	// Ages that arrive after the VM has resumed include the suspension, so it is added to the others first.
+	g.suspension.Check()
 	for _, r := range u.Registrations() {
 		if g.backends.applyRegistration(r) {
 			_ = level.Info(g.process.Logger).Log("msg", "backend server leaves", "backend", r.Incarnation(), "service", r.Service(), "state", string(r.State()), "from", address)
--- a/pkg/gateway/suspended_test.go
+++ b/pkg/gateway/suspended_test.go
@@ -48,3 +48,21 @@
 		t.Error("a load reported before the suspension counts as fresh")
 	}
 }
+
+// Guards against engines that get no requests while their version may still serve: an age that arrived after
+// the VM had resumed, and before the suspension was detected, was increased by the suspension again. All
+// other processes take the greatest age that one of them knows.
+func TestAgeReportedAfterSuspensionIsNotIncreased(t *testing.T) {
+	const suspended, age = 4 * time.Second, time.Second
+	g := newGateway(t, testSettings)
+	var bootTime time.Duration
+	g.suspension = suspension.NewWithClocks(func() time.Duration { return 0 }, func() time.Duration { return bootTime })
+	g.suspension.OnResume(g.onResume)
+	bootTime += suspended
+	update := feed.NewUpdate(0, nil, []feed.NamedVersion{feed.NewNamedVersion("menu", 2, age)}, nil, true, nil, 0, false, nil, nil, nil, nil, nil, nil, nil)
+	g.applyUpdate("10.0.0.9:7700", update)
+	g.suspension.Check()
+	if got := time.Since(g.versions.Newest("menu").NamedAt()); got >= age+suspended {
+		t.Errorf("the version is %s old here, and %s at the sender", got, age)
+	}
+}
--- a/pkg/suspension/suspension.go
+++ b/pkg/suspension/suspension.go
@@ -64,7 +64,7 @@
 }
 
 // OnResume registers f to be called after each suspension with its duration. It must be
-// called before Run.
+// called before Run, and f must not call Check.
 func (w *Watch) OnResume(f func(suspended time.Duration)) { w.resumeHooks = append(w.resumeHooks, f) }
 
 // Total returns the total duration of all suspensions detected so far.
@@ -77,18 +77,18 @@
 // Run checks the clocks every checkInterval until the context ends.
 func (w *Watch) Run(ctx context.Context) error { return daemon.Every(ctx, checkInterval, w.Check) }
 
-// Check compares the clocks once and calls the functions of OnResume after a suspension.
+// Check compares the clocks once and calls the functions of OnResume after a suspension. When it
+// returns, they have been called for each suspension so far, also if another goroutine detected it.
 func (w *Watch) Check() {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	offset := w.boot() - w.monotonic()
 	suspended := offset - w.offset
 	if suspended < minSuspension {
-		w.mu.Unlock()
 		return
 	}
 	w.offset = offset
 	w.total.Add(int64(suspended))
-	w.mu.Unlock()
 	for _, f := range w.resumeHooks {
 		f(suspended)
 	}
