Control log: a leader counts as known when the log's state was taken, not when it is looked at

What gateways and callers would see: while the disk of a control node hangs, gateways that follow it add no other nodes, though it is cut off from the quorum, and get no new configuration (CONFIG); calls at this node go to the leader before the hang, or to itself, although its successor's messages arrive.

Cause: the loop of the control log blocks on a write, and State returns the state after its last step, as its comment says. The check every 250 ms took a leader in that state for contact with a quorum at the time of the check. So the contact was always recent, however long the disk hung, and a node that led was believed to lead. pkg/entry marked configurations as confirmed in the same way.

Mend: State has the time at which it was taken, which is once a tick (100 ms) while the loop runs. That time is the contact, and a state older than quorumValidity (1.5 s) tells neither who leads nor that this node does; the sender of the last message of a leader is used then, as where the disk fails. A step that blocks for that long could answer no call anyway: calls end after 0.9 s.

Ruled out: confirmed reads and commits don't depend on it; both need a round of a quorum through the loop.

The fault with gateways and a partition was read, not played.

--- a/pkg/control/member.go
+++ b/pkg/control/member.go
@@ -186,9 +186,28 @@
 	m.leaderMessageAt.Store(now)
 }
 
+// recordLeaderKnown stores that a leader was known at a time.
+func (m *member) recordLeaderKnown(at time.Time) {
+	known := int64(at.Sub(m.started))
+	if previous := m.leaderKnownAt.Load(); known > previous {
+		m.leaderKnownAt.CompareAndSwap(previous, known)
+	}
+}
+
+// isCurrent reports whether a state of the log tells who leads now. While a write to the disk blocks,
+// the state stays as it was before.
+func isCurrent(s controllog.State) bool { return time.Since(s.At) < quorumValidity }
+
+// leads reports whether this node is the leader.
+func (m *member) leads() bool {
+	state := m.state()
+	return state.Role == controllog.Leader && isCurrent(state)
+}
+
 // leaderAddress returns the link address of the leader; "" if none was known recently.
 func (m *member) leaderAddress() string {
-	if address := m.state().Leader.Address(); address != "" {
+	state := m.state()
+	if address := state.Leader.Address(); address != "" && isCurrent(state) {
 		return address
 	}
 	if hint := m.lastLeader.Load(); hint != nil && m.quorumConfirmed() {
@@ -233,7 +252,7 @@
 		return
 	}
 	if state.Leader.ID() != "" {
-		m.leaderKnownAt.Store(int64(time.Since(m.started)))
+		m.recordLeaderKnown(state.At)
 	}
 	switch {
 	case isMember(state, *self) && m.quorumConfirmedOrStarting():
--- a/pkg/control/service.go
+++ b/pkg/control/service.go
@@ -14,7 +14,6 @@
 	"github.com/go-kit/log/level"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/tidepost/tidepost/pkg/controllog"
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/link"
@@ -231,7 +230,7 @@
 
 // callLeaderOnce sends a request to the leader, or executes it if this node leads.
 func (s *Service) callLeaderOnce(ctx context.Context, r leaderRequest) (leaderResponse, error) {
-	if s.member.state().Role == controllog.Leader {
+	if s.member.leads() {
 		return s.execute(ctx, r)
 	}
 	leader := s.member.leaderAddress()
--- a/pkg/controllog/runner.go
+++ b/pkg/controllog/runner.go
@@ -126,6 +126,9 @@
 
 // State is the state of a member that others may read.
 type State struct {
+	// At is when the state was taken. A running member takes it after each tick; an older one means that
+	// a step blocks.
+	At      time.Time
 	Role    Role
 	Term    uint64
 	Commit  uint64
--- a/pkg/controllog/runner_loop.go
+++ b/pkg/controllog/runner_loop.go
@@ -250,6 +250,7 @@
 // publishState stores the state for State to return.
 func (r *Runner) publishState() {
 	s := State{
+		At:      time.Now(),
 		Role:    r.replica.Role(),
 		Term:    r.replica.Term(),
 		Commit:  r.replica.Commit(),
--- a/pkg/entry/control.go
+++ b/pkg/entry/control.go
@@ -57,14 +57,20 @@
 func (e *Entry) watchLeader(ctx context.Context) {
 	_ = daemon.Every(ctx, leaderPollInterval, func() {
 		s := e.runner.State()
-		if s.Leader.ID() != "" {
-			e.leaderSeenAt.Store(time.Now().UnixNano())
-		}
+		e.recordLeader(s)
 		e.metrics.term.Set(float64(s.Term))
 		e.metrics.isLeader.Set(gaugeValue(s.Role == controllog.Leader))
 	})
 }
 
+// recordLeader records that a leader was known when a state of the log was taken, which may be long ago while a
+// write to the disk blocks.
+func (e *Entry) recordLeader(s controllog.State) {
+	if s.Leader.ID() != "" {
+		e.leaderSeenAt.Store(s.At.UnixNano())
+	}
+}
+
 func gaugeValue(b bool) float64 {
 	if b {
 		return 1
