Gateway: a request that pauses holds no permit of a limited server

What servers would see: a burst above the limit that they advertise. What callers see: others are refused or held back while permits lie unused.

Cause: a started stream acquires a permit when it chooses a server, then waits for a retry from the budget or for a slot, up to its deadline. It kept the permit, and the choice after the wait used it again for the same server. Nothing bounds the age of a permit, so those of all waiting streams piled up at the rate of the limit, and were used at once when retries became available.

Mend: the permit is returned to its owner before each pause, and acquired again with the next choice, which follows each pause anyway. Returned permits fill the owner's bucket up to its capacity only. A permit is then held for one choice and one dial, about a second at most while the process runs; what a process that stands still has in its hands by then is within the slack of the bound.

--- a/pkg/gateway/yield.go
+++ b/pkg/gateway/yield.go
@@ -119,8 +119,10 @@
 // pauseBeforeRecheck pauses between two searches for a slot or a retry.
 func (g *Gateway) pauseBeforeRecheck(q *request) { g.pauseWithJitter(q, yieldRetryInterval) }
 
-// pauseWithJitter pauses for d and up to half as much again at random.
+// pauseWithJitter pauses for d and up to half as much again at random. The request holds no permit meanwhile:
+// permits of many waiting requests, when used at once, would exceed the limit of their server.
 func (g *Gateway) pauseWithJitter(q *request, d time.Duration) {
+	g.returnPermit(q)
 	select {
 	case <-q.ctx.Done():
 	case <-time.After(d + time.Duration(g.random()*float64(d)/2)):
