Stager: ages that arrive after a suspension are not increased by it

What callers would have seen: requests refused since versions expire too early at all gateways. Stagers report ages to control nodes, and all processes take the greatest one.

TestAgeLearnedAfterSuspensionIsNotIncreased failed before: an age of 5s became 9.000059672s.

--- a/pkg/staging/due_test.go
+++ b/pkg/staging/due_test.go
@@ -8,6 +8,7 @@
 	"github.com/tidepost/tidepost/pkg/daemon"
 	"github.com/tidepost/tidepost/pkg/feed"
 	"github.com/tidepost/tidepost/pkg/settings"
+	"github.com/tidepost/tidepost/pkg/suspension"
 )
 
 // restartedMember returns a member that has just started and has received versions 2 and 3 of a
@@ -111,3 +112,25 @@
 		t.Fatalf("next due version is %d where 2 is served", due)
 	}
 }
+
+// Guards against versions that expire too early everywhere: an age that arrived after the VM had resumed,
+// and before the suspension was detected, was increased by the suspension again.
+func TestAgeLearnedAfterSuspensionIsNotIncreased(t *testing.T) {
+	const suspended, age = 4 * time.Second, 5 * time.Second
+	process, err := daemon.New(settings.Common{}, 1, daemon.Hooks{Log: io.Discard})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := NewCache(process, Protocol{}, func() []string { return nil }, nil).Member
+	var bootTime time.Duration
+	watch := suspension.NewWithClocks(func() time.Duration { return 0 }, func() time.Duration { return bootTime })
+	watch.OnResume(m.versions.AddSuspension)
+	m.checkSuspension = watch.Check
+	bootTime += suspended
+	versions := []feed.NamedVersion{feed.NewNamedVersion("menu", 2, age)}
+	m.applyUpdate("10.0.0.9:7700", feed.NewUpdate(0, nil, versions, nil, true, nil, 0, false, nil, nil, nil, nil, nil, nil, nil))
+	watch.Check()
+	if got := m.versions.Current(time.Now())[0].Age(); got >= age+suspended {
+		t.Errorf("an age of %s became %s", age, got)
+	}
+}
--- a/pkg/staging/member.go
+++ b/pkg/staging/member.go
@@ -36,8 +36,11 @@
 	index        serviceconfig.Current
 	versions     *feed.VersionTable
 	rolloutLimit time.Duration // time from the naming of a version until engines must serve it; 0 if not known
-	wake         chan struct{}
-	stagingArea  engineStagingArea
+	// checkSuspension adds a suspension of the VM that was not detected yet to the ages of versions. It is
+	// called before ages are merged: those that arrive after the VM has resumed include the suspension.
+	checkSuspension func()
+	wake            chan struct{}
+	stagingArea     engineStagingArea
 
 	manifestLock    sync.Mutex
 	originManifests map[string]Manifest // the newest fetched from the origin, by model
@@ -70,7 +73,7 @@
 func newMember(process *daemon.Process, protocol Protocol, hello feed.Hello, seeds func() []string, uploads int) *Member {
 	m := &Member{
 		process: process, protocol: protocol, registry: registry.NewTable(nil), peerFailures: newPeerFailures(),
-		metrics: newMetrics(process.Registry), wake: make(chan struct{}, 1), runContext: context.Background(),
+		metrics: newMetrics(process.Registry), checkSuspension: func() {}, wake: make(chan struct{}, 1), runContext: context.Background(),
 		originManifests: map[string]Manifest{}, notices: link.NewMessenger[notice](process.Endpoint, link.KindStagerNotice),
 		uploads: make(chan struct{}, uploads), fetches: map[fetchKey]bool{}, versions: feed.NewVersionTable(), copies: map[string][]*weightsCopy{},
 	}
@@ -85,6 +88,7 @@
 
 // applyUpdate merges an update that a control node sent.
 func (m *Member) applyUpdate(address string, u feed.Update) {
+	m.checkSuspension()
 	for _, r := range u.Registrations() {
 		m.registry.Receive(r)
 	}
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -87,6 +87,7 @@
 	s.Member = newMember(process, protocol, hello, seeds, maxStagerUploads)
 	s.rolloutLimit = c.RolloutLimit()
 	s.suspension.OnResume(s.versions.AddSuspension)
+	s.checkSuspension = s.suspension.Check
 	s.suspension.OnResume(process.LogSuspension)
 	process.Endpoint.Handle(link.KindReserve, s.serveReservation)
 	s.stagingArea = engineStagingArea{
