Staging: slow reads, refused drops and chunks that can't be read don't keep an engine out of service

Found by the independent review, a test for each: - With reads of 1.5 s and more no order was ever sent: the verification waited for calls of layers that it would not load, and the first verifications were too old by then. It ends once its time is over and a layer is complete. Before: the engine got no order within 40s, at reads of 1.5 s and 1.8 s. - An engine that refuses to drop layers (a higher fencing token, no such order) was out of service for ever. If a complete copy of a later version is here, it replaces the load. Before: version 0 is offered at the end. - A chunk that could not be read, or a manifest that was not found, counted as corrupt, and sound layers were dropped. Now that is found out again later. Before: 2 further orders, and the load was sound. - An engine that reports more layers than are configured ended the stager (index out of range [96] with length 96).

--- a/pkg/staging/activate.go
+++ b/pkg/staging/activate.go
@@ -110,7 +110,7 @@
 	switch {
 	case err == nil:
 		if age <= maxVerificationAge {
-			s.sound.Store(&load{report.StartedAt, report.Sequence + 1, version, layerRange{0, layers.to}})
+			s.sound.Store(&load{report.StartedAt, report.Sequence + 1, version, order.heldLayers()})
 		}
 		s.awaitOrder(ctx)
 	case failure.Is(err, failure.StaleOrder):
--- a/pkg/staging/late_orders_test.go
+++ b/pkg/staging/late_orders_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
 // offersOnlyIntactLoads runs the control loop of a stager for a time. It fails the test if a version is offered with a chunk that had been corrupt for longer
@@ -185,3 +188,147 @@
 		}
 	})
 }
+
+// Guards against reads so slow that the calls begun last end when the chunks verified first are too old, so that no
+// order is sent although whole layers are verified in time.
+func TestSlowReadsDoNotKeepOrdersFromBeingSent(t *testing.T) {
+	for _, readTime := range []time.Duration{1200 * time.Millisecond, 1500 * time.Millisecond, 1800 * time.Millisecond} {
+		t.Run(readTime.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := fullCopy(t, 2)
+				e := newStandinEngine(c)
+				e.readTime = readTime
+				s := stagerOf(t, e)
+				name(s, c)
+				offersOnlyIntactLoads(t, e, s, rolloutTime)
+				if e.orders == 0 {
+					t.Errorf("the engine got no order within %s", rolloutTime)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an engine that refuses to drop layers and is out of service for ever, also for later versions.
+func TestEngineThatRefusesToDropLayersGetsNextVersion(t *testing.T) {
+	for label, kind := range map[string]failure.Kind{"a higher fencing token was seen": failure.StaleOrder, "no such order": failure.BackendFailed} {
+		t.Run(label, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				second, third := fullCopy(t, 2), fullCopy(t, 3)
+				e := newStandinEngine(second, third)
+				s := stagerOf(t, e)
+				send := s.protocol.SendOrder
+				s.protocol.SendOrder = func(ctx context.Context, engine string, o Order) error {
+					if o.Version == 2 {
+						return failure.New(kind, "%s", label)
+					}
+					return send(ctx, engine, o)
+				}
+				if _, ok := s.load(t.Context()); !ok {
+					t.Fatal("no load")
+				}
+				// The order of an earlier process is taken now. Nothing is staged, so all layers are corrupt.
+				time.Sleep(maxVerificationAge + time.Second)
+				if err := e.load(Order{Version: 2}); err != nil {
+					t.Fatal(err)
+				}
+				name(s, third)
+				if last := offersOnlyIntactLoads(t, e, s, rolloutTime); last != 3 {
+					t.Errorf("version %d is offered at the end, and the engine took %d orders", last, e.orders)
+				}
+			})
+		})
+	}
+}
+
+// Guards against sound layers that are dropped because a chunk could not be read back or the manifest was not found
+// at one moment.
+func TestUnknownChunksDoNotCountAsCorrupt(t *testing.T) {
+	for label, fail := range map[string]func(s *Stager, until time.Time){
+		"reads fail": func(s *Stager, until time.Time) {
+			get := s.protocol.GetChunk
+			s.protocol.GetChunk = func(ctx context.Context, engine, model string, number int) ([]byte, error) {
+				if time.Now().Before(until) {
+					return nil, failure.New(failure.Unreachable, "no answer")
+				}
+				return get(ctx, engine, model, number)
+			}
+		},
+		"the manifest is unavailable": func(s *Stager, until time.Time) {
+			copies := s.copies
+			s.copies = map[string][]*weightsCopy{}
+			time.AfterFunc(time.Until(until), func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.copies = copies
+			})
+		},
+	} {
+		t.Run(label, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := fullCopy(t, 2)
+				e := newStandinEngine(c)
+				for number := range testChunks {
+					e.staged[number] = c.get(number)
+				}
+				if err := e.load(Order{Version: 2}); err != nil {
+					t.Fatal(err)
+				}
+				s := stagerOf(t, e) // beside the load that an earlier process ordered
+				name(s, c)
+				fail(s, time.Now().Add(2*time.Second))
+				if last := offersOnlyIntactLoads(t, e, s, rolloutTime); last != 2 {
+					t.Errorf("version %d is offered at the end", last)
+				}
+				if e.orders > 1 {
+					t.Errorf("the engine got %d further orders, and its load was sound", e.orders-1)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a crash where the configuration names fewer layers than the engine reports.
+func TestEngineWithMoreLayersThanConfigured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := fullCopy(t, 2)
+		e := newStandinEngine(c)
+		s := stagerOf(t, e)
+		engine := serviceconfig.NewEngine(16, []string{"menu"}, 0, testChunks, 8, time.Millisecond, 0, 0, 0, 0, 0, 0)
+		service := serviceconfig.NewService("", "", 0, "", engine, true, 0)
+		s.index.Advance(serviceconfig.NewDocument(2, nil, []serviceconfig.Service{service}, nil, serviceconfig.Limits{}))
+		name(s, c)
+		if last := offersOnlyIntactLoads(t, e, s, rolloutTime); last != 2 {
+			t.Errorf("version %d is offered at the end", last)
+		}
+	})
+}
+
+// Guards against chunks that this process stages after the engine has taken the order of an earlier process for the
+// same version, and that are then read back intact.
+func TestChunkStagedAfterLoadDoesNotProveTheLoadSound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := fullCopy(t, 2)
+		e := newStandinEngine(c)
+		for number := range testChunks {
+			e.staged[number] = c.get(number)
+		}
+		e.spoil(testChunks / 2)
+		s := stagerOf(t, e)
+		put := s.protocol.PutChunk
+		var puts atomic.Int64
+		s.protocol.PutChunk = func(ctx context.Context, engine, model string, number int, data []byte) error {
+			if puts.Add(1) == 1 {
+				if err := e.load(Order{Version: 2}); err != nil {
+					t.Error(err)
+				}
+			}
+			return put(ctx, engine, model, number, data)
+		}
+		time.Sleep(maxVerificationAge + time.Second)
+		name(s, c)
+		if last := offersOnlyIntactLoads(t, e, s, rolloutTime); last != 2 {
+			t.Errorf("version %d is offered at the end", last)
+		}
+	})
+}
--- a/pkg/staging/sound_load.go
+++ b/pkg/staging/sound_load.go
@@ -7,11 +7,25 @@
 
 package staging
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
+
+// allLayersEnd is the end of the range of all layers of a model, whose number may not be configured.
+const allLayersEnd = math.MaxInt
 
 // layerRange is a range of a model's layers, to exclusive.
 type layerRange struct{ from, to int }
 
+// heldLayers returns the layers that an engine holds after an order.
+func (o Order) heldLayers() layerRange {
+	if o.Partial {
+		return layerRange{0, o.Layers}
+	}
+	return layerRange{0, allLayersEnd}
+}
+
 // isEmpty reports whether the range has no layer.
 func (r layerRange) isEmpty() bool { return r.from >= r.to }
 
--- a/pkg/staging/staged_chunks.go
+++ b/pkg/staging/staged_chunks.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// verificationTime is the time in which the reads of one verification begin, unless no layer
-	// would be complete then. What is left of maxVerificationAge is for the order.
+	// verificationTime is the time after which a verification ends, once a layer is complete. What is
+	// left of maxVerificationAge is for the order.
 	verificationTime = maxVerificationAge / 2
 	// reverifyInterval is the time between verifications while the engine does not answer an order.
 	reverifyInterval = 500 * time.Millisecond
@@ -67,29 +67,37 @@
 // verifyLayers verifies the staged chunks of the layers from a first one on, as many layers as
 // verificationTime allows. It fails with CorruptChunk if not one layer was verified.
 func (s *Stager) verifyLayers(ctx context.Context, staged *stagedCopy, from int) (verifiedLayers, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	began := s.now()
-	hasTime := func() bool {
-		took := s.now() - began
-		return took < verificationTime || took < maxVerificationAge && staged.checkedLayers(from, began).isEmpty()
+	// Calls that are under way when the time is over would only make the first verifications older.
+	endIfDue := func() {
+		if s.now()-began >= verificationTime && !staged.checkedLayers(from, began).isEmpty() {
+			cancel()
+		}
 	}
+	timer := time.AfterFunc(verificationTime, endIfDue)
+	defer timer.Stop()
+	hasTime := func() bool { return s.now()-began < maxVerificationAge }
 	var rewritten atomic.Int64
 	first, end := staged.chunksOf(layerRange{from, staged.layers})
 	err := forEachChunk(ctx, first, end, hasTime, func(ctx context.Context, number int) error {
+		defer endIfDue()
 		intact, err := s.verifyChunk(ctx, staged, number)
-		if !intact {
+		if !intact && err == nil {
 			rewritten.Add(1)
 		}
 		return err
 	})
-	if err != nil {
-		return verifiedLayers{}, err
-	}
 	layers := staged.checkedLayers(from, began)
-	if layers.isEmpty() {
-		return verifiedLayers{}, failure.New(failure.CorruptChunk, "no layer of %s version %d was verified within %s; check the load of the VM and the engine",
-			staged.copy.manifest.model, staged.copy.manifest.version, maxVerificationAge)
+	switch {
+	case !layers.isEmpty():
+		return verifiedLayers{layers, s.now() - began, int(rewritten.Load())}, nil
+	case err != nil:
+		return verifiedLayers{}, err
 	}
-	return verifiedLayers{layers, s.now() - began, int(rewritten.Load())}, nil
+	return verifiedLayers{}, failure.New(failure.CorruptChunk, "no layer of %s version %d was verified within %s; check the load of the VM and the engine",
+		staged.copy.manifest.model, staged.copy.manifest.version, maxVerificationAge)
 }
 
 // verifyChunk reads a chunk back, and writes it again if it is corrupt. intact reports whether it was
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -153,7 +153,11 @@
 	}
 	s.observe(report, model, began)
 	if !report.Busy && !s.isSound(report, model) {
-		return s.recheckLoad(ctx, model, report, service)
+		if !s.hasNewerCopy(model, report) {
+			return s.recheckLoad(ctx, model, report, service)
+		}
+		// The next order replaces the load, which serves nothing until then.
+		report.Holdings = nil
 	}
 	want := s.newestNamed(model)
 	served := completeVersion(report.Holdings, model, layerCount(service))
--- a/pkg/staging/verification.go
+++ b/pkg/staging/verification.go
@@ -89,9 +89,10 @@
 }
 
 // chunksOf returns the first of a model's chunks that a range of its layers consists of, and the one
-// after the last. A chunk may belong to two layers.
+// after the last. A chunk may belong to two layers. An engine may report more layers than are configured.
 func chunksOf(layers layerRange, chunks, allLayers int) (first, end int) {
-	return layers.from * chunks / allLayers, (layers.to*chunks + allLayers - 1) / allLayers
+	first, end = layers.from*chunks/allLayers, (layers.to*chunks+allLayers-1)/allLayers
+	return min(first, chunks), min(end, chunks)
 }
 
 // leadingLayers returns the longest range of layers from a first one on of whose chunks a condition
