Links: streams end when their connection starts to close, instead of polling until it is closed

Cause: (*yamux.Stream).Read and Write (v0.1.2) wait in a select with the session's shutdown channel and then go round their loop. Session.Close closes that channel first, then closes the connection, waits for its receive loop and only then marks the streams closed. Until then each waiting read and write polls without a pause.

Both dumps: 35 goroutines runnable, a Session.Close in progress, runnable in the connection's Close, one or two others behind its lock, and a goroutine in the select of Stream.Read under Publisher.receiveMessages; in the second dump it is the running one, in the first none is shown as running. It is preempted only by a clock that does not advance there, so nobody else gets the processor.

A TLS connection's Close may wait up to 5 s for a peer that reads nothing; not measured.

The connection under a session now expires the deadlines of all its streams before it closes. Reads then end as they do on a closed connection, after data that has arrived.

Not the loop: reconcile, reportLoads, drain, hedged gets, other calls to the engine, reservations, periodic tasks.

--- a/pkg/link/accept.go
+++ b/pkg/link/accept.go
@@ -58,21 +58,22 @@
 		_ = level.Warn(e.config.Logger).Log("msg", "handshake failed", "from", conn.RemoteAddr().String(), "err", err)
 		return
 	}
-	session, err := yamux.Server(conn, e.sessionConfig())
+	streams := &openStreams{}
+	session, err := yamux.Server(interruptingConn{conn, streams}, e.sessionConfig())
 	if err != nil {
 		return
 	}
-	c := &connection{session, peer, received}
+	c := &connection{session, peer, received, streams}
 	if !e.addAccepted(c) {
 		return
 	}
 	defer e.removeAccepted(c)
 	for {
-		conn, err := session.AcceptStream()
+		s, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
-		go e.serveStream(ctx, &Stream{conn: conn, clock: e.config.Clock, peer: peer})
+		go e.serveStream(ctx, &Stream{conn: streams.add(s), clock: e.config.Clock, peer: peer})
 	}
 }
 
--- a/pkg/link/connection.go
+++ b/pkg/link/connection.go
@@ -21,6 +21,7 @@
 	session  *yamux.Session
 	peer     vm.Identity
 	received *receiveTime
+	streams  *openStreams
 }
 
 // receiveTime is the time at which bytes last arrived. It is stored as an offset from its
--- a/pkg/link/dial.go
+++ b/pkg/link/dial.go
@@ -23,12 +23,12 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := d.session.OpenStream()
+	opened, err := d.session.OpenStream()
 	if err != nil {
 		e.dropConn(d)
 		return nil, unreachable(address, err)
 	}
-	s := &Stream{conn: conn, clock: e.config.Clock, peer: d.peer, dialed: d}
+	s := &Stream{conn: d.streams.add(opened), clock: e.config.Clock, peer: d.peer, dialed: d}
 	if deadline, ok := ctx.Deadline(); ok {
 		s.SetDeadline(deadline)
 	}
@@ -146,12 +146,13 @@
 		_ = conn.Close()
 		return connection{}, err
 	}
-	session, err := yamux.Client(conn, e.sessionConfig())
+	streams := &openStreams{}
+	session, err := yamux.Client(interruptingConn{conn, streams}, e.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return connection{}, err
 	}
-	return connection{session, peer, received}, nil
+	return connection{session, peer, received, streams}, nil
 }
 
 // Drop closes the connection of a stream that the caller found silent. The next call dials
