Agent: a copy is verified before and after its engine loads it, and fetched again where the disk damaged it

What callers would see: answers computed with corrupt weights, labelled with the right digest, from the moment an engine restarts until its agent does.

Cause: a copy was verified at its completion or at the agent's start and never again. The order to load it may follow hours later: after a restart of the engine, after failed polls (all copies go back to "verified"), or after the wait of engines that do not check fences. The protocol does not promise that an engine verifies the file: pkg/engine only hands over the digest and the chunk size, prove's engine loads without a check "as a real engine does", only the one of pkg/fake checks. With an engine that does check, the order was refused at each poll and the copy was never repaired.

Why this works: no check before an order can bound its age at the moment when the engine reads the file, since reading a large copy and the order itself take long. So the copy is verified again after the engine has answered, and becomes ready only then: only the copier writes to the file, and only missing chunks, so what is valid after the load was valid when it was read. This holds however long verification and order take. The verification before the order spares the engine a corrupt file; it is at most 10 s old when the loader decides to send the order (age from its end; the marker is synced to disk in between), and the loader takes it in a round of its own, so that the order is decided on a fresh state. If it alone takes longer, the one after the load still decides. Both read the file by its path, as the engine does, and check its size. The engine is polled meanwhile.

A damaged copy is incomplete again, keeps its valid chunks, and its copier starts anew. What was loaded from it is unloaded, and is unloaded before the next load also if that failed at first, since an engine may ignore an order to load what it has loaded.

Found with it: a complete file that was too long counted as valid, and one that was damaged at the start of the agent was not extended to its size.

Logs: "copy loaded" has the age of the verification and the time of order and verification, "copy not valid on disk" the moment; the time line has chunk_refused from "disk".

A new version costs one read more than before (the one at completion is young enough), a restart of the engine two; a copy is ready later by as much. Engines whose orders fail are asked again every 0.5 s as before, and the copy is read at most every 10 s.

Not covered: damage that heals by itself (a read error in memory); an engine that maps the file and reads parts of it after it has answered the order; an engine that reads past the page cache while the agent reads from it; an agent that is killed after it has repaired a copy whose unload failed, and before the next load, with an engine that ignores that load.

--- a/pkg/agent/copier.go
+++ b/pkg/agent/copier.go
@@ -15,6 +15,7 @@
 
 	"github.com/tidepost/tidepost/pkg/configstate"
 	"github.com/tidepost/tidepost/pkg/contract"
+	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/link"
 	"github.com/tidepost/tidepost/pkg/spread"
 	"github.com/tidepost/tidepost/pkg/vm"
@@ -99,20 +100,20 @@
 const eventBuffer = 256
 
 // run fetches until the copy has all chunks, completes it on disk, and then continues
-// to report it so that others find it.
+// to report it so that others find it. It fails if the disk damages the complete copy.
 func (c *copier) run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	completed := false
+	var damaged <-chan struct{} // nil until the copy is complete
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		if c.swarm.Done() && !completed {
+		if c.swarm.Done() && damaged == nil {
 			c.cancelSubscriptions()
 			if err := c.copy.Complete(); err != nil {
 				return err
 			}
-			completed = true
+			damaged = c.copy.Damaged()
 			c.agent.copies.markVerified(c.assignment.Digest)
 			c.agent.loader.wake()
 			c.report(ctx)
@@ -121,6 +122,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-damaged:
+			return failure.New(failure.CorruptChunk, "the disk damaged the complete copy")
 		case f := <-c.events:
 			f(time.Now())
 			c.handlePendingEvents()
--- a/pkg/agent/copy_table.go
+++ b/pkg/agent/copy_table.go
@@ -100,11 +100,26 @@
 	if c == nil || c.phase == phase {
 		return false
 	}
-	t.recorder.Record(event.CopyPhaseChanged, d.Short(), fmt.Sprintf("%s -> %s", c.phase, phase))
-	c.phase = phase
+	t.changePhase(c, phase)
 	return true
 }
 
+// endLoad moves a copy that is loading to a phase. A copy that left the phase "loading" meanwhile,
+// for instance because the engine was lost, keeps its phase.
+func (t *copyTable) endLoad(d contract.Digest, phase contract.CopyPhase) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c := t.copies[d]; c != nil && c.phase == contract.PhaseLoading {
+		t.changePhase(c, phase)
+	}
+}
+
+// changePhase needs the lock.
+func (t *copyTable) changePhase(c *copyState, phase contract.CopyPhase) {
+	t.recorder.Record(event.CopyPhaseChanged, c.assignment.Digest.Short(), fmt.Sprintf("%s -> %s", c.phase, phase))
+	c.phase = phase
+}
+
 // markVerified records that a copy is complete on disk. A copy that is loading or ready
 // keeps its phase: it was complete before and became wanted again.
 func (t *copyTable) markVerified(d contract.Digest) {
--- a/pkg/agent/copy_table_test.go
+++ b/pkg/agent/copy_table_test.go
@@ -32,3 +32,23 @@
 		t.Error("an unused copy was not retired, or a retired copy can be pinned")
 	}
 }
+
+// A load that ends after the engine was lost must not make the copy ready: the engine may have
+// unloaded it meanwhile.
+func TestLoadDoesNotEndAfterTheEngineIsLost(t *testing.T) {
+	table := newCopyTable(event.NewRecorder("agent", event.NewClock(time.Now), 16))
+	manifest := contract.ManifestOf([]byte("weights"), 4)
+	a := configstate.Assignment{Model: "menu", Digest: manifest.Digest(), Manifest: manifest, Role: contract.RoleServe}
+	table.markWanted(a)
+	table.setPhase(a.Digest, contract.PhaseLoading)
+	table.setPhase(a.Digest, contract.PhaseVerified)
+	table.endLoad(a.Digest, contract.PhaseReady)
+	if table.pin(a.Digest) {
+		t.Error("a copy whose engine was lost during the load is ready")
+	}
+	table.setPhase(a.Digest, contract.PhaseLoading)
+	table.endLoad(a.Digest, contract.PhaseReady)
+	if !table.pin(a.Digest) {
+		t.Error("a loaded copy is not ready")
+	}
+}
--- a/pkg/agent/loader.go
+++ b/pkg/agent/loader.go
@@ -6,6 +6,14 @@
 // a digest, for instance after a restart, the copy returns to the phase "verified" and
 // is loaded again.
 //
+// An engine loads a file without checking it, and a disk may damage the file at any time.
+// So a copy is verified before the order, and again after the engine has loaded it. Only
+// the copier writes to the file, and only chunks that are missing, so what is valid after
+// the load was valid when the engine read it, however long the order took. A copy that
+// fails is unloaded, and its corrupt chunks are fetched again. If chunks were written since
+// a load, the copy is unloaded before it is loaded again: an engine may ignore an order to
+// load what it has loaded.
+//
 // Not all engines check fencing tokens. For those the loader writes a marker to disk
 // before an order. When it finds the marker open after its own restart, or the data
 // folder is new, an order may still be executing, so it waits for the time limit of
@@ -27,6 +35,7 @@
 	"github.com/tidepost/tidepost/pkg/engine"
 	"github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/failure"
+	"github.com/tidepost/tidepost/pkg/weights"
 )
 
 const (
@@ -37,6 +46,9 @@
 	// pollInterval is the interval between polls of the engine.
 	pollInterval = 500 * time.Millisecond
 	pollTimeout  = 2 * time.Second // of one poll
+	// maxVerificationAge is the greatest age of the verification before an order. Orders
+	// that fail are repeated without reading the whole file each time.
+	maxVerificationAge = 10 * time.Second
 )
 
 // loader has the engine load and unload copies.
@@ -193,27 +205,103 @@
 	return true
 }
 
+// load verifies a copy and orders the engine to load it. A verification that is too old is
+// renewed, and the order follows in the next round, with the state of that time.
 func (l *loader) load(ctx context.Context, c copyState) {
 	held := l.agent.store.Find(c.assignment.Digest)
 	if held == nil || !held.IsComplete() {
 		return
 	}
-	l.agent.copies.setPhase(c.assignment.Digest, contract.PhaseLoading)
+	if held.Modified() && l.isLoaded(c) {
+		l.unloadUnused(ctx, c)
+		return
+	}
+	if time.Since(held.VerifiedAt()) > maxVerificationAge {
+		if l.verify(ctx, c, held, "before the order") {
+			l.wake()
+		}
+		return
+	}
+	l.loadVerified(ctx, c, held)
+}
+
+// loadVerified orders the engine to load a copy, and verifies the copy again after that.
+func (l *loader) loadVerified(ctx context.Context, c copyState, held *weights.Copy) {
+	digest := c.assignment.Digest
+	verifiedAt, orderedAt := held.VerifiedAt(), time.Now()
+	held.ClearModified()
+	l.agent.copies.setPhase(digest, contract.PhaseLoading)
 	s, err := l.sendOrder(ctx, engine.Order{
 		Action:    engine.ActionLoad,
 		Model:     c.assignment.Model,
-		Digest:    c.assignment.Digest.String(),
+		Digest:    digest.String(),
 		Path:      held.Path(),
 		ChunkSize: c.assignment.Manifest.ChunkSize(),
 	})
-	if err != nil || !s.Serves(c.assignment.Model, c.assignment.Digest) {
-		l.agent.copies.setPhase(c.assignment.Digest, contract.PhaseVerified)
+	if err != nil || !s.Serves(c.assignment.Model, digest) {
+		l.agent.copies.endLoad(digest, contract.PhaseVerified)
 		return
 	}
-	l.agent.copies.setPhase(c.assignment.Digest, contract.PhaseReady)
+	loadedAt := time.Now()
+	if !l.verify(ctx, c, held, "after the order") {
+		l.agent.copies.endLoad(digest, contract.PhaseVerified)
+		l.unloadUnused(ctx, c)
+		return
+	}
+	_ = level.Info(l.agent.process.Logger).Log("msg", "copy loaded", "model", c.assignment.Model, "digest", digest.Short(),
+		"age_ms", orderedAt.Sub(verifiedAt).Milliseconds(), "order_ms", loadedAt.Sub(orderedAt).Milliseconds(),
+		"verify_ms", time.Since(loadedAt).Milliseconds())
+	phase := contract.PhaseReady
+	if !l.isLoaded(c) {
+		phase = contract.PhaseVerified
+	}
+	l.agent.copies.endLoad(digest, phase)
 	l.wake()
 }
 
+// isLoaded reports whether the engine serves a copy by its last state.
+func (l *loader) isLoaded(c copyState) bool {
+	state, _ := l.lastState()
+	return state.Serves(c.assignment.Model, c.assignment.Digest)
+}
+
+// verify reads a complete copy from disk and reports whether it is valid. The copier
+// fetches what is corrupt. Reading a large copy takes long, so the engine is polled
+// meanwhile.
+func (l *loader) verify(ctx context.Context, c copyState, held *weights.Copy, when string) bool {
+	result := make(chan error, 1)
+	go func() { result <- held.Verify(ctx) }()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-result:
+			return l.handleVerification(ctx, c, err, when)
+		case <-ticker.C:
+			l.poll(ctx)
+		}
+	}
+}
+
+// handleVerification reports a copy that is not valid, unless the process is stopping.
+func (l *loader) handleVerification(ctx context.Context, c copyState, err error, when string) bool {
+	if err == nil || ctx.Err() != nil {
+		return err == nil
+	}
+	digest := c.assignment.Digest.Short()
+	_ = level.Warn(l.agent.process.Logger).Log("msg", "copy not valid on disk", "model", c.assignment.Model, "digest", digest, "when", when, "err", err)
+	l.agent.process.Recorder.Record(event.ChunkRefused, digest, "disk: "+err.Error())
+	return false
+}
+
+// unloadUnused unloads a copy that is not ready, unless requests still run on an earlier
+// load of it or the process is stopping.
+func (l *loader) unloadUnused(ctx context.Context, c copyState) {
+	if c.pins == 0 && ctx.Err() == nil {
+		l.unload(ctx, c)
+	}
+}
+
 func (l *loader) unload(ctx context.Context, c copyState) {
 	_, _ = l.sendOrder(ctx, engine.Order{
 		Action: engine.ActionUnload,
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -58,7 +58,8 @@
 	Digest string `json:"digest"`
 	// Path is the weights file on the VM.
 	Path string `json:"path,omitempty"`
-	// ChunkSize is the manifest's chunk size in bytes, which an engine needs to verify the file.
+	// ChunkSize is the manifest's chunk size in bytes. With it an engine can verify the file, which the
+	// agent does not rely on.
 	ChunkSize int64 `json:"chunk_size,omitempty"`
 }
 
--- a/pkg/weights/copy.go
+++ b/pkg/weights/copy.go
@@ -1,13 +1,16 @@
 // ================================================================
 // One copy on the VM's disk. Chunks are written at their offsets after verification against their
-// digests; a full copy is synced, read back and renamed to its final name.
+// digests; a full copy is synced, read back and renamed to its final name. A complete copy that
+// turns out to be damaged is partial again.
 // ================================================================
 
 package weights
 
 import (
+	"context"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/tidepost/tidepost/pkg/contract"
 	"github.com/tidepost/tidepost/pkg/failure"
@@ -33,42 +36,62 @@
 
 // open opens the complete or partial file and verifies its chunks.
 func (c *Copy) open() error {
-	if f, err := os.OpenFile(c.path(completeSuffix), os.O_RDWR, fileMode); err == nil {
-		c.file = f
-		c.verifyAll()
-		c.complete = c.held.Full()
-		if c.complete {
-			return nil
-		}
-		// The disk damaged a complete copy; the chunks that are still valid are kept.
-		if err := os.Rename(c.path(completeSuffix), c.path(partialSuffix)); err != nil {
-			return failure.New(failure.DiskFailed, "rename damaged copy: %v", err)
-		}
+	f, err := os.OpenFile(c.path(completeSuffix), os.O_RDWR, fileMode)
+	if err != nil {
+		return c.openPartial()
+	}
+	c.file = f
+	c.held = c.validChunks(f)
+	if c.held.Full() && c.hasManifestSize(f) {
+		c.markComplete()
 		return nil
 	}
+	return c.demote(c.held)
+}
+
+func (c *Copy) openPartial() error {
 	f, err := os.OpenFile(c.path(partialSuffix), os.O_CREATE|os.O_RDWR, fileMode)
 	if err != nil {
 		return failure.New(failure.DiskFailed, "open copy: %v", err)
 	}
-	c.file = f
-	c.verifyAll()
+	c.file, c.modified = f, true
+	c.held = c.validChunks(f)
+	return c.reserve(f)
+}
+
+// reserve extends or cuts a file to the size of the copy.
+func (c *Copy) reserve(f *os.File) error {
 	if err := f.Truncate(c.manifest.Size()); err != nil {
 		return failure.New(failure.DiskFailed, "reserve %d bytes: %v", c.manifest.Size(), err)
 	}
 	return nil
 }
 
-// verifyAll reads every chunk from disk and marks the valid ones as held.
-func (c *Copy) verifyAll() {
-	info, err := c.file.Stat()
-	if err != nil || info.Size() == 0 {
-		return
-	}
+// hasManifestSize reports whether a file has exactly the size of the copy.
+func (c *Copy) hasManifestSize(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Size() == c.manifest.Size()
+}
+
+// validChunks reads every chunk from a file and returns those that match their digests.
+func (c *Copy) validChunks(f *os.File) spread.Bitmap {
+	valid, _ := c.validChunksUntil(context.Background(), f)
+	return valid
+}
+
+// validChunksUntil is validChunks that ends early with the context's error.
+func (c *Copy) validChunksUntil(ctx context.Context, f *os.File) (spread.Bitmap, error) {
+	valid := spread.NewBitmap(len(c.manifest.Chunks()))
+	buffer := make([]byte, min(c.manifest.ChunkSize(), c.manifest.Size()))
 	for i := range c.manifest.Chunks() {
-		if _, err := c.readVerified(i); err == nil {
-			c.held.Add(i)
+		if err := ctx.Err(); err != nil {
+			return valid, err
+		}
+		if _, err := c.readVerified(f, i, buffer); err == nil {
+			valid.Add(i)
 		}
 	}
+	return valid, nil
 }
 
 // Write verifies and stores a chunk. It refuses data with another digest with CorruptChunk and
@@ -90,6 +113,7 @@
 		return failure.New(failure.DiskFailed, "write chunk %d of %s: %v", i, c.digest.Short(), err)
 	}
 	c.held.Add(i)
+	c.modified = true
 	return nil
 }
 
@@ -110,16 +134,21 @@
 // Read returns a held chunk after another verification: the disk may have damaged it, and a corrupt
 // chunk must not be sent to others.
 func (c *Copy) Read(i int) ([]byte, error) {
-	if !c.Has(i) {
+	c.mu.RLock()
+	f, held := c.file, c.held.Has(i)
+	c.mu.RUnlock()
+	if !held {
 		return nil, failure.New(failure.NotReady, "chunk %d of %s is missing", i, c.digest.Short())
 	}
-	return c.readVerified(i)
+	_, length := c.manifest.ChunkRange(i)
+	return c.readVerified(f, i, make([]byte, length))
 }
 
-func (c *Copy) readVerified(i int) ([]byte, error) {
+// readVerified reads a chunk into a buffer, which is at least as long, and returns that part of it.
+func (c *Copy) readVerified(f *os.File, i int, buffer []byte) ([]byte, error) {
 	offset, length := c.manifest.ChunkRange(i)
-	data := make([]byte, length)
-	if _, err := c.file.ReadAt(data, offset); err != nil {
+	data := buffer[:length]
+	if _, err := f.ReadAt(data, offset); err != nil {
 		return nil, failure.New(failure.DiskFailed, "read chunk %d of %s: %v", i, c.digest.Short(), err)
 	}
 	if !c.verify(i, data) {
@@ -158,23 +187,126 @@
 	if err := syncFolder(c.folder); err != nil {
 		return err
 	}
-	c.complete = true
+	c.markComplete()
 	return nil
 }
 
+func (c *Copy) markComplete() {
+	c.complete = true
+	c.verifiedAt = time.Now()
+	c.damaged = make(chan struct{})
+}
+
 // dropDamaged removes the held chunks that are no longer valid.
 func (c *Copy) dropDamaged() error {
-	valid := spread.NewBitmap(c.held.Total())
-	for i := range c.manifest.Chunks() {
-		if _, err := c.readVerified(i); err == nil {
-			valid.Add(i)
-		}
+	c.held = c.validChunks(c.file)
+	if !c.held.Full() {
+		return c.corruptFailure(c.held)
+	}
+	return nil
+}
+
+func (c *Copy) corruptFailure(valid spread.Bitmap) error {
+	if valid.Full() {
+		return failure.New(failure.CorruptChunk, "the file of %s has another size than its manifest", c.digest.Short())
+	}
+	return failure.New(failure.CorruptChunk, "%d of %d chunks of %s were corrupt on this VM's disk",
+		valid.Total()-valid.Count(), valid.Total(), c.digest.Short())
+}
+
+// VerifiedAt returns the end of the last verification that found a complete copy valid.
+func (c *Copy) VerifiedAt() time.Time {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.verifiedAt
+}
+
+// Damaged returns a channel that is closed when Verify finds the complete copy damaged.
+func (c *Copy) Damaged() <-chan struct{} {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.damaged
+}
+
+// Modified reports whether the file was written since the last ClearModified. Without one, it reports
+// whether the copy was incomplete at any time since it was opened.
+func (c *Copy) Modified() bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.modified
+}
+
+// ClearModified makes Modified report false until the file is written again.
+func (c *Copy) ClearModified() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.modified = false
+}
+
+// Verify opens the file of a complete copy again and verifies every chunk and the size. If the file
+// is damaged, Verify fails with CorruptChunk, and the copy is incomplete from then on and holds the
+// valid chunks. After other errors it is as before: DiskFailed, NotReady if the copy is incomplete,
+// and the context's error if that ends first. The copy can be read meanwhile.
+func (c *Copy) Verify(ctx context.Context) error {
+	if !c.IsComplete() {
+		return c.incompleteFailure()
+	}
+	valid, wholeFile, err := c.readCompleteFile(ctx)
+	if err != nil {
+		return err
 	}
-	c.held = valid
-	if !valid.Full() {
-		return failure.New(failure.CorruptChunk, "%d chunks of %s were corrupt on this VM's disk",
-			valid.Total()-valid.Count(), c.digest.Short())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.complete {
+		return c.incompleteFailure()
+	}
+	if wholeFile && valid.Full() {
+		c.verifiedAt = time.Now()
+		return nil
+	}
+	close(c.damaged)
+	if err := c.demote(valid); err != nil {
+		c.damaged = make(chan struct{})
+		return err
+	}
+	return c.corruptFailure(valid)
+}
+
+func (c *Copy) incompleteFailure() error {
+	return failure.New(failure.NotReady, "the copy of %s is incomplete", c.digest.Short())
+}
+
+// readCompleteFile returns the valid chunks of the file that the engine would open, and whether the
+// file has the right size. A file that is gone has no valid chunks.
+func (c *Copy) readCompleteFile(ctx context.Context) (valid spread.Bitmap, wholeFile bool, err error) {
+	f, err := os.Open(c.path(completeSuffix))
+	if os.IsNotExist(err) {
+		return spread.NewBitmap(len(c.manifest.Chunks())), false, nil
+	}
+	if err != nil {
+		return valid, false, failure.New(failure.DiskFailed, "open copy: %v", err)
+	}
+	defer f.Close()
+	valid, err = c.validChunksUntil(ctx, f)
+	return valid, c.hasManifestSize(f), err
+}
+
+// demote makes the complete file a partial one, in which the given chunks are valid.
+func (c *Copy) demote(valid spread.Bitmap) error {
+	err := os.Rename(c.path(completeSuffix), c.path(partialSuffix))
+	if err != nil && !os.IsNotExist(err) {
+		return failure.New(failure.DiskFailed, "rename damaged copy: %v", err)
+	}
+	f, err := os.OpenFile(c.path(partialSuffix), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return failure.New(failure.DiskFailed, "open copy: %v", err)
+	}
+	if err := c.reserve(f); err != nil {
+		_ = f.Close()
+		return err
 	}
+	_ = c.file.Close()
+	c.file, c.held, c.complete, c.modified = f, valid, false, true
 	return nil
 }
 
--- a/pkg/weights/store.go
+++ b/pkg/weights/store.go
@@ -6,7 +6,7 @@
 //
 // A file is renamed to ".weights" only after every chunk was verified and synced. After a restart
 // each file is read again and each chunk is checked against its digest; no state in memory is
-// trusted.
+// trusted. Copy.Verify does the same for a copy that is complete: the disk may damage it at any time.
 // ================================================================
 
 // Package weights keeps copies of weights on a VM. Chunks are verified one by one, a synced rename
@@ -17,6 +17,7 @@
 	"os"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/tidepost/tidepost/pkg/contract"
 	"github.com/tidepost/tidepost/pkg/failure"
@@ -52,6 +53,12 @@
 	file     *os.File
 	held     spread.Bitmap
 	complete bool
+	// verifiedAt is the end of the last verification that found the complete file valid.
+	verifiedAt time.Time
+	// damaged is closed when a verification finds the complete file damaged.
+	damaged chan struct{}
+	// modified reports that the file was incomplete or written since ClearModified.
+	modified bool
 }
 
 // NewStore opens the folder of copies and creates it if necessary.
--- a/prove/backends_test.go
+++ b/prove/backends_test.go
@@ -99,6 +99,20 @@
 	return m.overlapCount
 }
 
+// hasLoaded reports whether the engine serves a digest.
+func (m *modelEngine) hasLoaded(digest contract.Digest) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.loaded[digest.String()] != ""
+}
+
+// contentOf returns the digest of the weights that the engine read when it loaded a digest.
+func (m *modelEngine) contentOf(digest contract.Digest) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.content[digest.String()]
+}
+
 func (m *modelEngine) engine() *engine.Engine {
 	return &engine.Engine{SendOrder: m.sendOrder, ReadState: m.readState, SendRequest: m.sendRequest}
 }
