Agent: a chunk that is corrupt on its holders is fetched again, and blocks no new copy

What callers would see: a VM whose copy is new or lost never becomes ready.

Cause: Copy.Read verifies a chunk before it is sent to another agent and refuses a corrupt one, but the copy still counted as complete. Its VM stayed a holder of the chunk for the coordinators, and these lease a chunk from the origin only where no other domain holds it. So with the chunk corrupt on all holders each fetch failed and was leased from a holder again.

Evidence, on the code before: TestChunkDamagedOnAllHoldersIsFetchedAgain (four holders with one corrupt chunk, the fifth VM lost its copy) "the new copy is ready: did not happen within 2m0s".

Mend: Read makes a complete copy incomplete without the chunk, after a second read under the lock (the copy may have been repaired meanwhile); the copier starts anew as it does after a failed verification. A copy that its engine has loaded stays ready: markFailed, like markVerified, keeps the phases loading and ready. With the phase set to "failed" in a scratch copy (trial) the test sees 1 replica ready instead of 4. While a copy is repaired, the loader goes on to the orders of others. The time line of the holder has chunk_refused from "disk".

--- a/pkg/agent/chunks.go
+++ b/pkg/agent/chunks.go
@@ -13,6 +13,7 @@
 
 	"github.com/tidepost/tidepost/pkg/configstate"
 	"github.com/tidepost/tidepost/pkg/contract"
+	"github.com/tidepost/tidepost/pkg/event"
 	"github.com/tidepost/tidepost/pkg/failure"
 	"github.com/tidepost/tidepost/pkg/link"
 	"github.com/tidepost/tidepost/pkg/source"
@@ -74,6 +75,9 @@
 	}
 	defer func() { <-a.uploads }()
 	data, err := c.Read(int(q.Index()))
+	if failure.Is(err, failure.CorruptChunk) {
+		a.process.Recorder.Record(event.ChunkRefused, q.Digest().Short(), "disk: "+err.Error())
+	}
 	if err != nil {
 		return err
 	}
--- a/pkg/agent/copier.go
+++ b/pkg/agent/copier.go
@@ -66,7 +66,7 @@
 			return
 		}
 		_ = level.Error(a.process.Logger).Log("msg", "copy failed; retrying", "digest", assignment.Digest.Short(), "err", err)
-		a.copies.setPhase(assignment.Digest, contract.PhaseFailed)
+		a.copies.markFailed(assignment.Digest)
 		select {
 		case <-time.After(copyRetryDelay):
 		case <-ctx.Done():
--- a/pkg/agent/copy_table.go
+++ b/pkg/agent/copy_table.go
@@ -132,6 +132,18 @@
 	}
 }
 
+// markFailed records that a copy could not be fetched. A copy that is loading or ready keeps
+// its phase: the engine does not need the file any more.
+func (t *copyTable) markFailed(d contract.Digest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.copies[d]
+	if c == nil || c.phase == contract.PhaseLoading || c.phase == contract.PhaseReady || c.phase == contract.PhaseFailed {
+		return
+	}
+	t.changePhase(c, contract.PhaseFailed)
+}
+
 // pin keeps a ready copy loaded until unpin is called. It reports false if the copy is
 // not ready.
 func (t *copyTable) pin(d contract.Digest) bool {
--- a/pkg/agent/copy_table_test.go
+++ b/pkg/agent/copy_table_test.go
@@ -52,3 +52,20 @@
 		t.Error("a loaded copy is not ready")
 	}
 }
+
+// A ready copy whose file is damaged or cannot be opened must stay in service: the engine has loaded it.
+func TestFailedFetchKeepsReadyCopy(t *testing.T) {
+	table := newCopyTable(event.NewRecorder("agent", event.NewClock(time.Now), 16))
+	manifest := contract.ManifestOf([]byte("weights"), 4)
+	a := configstate.Assignment{Model: "menu", Digest: manifest.Digest(), Manifest: manifest, Role: contract.RoleServe}
+	table.markWanted(a)
+	table.markFailed(a.Digest)
+	if phase := table.snapshot()[0].phase; phase != contract.PhaseFailed {
+		t.Errorf("a copy that could not be fetched is %s", phase)
+	}
+	table.setPhase(a.Digest, contract.PhaseReady)
+	table.markFailed(a.Digest)
+	if !table.pin(a.Digest) {
+		t.Error("a ready copy was taken out of service")
+	}
+}
--- a/pkg/agent/loader.go
+++ b/pkg/agent/loader.go
@@ -176,8 +176,8 @@
 	}
 	copies := l.agent.copies.snapshot()
 	for _, c := range copies {
-		if c.wanted && c.assignment.Role == contract.RoleServe && c.phase == contract.PhaseVerified {
-			l.load(ctx, c)
+		if held := l.loadable(c); held != nil {
+			l.load(ctx, c, held)
 			return
 		}
 	}
@@ -189,6 +189,19 @@
 	}
 }
 
+// loadable returns the complete copy on disk if the engine should load it now; otherwise
+// nil. A copy that is being repaired is not complete.
+func (l *loader) loadable(c copyState) *weights.Copy {
+	if !c.wanted || c.assignment.Role != contract.RoleServe || c.phase != contract.PhaseVerified {
+		return nil
+	}
+	held := l.agent.store.Find(c.assignment.Digest)
+	if held == nil || !held.IsComplete() {
+		return nil
+	}
+	return held
+}
+
 // superseded reports whether a loaded copy should be unloaded: this VM should not serve
 // it, and any other version of the model that it should serve is ready.
 func (l *loader) superseded(c copyState, copies []copyState) bool {
@@ -207,11 +220,7 @@
 
 // load verifies a copy and orders the engine to load it. A verification that is too old is
 // renewed, and the order follows in the next round, with the state of that time.
-func (l *loader) load(ctx context.Context, c copyState) {
-	held := l.agent.store.Find(c.assignment.Digest)
-	if held == nil || !held.IsComplete() {
-		return
-	}
+func (l *loader) load(ctx context.Context, c copyState, held *weights.Copy) {
 	if held.Modified() && l.isLoaded(c) {
 		l.unloadUnused(ctx, c)
 		return
--- a/pkg/weights/copy.go
+++ b/pkg/weights/copy.go
@@ -132,7 +132,7 @@
 }
 
 // Read returns a held chunk after another verification: the disk may have damaged it, and a corrupt
-// chunk must not be sent to others.
+// chunk must not be sent to others. A complete copy with a corrupt chunk is incomplete from then on.
 func (c *Copy) Read(i int) ([]byte, error) {
 	c.mu.RLock()
 	f, held := c.file, c.held.Has(i)
@@ -140,6 +140,40 @@
 	if !held {
 		return nil, failure.New(failure.NotReady, "chunk %d of %s is missing", i, c.digest.Short())
 	}
+	data, err := c.readChunk(f, i)
+	if failure.Is(err, failure.CorruptChunk) {
+		c.dropCorrupt(i)
+	}
+	return data, err
+}
+
+// dropCorrupt makes a complete copy incomplete if a chunk of it is corrupt. The copy may have been
+// repaired since the chunk was read, so the chunk is read again.
+func (c *Copy) dropCorrupt(i int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.complete {
+		return
+	}
+	if _, err := c.readChunk(c.file, i); err == nil {
+		return
+	}
+	// If the disk fails, the copy stays complete, and the next read tries again.
+	_ = c.markDamaged(c.heldWithout(i))
+}
+
+// heldWithout returns the held chunks but one.
+func (c *Copy) heldWithout(i int) spread.Bitmap {
+	rest := spread.NewBitmap(c.held.Total())
+	for k := range c.held.Total() {
+		if k != i && c.held.Has(k) {
+			rest.Add(k)
+		}
+	}
+	return rest
+}
+
+func (c *Copy) readChunk(f *os.File, i int) ([]byte, error) {
 	_, length := c.manifest.ChunkRange(i)
 	return c.readVerified(f, i, make([]byte, length))
 }
@@ -221,7 +255,7 @@
 	return c.verifiedAt
 }
 
-// Damaged returns a channel that is closed when Verify finds the complete copy damaged.
+// Damaged returns a channel that is closed when Verify or Read finds the complete copy damaged.
 func (c *Copy) Damaged() <-chan struct{} {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
@@ -264,14 +298,23 @@
 		c.verifiedAt = time.Now()
 		return nil
 	}
-	close(c.damaged)
-	if err := c.demote(valid); err != nil {
-		c.damaged = make(chan struct{})
+	if err := c.markDamaged(valid); err != nil {
 		return err
 	}
 	return c.corruptFailure(valid)
 }
 
+// markDamaged makes a complete copy incomplete, in which the given chunks are valid. If the disk
+// fails, the copy stays complete.
+func (c *Copy) markDamaged(valid spread.Bitmap) error {
+	close(c.damaged)
+	err := c.demote(valid)
+	if err != nil {
+		c.damaged = make(chan struct{})
+	}
+	return err
+}
+
 func (c *Copy) incompleteFailure() error {
 	return failure.New(failure.NotReady, "the copy of %s is incomplete", c.digest.Short())
 }
--- a/prove/damaged_copy_test.go
+++ b/prove/damaged_copy_test.go
@@ -96,3 +96,33 @@
 		}
 	})
 }
+
+// Guards against a chunk that is corrupt on all VMs that hold it: they refused it to others but stayed
+// its holders, so nobody fetched it from the origin. They repair it without leaving service, since
+// their engines have loaded it before.
+func TestChunkDamagedOnAllHoldersIsFetchedAgain(t *testing.T) {
+	bubble.Run(t, func(t *testing.T) {
+		cl := newCluster(t, 1)
+		defer cl.stop()
+		cl.start()
+		cl.kill("agent-5")
+		lost, _ := cl.copyFile("agent-5", "v1")
+		cl.must(os.Remove(lost))
+		for _, name := range []string{"agent-1", "agent-2", "agent-3", "agent-4"} {
+			path, _ := cl.copyFile(name, "v1")
+			cl.damageFile(path)
+		}
+		time.Sleep(time.Minute)
+		cl.startAgent("agent-5")
+		least := len(agentLocations)
+		cl.eventually("the new copy is ready", func() bool {
+			ready := cl.ready("v1")
+			least = min(least, ready)
+			return ready == len(agentLocations)
+		})
+		if least < len(agentLocations)-1 {
+			t.Errorf("at times %d replicas were ready, want at least %d", least, len(agentLocations)-1)
+		}
+		cl.awaitSoundLoad("agent-5", "v1")
+	})
+}
