--- a/Makefile
+++ b/Makefile
@@ -83,14 +83,15 @@
 	go test -count=1 -v -timeout 30m -tags bench ./soak -run TestServerLimitsUnderFaults | grep -E '^limits|limits_series|FAIL|^ok'
 
 # Staged chunks of weights that turn corrupt before engines take them: make weights SEED=1 READ_MS=120
-# ORDER_MS=4000 ROT_MS=200 BUSY=24 PHASES=1 STOPS=1 KILLS=1 SILENT=1 LOAD=0.5 SECONDS=50 ENGINES=6
-# GATEWAYS=3, each optional. A chunk of each engine turns corrupt every ROT_MS; none where it is missing.
+# ORDER_MS=4000 ROT_MS=200 BUSY=24 ENGINE_BUSY=24 PHASES=1 STOPS=1 KILLS=1 SILENT=1 LOAD=0.5 SECONDS=50
+# ENGINES=6 GATEWAYS=3, each optional. A chunk of each engine turns corrupt every ROT_MS; none where it is missing.
 # With ORDER_MS above 3000, ROT_MS must be no shorter than ORDER_MS - 3000, or retries hardly ever succeed.
+# BUSY runs busy processes beside, ENGINE_BUSY busy loops in the engines' process, which slow its calls.
 # PHASES has slow reads, late orders and busy processes come and go, STOPS suspends stagers and SILENT
 # silences their connections to engines.
 weights:
 	TIDEPOST_SEED=$(or $(SEED),1) TIDEPOST_READ_MS="$(READ_MS)" TIDEPOST_ORDER_MS="$(ORDER_MS)" TIDEPOST_ROT_MS="$(ROT_MS)" \
-	TIDEPOST_BUSY="$(BUSY)" TIDEPOST_PHASES="$(PHASES)" TIDEPOST_STOPS="$(STOPS)" TIDEPOST_KILLS="$(KILLS)" \
+	TIDEPOST_BUSY="$(BUSY)" TIDEPOST_ENGINE_BUSY="$(ENGINE_BUSY)" TIDEPOST_PHASES="$(PHASES)" TIDEPOST_STOPS="$(STOPS)" TIDEPOST_KILLS="$(KILLS)" \
 	TIDEPOST_SILENT="$(SILENT)" TIDEPOST_LOAD="$(LOAD)" TIDEPOST_SECONDS="$(SECONDS)" TIDEPOST_ENGINES="$(ENGINES)" \
 	TIDEPOST_GATEWAYS="$(GATEWAYS)" TIDEPOST_SOAK_LOGS="$(LOGS)" \
 	go test -count=1 -v -timeout 30m -tags bench ./soak -run TestWeightsUnderFaults | grep -E '^weights|weights_(series_)?test|FAIL|^ok'
--- a/soak/weights_series_test.go
+++ b/soak/weights_series_test.go
@@ -5,18 +5,19 @@
 // for the processors, stagers are suspended and killed, and their connections to engines go silent, in series
 // that overlap. The test is run by hand: make weights SEED=1, with these optional arguments:
 //
-//	READ_MS    how long a read of a staged chunk takes
-//	ORDER_MS   how long an order waits at an engine before it is taken
-//	ROT_MS     the time after which another chunk of an engine turns corrupt. An order is in order only if no
-//	           chunk turns corrupt in the first ORDER_MS - 3000 ms of its wait, so ROT_MS must be at least
-//	           about that long for a retry to succeed
-//	BUSY       how many busy processes run beside
-//	PHASES=1   slow reads, late orders and busy processes come and go at random; otherwise they are there all
-//	           the time
-//	STOPS=1    suspends stagers for up to 4 s
-//	KILLS=1    kills stagers
-//	SILENT=1   silences the stagers' connections to engines
-//	LOAD       the requests, as a share of what the engines carry; 0 is none
+//	READ_MS      how long a read of a staged chunk takes
+//	ORDER_MS     how long an order waits at an engine before it is taken
+//	ROT_MS       the time after which another chunk of an engine turns corrupt. An order is in order only if no
+//	             chunk turns corrupt in the first ORDER_MS - 3000 ms of its wait, so ROT_MS must be at least
+//	             about that long for a retry to succeed
+//	BUSY         how many busy processes run beside
+//	ENGINE_BUSY  how many busy loops run in the process of the engines, whose calls take longer then
+//	PHASES=1     slow reads, late orders and busy processes come and go at random; otherwise they are there all
+//	             the time
+//	STOPS=1      suspends stagers for up to 4 s
+//	KILLS=1      kills stagers
+//	SILENT=1     silences the stagers' connections to engines
+//	LOAD         the requests, as a share of what the engines carry; 0 is none
 //	SECONDS, ENGINES, GATEWAYS
 // ================================================================
 
@@ -140,6 +141,7 @@
 		readTime.alternate(ctx, f, "slow reads")
 		orderDelay.alternate(ctx, f, "late orders")
 	}
+	burnCPU(ctx, int(envNumber(t, "TIDEPOST_ENGINE_BUSY", 0)))
 	f.startWeightSeries(ctx, int(envNumber(t, "TIDEPOST_BUSY", 0)), withPhases)
 	f.running.Wait()
 	last := cl.lastVersion()
