--- a/pkg/staging/late_orders_test.go
+++ b/pkg/staging/late_orders_test.go
@@ -332,3 +332,27 @@
 		}
 	})
 }
+
+// Guards against a load of an earlier process that only the control loop saw in progress: load reports are read up
+// to idleLoadInterval after the configuration has arrived.
+func TestLoadSeenInProgressByControlLoopIsReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := fullCopy(t, 2)
+		e := newStandinEngine(c)
+		for number := range testChunks {
+			e.staged[number] = c.get(number)
+		}
+		e.spoil(testChunks / 2)
+		time.Sleep(maxVerificationAge + time.Second)
+		if err := e.load(Order{Version: 2}); err != nil {
+			t.Fatal(err)
+		}
+		s := stagerOf(t, e)
+		name(s, c)
+		s.reconcile(t.Context())
+		time.Sleep(idleLoadInterval)
+		if load, ok := s.load(t.Context()); !ok || load.Version() == 2 {
+			t.Errorf("version %d is offered", load.Version())
+		}
+	})
+}
