Caches: a stored copy is read only if its file matches a checksum

What callers would have seen: answers made with weights of another version. The digests of the chunks do not cover the manifest that contains them, so a flipped bit in its version or model made a cache serve a copy under another version, with a manifest that fits it.

Files of earlier releases are not used, and the weights are downloaded again. A manifest from a peer must be of the model and have digests, as one of the origin must.

--- a/pkg/staging/copy_store.go
+++ b/pkg/staging/copy_store.go
@@ -1,13 +1,16 @@
 // ================================================================
-// The copies of a cache on disk: one file per model, replaced atomically. Copies are verified by
-// digest when they are read, since a power loss can corrupt a file. A failed write is retried, and
-// the copy in memory remains available.
+// The copies of a cache on disk: one file per model, replaced atomically, with the SHA-256 of its
+// content before it: the digests of the chunks do not cover the manifest that contains them. Files are
+// verified when they are read, since a power loss or the disk can corrupt them. A failed write is
+// retried, and the copy in memory remains available.
 // ================================================================
 
 package staging
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"net/url"
 	"strings"
 	"sync"
@@ -120,10 +123,11 @@
 	for number := range c.manifest.digests {
 		stored.chunks = append(stored.chunks, c.get(number))
 	}
-	data, err := msgpack.Marshal(stored)
+	content, err := msgpack.Marshal(stored)
 	if err != nil {
 		return errors.Wrap(err, "encode stored copy")
 	}
+	data := addChecksum(content)
 	if err := folder.Replace(fileName(c.manifest.model), data); err != nil {
 		return err
 	}
@@ -193,8 +197,12 @@
 	if err != nil {
 		return nil, err
 	}
+	content, err := verifyChecksum(data)
+	if err != nil {
+		return nil, err
+	}
 	var stored storedCopy
-	if err := msgpack.Unmarshal(data, &stored); err != nil {
+	if err := msgpack.Unmarshal(content, &stored); err != nil {
 		return nil, errors.Wrap(err, "decode stored copy")
 	}
 	if len(stored.chunks) != len(stored.manifest.digests) {
@@ -209,3 +217,21 @@
 	_ = level.Info(s.logger).Log("msg", "stored copy read", "model", c.manifest.model, "version", c.manifest.version)
 	return c, nil
 }
+
+// addChecksum returns a content behind its SHA-256.
+func addChecksum(content []byte) []byte {
+	sum := sha256.Sum256(content)
+	return append(sum[:], content...)
+}
+
+// verifyChecksum returns the content of addChecksum's result. It fails if the two do not match.
+func verifyChecksum(data []byte) ([]byte, error) {
+	if len(data) < sha256.Size {
+		return nil, errors.Errorf("stored copy has %d bytes", len(data))
+	}
+	content := data[sha256.Size:]
+	if sum := sha256.Sum256(content); !bytes.Equal(sum[:], data[:sha256.Size]) {
+		return nil, errors.New("stored copy does not match its checksum; the weights are downloaded again")
+	}
+	return content, nil
+}
--- a/pkg/staging/manifests.go
+++ b/pkg/staging/manifests.go
@@ -40,13 +40,18 @@
 			m.peerFailures.record(address)
 			continue
 		}
-		if r.manifest != nil && r.manifest.version == version {
+		if r.manifest != nil && r.manifest.isOf(model, version) {
 			return *r.manifest, nil
 		}
 	}
 	return m.fetchOriginManifest(ctx, model, version)
 }
 
+// isOf reports whether a manifest is one of a model's version.
+func (m Manifest) isOf(model string, version uint64) bool {
+	return m.model == model && m.version == version && len(m.digests) > 0
+}
+
 // manifestOrder returns the members to query for a manifest, in order.
 func (m *Member) manifestOrder(model string, version uint64) []string {
 	domains, caches := m.members(model)
@@ -73,7 +78,7 @@
 	if err != nil {
 		return manifest, err
 	}
-	if manifest.version != version || len(manifest.digests) == 0 {
+	if !manifest.isOf(model, version) {
 		return manifest, failure.New(failure.VersionChanged, "the origin returned version %d instead of %d, with %d digests", manifest.version, version, len(manifest.digests))
 	}
 	m.originManifests[model] = manifest
--- a/pkg/staging/recheck.go
+++ b/pkg/staging/recheck.go
@@ -96,7 +96,7 @@
 // mayProve reports whether this process has written no chunks of another copy, which would hide what
 // was there.
 func (s *Stager) mayProve(m Manifest) bool {
-	return s.staged == nil || s.staged.copy.manifest.model == m.model && s.staged.copy.manifest.version == m.version
+	return s.staged == nil || s.staged.copy.manifest.isOf(m.model, m.version)
 }
 
 // wasIntact reports whether a chunk is known to have been intact when it was loaded, or corrupt for
