--- a/pkg/staging/late_orders_test.go
+++ b/pkg/staging/late_orders_test.go
@@ -356,3 +356,33 @@
 		}
 	})
 }
+
+// Guards against a load that a stager had found not to be sound and that the next stager, after a kill, takes as
+// sound because it is finished.
+func TestRestartedStagerDoesNotOfferUnexplainedLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := fullCopy(t, 2)
+		e := newStandinEngine(c)
+		for number := range testChunks {
+			e.staged[number] = c.get(number)
+		}
+		e.spoil(testChunks / 2)
+		time.Sleep(maxVerificationAge + time.Second)
+		killed := stagerOf(t, e)
+		if _, ok := killed.load(t.Context()); !ok {
+			t.Fatal("no load")
+		}
+		if err := e.load(Order{Version: 2}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * e.loadTime)
+		if load, ok := killed.load(t.Context()); !ok || load.Version() != 0 {
+			t.Fatalf("version %d is offered before the restart", load.Version())
+		}
+		s := stagerOf(t, e)
+		name(s, c)
+		if last := offersOnlyIntactLoads(t, e, s, rolloutTime); last != 2 {
+			t.Errorf("version %d is offered at the end", last)
+		}
+	})
+}
