--- a/pkg/staging/drain_test.go
+++ b/pkg/staging/drain_test.go
@@ -120,7 +120,7 @@
 	c, _ := testCopy(1)
 	s.staged = newStagedCopy(c, 1)
 	s.staged.isComplete = true
-	s.sound.Store(&load{})
+	s.sound.Store(&engineLoad{})
 	engine := serviceconfig.NewEngine(16, []string{"menu"}, 1, 1, 8, time.Millisecond, 0, 0, 0, 0, 0, 0)
 	for _, interruptible := range []bool{false, true} {
 		service := serviceconfig.NewService("menu", "", 0, "", engine, interruptible, 0)
--- a/pkg/staging/recheck.go
+++ b/pkg/staging/recheck.go
@@ -68,7 +68,7 @@
 
 // provenLayers returns the first layers of a load that the engine had before, or whose chunks are known
 // to have been intact when they were loaded. It fails if that can't be found out now.
-func (s *Stager) provenLayers(ctx context.Context, model string, held load, allLayers int) (layerRange, error) {
+func (s *Stager) provenLayers(ctx context.Context, model string, held engineLoad, allLayers int) (layerRange, error) {
 	kept := held.keptLayers(*s.sound.Load())
 	if held.layers.from > 0 {
 		return kept, nil
@@ -117,7 +117,7 @@
 
 // dropLayers has the engine drop the layers of a load that are not known to be sound, and returns the time
 // until the next step.
-func (s *Stager) dropLayers(ctx context.Context, model string, held load, sound layerRange, service *serviceconfig.Service) time.Duration {
+func (s *Stager) dropLayers(ctx context.Context, model string, held engineLoad, sound layerRange, service *serviceconfig.Service) time.Duration {
 	order := Order{
 		Model: model, Version: held.version, Sequence: held.sequence, Fence: held.version, Interrupts: service.Interruptible(),
 		Partial: true, Layers: sound.to,
@@ -127,7 +127,7 @@
 	if err != nil {
 		return idleInterval
 	}
-	s.sound.Store(&load{held.startedAt, held.sequence + 1, held.version, sound})
+	s.sound.Store(&engineLoad{held.startedAt, held.sequence + 1, held.version, sound})
 	s.awaitOrder(ctx)
 	return busyInterval
 }
--- a/pkg/staging/sound_load.go
+++ b/pkg/staging/sound_load.go
@@ -35,16 +35,16 @@
 // String returns the range as from-to.
 func (r layerRange) String() string { return fmt.Sprintf("%d-%d", r.from, r.to) }
 
-// load is what an engine holds after a number of orders.
-type load struct {
+// engineLoad is what an engine holds after a number of orders.
+type engineLoad struct {
 	startedAt, sequence uint64 // of the engine's report
 	version             uint64
 	layers              layerRange
 }
 
 // loadOf returns the load of a model that the engine reports.
-func loadOf(report Report, model string) load {
-	l := load{startedAt: report.StartedAt, sequence: report.Sequence}
+func loadOf(report Report, model string) engineLoad {
+	l := engineLoad{startedAt: report.StartedAt, sequence: report.Sequence}
 	for _, h := range report.Holdings {
 		if h.Model() == model && h.To() > h.From() {
 			l.version = h.Version()
@@ -55,29 +55,29 @@
 }
 
 // isSameAs reports whether the engine has taken no order between two reports.
-func (l load) isSameAs(other load) bool {
+func (l engineLoad) isSameAs(other engineLoad) bool {
 	return l.startedAt == other.startedAt && l.sequence == other.sequence
 }
 
 // isNextAfter reports whether the engine has taken one order since an earlier report.
-func (l load) isNextAfter(before load) bool {
+func (l engineLoad) isNextAfter(before engineLoad) bool {
 	return l.startedAt == before.startedAt && l.sequence == before.sequence+1
 }
 
 // firstLoad returns the load that is taken to be sound when the first report of an engine arrives. An
 // order that is being carried out then was sent by an earlier process, whose verifications are not
 // known.
-func firstLoad(report Report, model string) load {
+func firstLoad(report Report, model string) engineLoad {
 	l := loadOf(report, model)
 	if report.Busy {
-		return load{startedAt: l.startedAt, sequence: l.sequence - 1}
+		return engineLoad{startedAt: l.startedAt, sequence: l.sequence - 1}
 	}
 	return l
 }
 
 // keptLayers returns the first layers of a load that the engine had before and kept, since it has taken
 // one order since.
-func (l load) keptLayers(before load) layerRange {
+func (l engineLoad) keptLayers(before engineLoad) layerRange {
 	if !l.isNextAfter(before) || l.version != before.version || l.layers.from > 0 || before.layers.from > 0 {
 		return layerRange{}
 	}
@@ -85,6 +85,6 @@
 }
 
 // explains reports whether all layers that the engine reports are part of the known load.
-func (l load) explains(reported load) bool {
+func (l engineLoad) explains(reported engineLoad) bool {
 	return l.isSameAs(reported) && l.version == reported.version && l.layers.contains(reported.layers)
 }
--- a/pkg/staging/stager.go
+++ b/pkg/staging/stager.go
@@ -56,7 +56,7 @@
 	// sound is the newest load that is known to be sound, nil before the first report, and unchangedAt
 	// when the reading of the last report began by which the engine had taken no order since. Only the
 	// control loop changes them.
-	sound        atomic.Pointer[load]
+	sound        atomic.Pointer[engineLoad]
 	unchangedAt  time.Duration
 	refusedFence refusedFence // the last order that the engine refused for its fencing token
 	// draining is set while the engine must get no new requests although it has no order yet.
