--- a/pkg/staging/order.go
+++ b/pkg/staging/order.go
@@ -33,29 +33,25 @@
 // The engine may take the order long after it was sent. Until it has, the chunks are verified again,
 // so that each verification is recent whenever the engine takes the order.
 func (s *Stager) sendOrder(ctx context.Context, staged *stagedCopy, verified verifiedLayers, report Report, due feed.VersionInfo, interrupt bool) {
-	manifest, layers := staged.copy.manifest, verified.layers
-	version := manifest.version
-	order := Order{
-		Model: manifest.model, Version: version, Sequence: report.Sequence, Fence: version, Interrupts: interrupt,
-		Partial: layers != layerRange{0, staged.layers}, Layers: layers.to,
-	}
 	sentAt := s.now()
-	if !s.mayOrder(ctx, staged, layers, report, sentAt) {
+	if !s.mayOrder(ctx, staged, verified.layers, report, sentAt) {
 		return
 	}
-	endVerification := s.keepVerified(ctx, staged, layers)
+	order := staged.order(verified.layers, report, interrupt)
+	endVerification := s.keepVerified(ctx, staged, verified.layers)
 	err := s.callOrder(ctx, order, report)
 	takenBy := s.now()
 	endVerification()
-	age := staged.maxAge(layers, sentAt, takenBy)
+	age := staged.maxAge(verified.layers, sentAt, takenBy)
 	s.metrics.verificationAge.Observe(age.Seconds())
-	_ = level.Info(s.process.Logger).Log("msg", "order given", "model", order.Model, "version", version, "due", due.Version(), "layers", layers.String(),
-		"sequence", order.Sequence, "running", report.Running, "since_named_ms", sinceNamed(due), "verify_ms", verified.took.Milliseconds(),
-		"rewritten", verified.rewritten, "order_ms", (takenBy - sentAt).Milliseconds(), "oldest_ms", age.Milliseconds(), "err", err)
+	_ = level.Info(s.process.Logger).Log("msg", "order given", "model", order.Model, "version", order.Version, "due", due.Version(),
+		"layers", verified.layers.String(), "sequence", order.Sequence, "running", report.Running, "since_named_ms", sinceNamed(due),
+		"verify_ms", verified.took.Milliseconds(), "rewritten", verified.rewritten, "order_ms", (takenBy - sentAt).Milliseconds(),
+		"oldest_ms", age.Milliseconds(), "err", err)
 	switch {
 	case err == nil:
 		if age <= maxVerificationAge {
-			s.sound.Store(&engineLoad{report.StartedAt, report.Sequence + 1, version, order.heldLayers()})
+			s.sound.Store(&engineLoad{report.StartedAt, report.Sequence + 1, order.Version, order.heldLayers()})
 		}
 		s.awaitOrder(ctx)
 	case failure.Is(err, failure.StaleOrder):
@@ -63,13 +59,23 @@
 	}
 }
 
-// mayOrder reports whether an order may be sent now: the verifications are recent, although this
-// process may have been stopped since, and the engine has taken no other order since the report.
-func (s *Stager) mayOrder(ctx context.Context, staged *stagedCopy, layers layerRange, report Report, now time.Duration) bool {
+// order returns the order to load some layers, and to keep those before them.
+func (s *stagedCopy) order(layers layerRange, report Report, interrupt bool) Order {
+	manifest := s.copy.manifest
+	return Order{
+		Model: manifest.model, Version: manifest.version, Sequence: report.Sequence, Fence: manifest.version, Interrupts: interrupt,
+		Partial: layers != layerRange{0, s.layers}, Layers: layers.to,
+	}
+}
+
+// mayOrder reports whether an order may be sent: the verifications are recent, although this process may
+// have been stopped since, and the engine has taken no other order since the report. began is the time
+// now.
+func (s *Stager) mayOrder(ctx context.Context, staged *stagedCopy, layers layerRange, report Report, began time.Duration) bool {
 	latest, err := s.report(ctx)
-	age := staged.maxAge(layers, now, s.now())
+	age := staged.maxAge(layers, began, s.now())
 	if err == nil && age <= maxVerificationAge && !latest.Busy && latest.Sequence == report.Sequence && latest.StartedAt == report.StartedAt {
-		s.unchangedAt = now
+		s.unchangedAt = began
 		return true
 	}
 	_ = level.Warn(s.process.Logger).Log("msg", "order not sent", "oldest_ms", age.Milliseconds(), "sequence", report.Sequence, "sequence_now", latest.Sequence,
--- a/pkg/staging/recheck.go
+++ b/pkg/staging/recheck.go
@@ -84,7 +84,7 @@
 	chunks := len(manifest.digests)
 	intact := make([]bool, chunks)
 	first, end := chunksOf(layerRange{kept.to, held.layers.to}, chunks, allLayers)
-	err = forEachChunk(ctx, first, end, hasTime, func(ctx context.Context, number int) error {
+	err = forEachChunk(ctx, first, end, withoutLimit, func(ctx context.Context, number int) error {
 		var err error
 		intact[number], err = s.wasIntact(ctx, manifest, number, takenBy)
 		return err
--- a/pkg/staging/staged_chunks.go
+++ b/pkg/staging/staged_chunks.go
@@ -28,12 +28,12 @@
 	chunkCallDelay = 50 * time.Millisecond
 )
 
-// hasTime is for forEachChunk where the time is not limited.
-func hasTime() bool { return true }
+// withoutLimit is for forEachChunk where the time is not limited.
+func withoutLimit() bool { return true }
 
 // stageChunks writes every chunk to the engine's staging area.
 func (s *Stager) stageChunks(ctx context.Context, staged *stagedCopy) error {
-	return forEachChunk(ctx, 0, len(staged.copy.manifest.digests), hasTime, func(ctx context.Context, number int) error {
+	return forEachChunk(ctx, 0, len(staged.copy.manifest.digests), withoutLimit, func(ctx context.Context, number int) error {
 		return s.stageChunk(ctx, staged, number)
 	})
 }
@@ -133,7 +133,7 @@
 
 func (s *Stager) verifyAgain(ctx context.Context, staged *stagedCopy, layers layerRange) {
 	first, end := staged.chunksOf(layers)
-	err := forEachChunk(ctx, first, end, hasTime, func(ctx context.Context, number int) error {
+	err := forEachChunk(ctx, first, end, withoutLimit, func(ctx context.Context, number int) error {
 		_, err := s.verifyChunk(ctx, staged, number)
 		return err
 	})
