--- a/pkg/staging/engine_standin_test.go
+++ b/pkg/staging/engine_standin_test.go
@@ -196,6 +196,30 @@
 	return worst, e.version == version && e.layers.to == testLayers && worst <= maxVerificationAge
 }
 
+// stage puts all chunks of a copy into the staging area, as a stager of an earlier process did.
+func (e *standinEngine) stage(c *weightsCopy) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for number := range testChunks {
+		e.staged[number] = c.get(number)
+	}
+}
+
+// offered returns the version with which the stager offers the engine to gateways now; 0 if there is none
+// above the first. It fails the test, and returns false, if the engine does not hold that version intact.
+func offered(ctx context.Context, t *testing.T, e *standinEngine, s *Stager) (version uint64, intact bool) {
+	t.Helper()
+	load, ok := s.load(ctx)
+	if !ok || load.Busy() || load.Version() < 2 {
+		return 0, true
+	}
+	worst, intact := e.isIntact(load.Version())
+	if !intact {
+		t.Errorf("version %d is offered, and a chunk had been corrupt for %s when it was loaded", load.Version(), worst)
+	}
+	return load.Version(), intact
+}
+
 // stagerOf returns a stager, without its loops, beside an engine that serves version 1. It must be called
 // in a bubble of synctest.
 func stagerOf(t *testing.T, e *standinEngine) *Stager {
--- a/pkg/staging/late_orders_test.go
+++ b/pkg/staging/late_orders_test.go
@@ -11,21 +11,21 @@
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
 )
 
-// offersOnlyIntactLoads runs the control loop of a stager for a time. It fails the test if a version is offered with a chunk that had been corrupt for longer
-// than maxVerificationAge when it was loaded, and returns the last version that was offered.
+// offersOnlyIntactLoads runs the control loop of a stager for a time, and returns the last version that was
+// offered. It fails the test if a version is offered with a chunk that had been corrupt for longer than
+// maxVerificationAge when it was loaded.
 func offersOnlyIntactLoads(t *testing.T, e *standinEngine, s *Stager, limit time.Duration) (last uint64) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { _ = s.reconcileLoop(ctx) }()
 	for startedAt := time.Now(); time.Since(startedAt) < limit; {
 		time.Sleep(50 * time.Millisecond)
-		load, ok := s.load(ctx)
-		if !ok || load.Busy() || load.Version() < 2 {
-			continue
+		version, intact := offered(ctx, t, e, s)
+		if version > 0 {
+			last = version
 		}
-		last = load.Version()
-		if worst, intact := e.isIntact(last); !intact {
-			t.Errorf("after %s version %d is offered, and a chunk had been corrupt for %s when it was loaded", time.Since(startedAt), last, worst)
+		if !intact {
+			t.Logf("after %s", time.Since(startedAt))
 			break
 		}
 	}
@@ -268,9 +268,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := fullCopy(t, 2)
 				e := newStandinEngine(c)
-				for number := range testChunks {
-					e.staged[number] = c.get(number)
-				}
+				e.stage(c)
 				if err := e.load(Order{Version: 2}); err != nil {
 					t.Fatal(err)
 				}
@@ -310,9 +308,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := fullCopy(t, 2)
 		e := newStandinEngine(c)
-		for number := range testChunks {
-			e.staged[number] = c.get(number)
-		}
+		e.stage(c)
 		e.spoil(testChunks / 2)
 		s := stagerOf(t, e)
 		put := s.protocol.PutChunk
@@ -339,9 +335,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := fullCopy(t, 2)
 		e := newStandinEngine(c)
-		for number := range testChunks {
-			e.staged[number] = c.get(number)
-		}
+		e.stage(c)
 		e.spoil(testChunks / 2)
 		time.Sleep(maxVerificationAge + time.Second)
 		if err := e.load(Order{Version: 2}); err != nil {
@@ -363,9 +357,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := fullCopy(t, 2)
 		e := newStandinEngine(c)
-		for number := range testChunks {
-			e.staged[number] = c.get(number)
-		}
+		e.stage(c)
 		e.spoil(testChunks / 2)
 		time.Sleep(maxVerificationAge + time.Second)
 		killed := stagerOf(t, e)
--- a/pkg/staging/random_faults_test.go
+++ b/pkg/staging/random_faults_test.go
@@ -187,7 +187,7 @@
 		}
 	}
 	nameNext()
-	var offered uint64
+	var last uint64
 	startedAt := time.Now()
 	for step := 1; time.Since(startedAt) < faultTime+calmTime; step++ {
 		time.Sleep(50 * time.Millisecond)
@@ -200,18 +200,17 @@
 		if f.isStalled() {
 			continue
 		}
-		load, ok := s.load(ctx)
-		if !ok || load.Busy() || load.Version() < 2 {
-			continue
+		version, intact := offered(ctx, t, e, s)
+		if version > 0 {
+			last = version
 		}
-		offered = load.Version()
-		if worst, intact := e.isIntact(offered); !intact {
-			t.Errorf("after %s version %d is offered, and a chunk had been corrupt for %s when it was loaded", time.Since(startedAt), offered, worst)
+		if !intact {
+			t.Logf("after %s", time.Since(startedAt))
 			break
 		}
 	}
-	if newest := copies[named-1].manifest.version; offered != newest && !t.Failed() {
-		t.Errorf("version %d is offered at the end, and version %d is the newest", offered, newest)
+	if newest := copies[named-1].manifest.version; last != newest && !t.Failed() {
+		t.Errorf("version %d is offered at the end, and version %d is the newest", last, newest)
 	}
 	cancel()
 	time.Sleep(2 * rolloutTime)
--- a/pkg/staging/sound_load_test.go
+++ b/pkg/staging/sound_load_test.go
@@ -73,9 +73,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := fullCopy(t, 2)
 		e := newStandinEngine(c)
-		for number := range testChunks {
-			e.staged[number] = c.get(number)
-		}
+		e.stage(c)
 		e.spoil(testChunks / 2)
 		time.Sleep(maxVerificationAge + time.Second)
 		if err := e.load(Order{Version: 2}); err != nil {
@@ -98,15 +96,12 @@
 	var offeredAt time.Duration
 	for time.Since(startedAt) < rolloutTime {
 		time.Sleep(50 * time.Millisecond)
-		load, ok := s.load(ctx)
-		if !ok || load.Busy() || load.Version() < 2 {
-			continue
-		}
-		if worst, intact := e.isIntact(load.Version()); !intact {
-			t.Errorf("after %s version %d is offered, and a chunk had been corrupt for %s when it was loaded", time.Since(startedAt), load.Version(), worst)
+		version, intact := offered(ctx, t, e, s)
+		if !intact {
+			t.Logf("after %s", time.Since(startedAt))
 			break
 		}
-		if offeredAt == 0 && load.Version() == last {
+		if offeredAt == 0 && version == last {
 			offeredAt = time.Since(startedAt)
 		}
 	}
