Gateway: a body that ends with its connection is complete only if the request was received

What callers saw: a backend server answered a long upload at once with 200, neither a length nor chunks, sent a part of the body and reset the connection.

Cause: a request over 16 KiB is written in its own goroutine, and a socket reports a reset to one call only. Where the blocked write takes it, the read after it returns io.EOF, which is how such a body ends. The probe of the server's process then confirms the answer, since the process lives on. The same where the server closes its sending side and reads no more, which no call reports.

Change: io.EOF from a connection counts only if the peer's TCP has acknowledged every byte of the requests, those included that are still to be written. The close of a server that has received the request acknowledges all of it in the same packet, so no whole answer is refused, and no error that another call took is needed. Bodies with a length or chunks are not affected, nor is an early answer that has one.

--- a/pkg/upstream/connection.go
+++ b/pkg/upstream/connection.go
@@ -79,7 +79,7 @@
 // server does not start an abandoned request later.
 func (c *Connection) Abort() {
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
-		c.recordAcknowledged(tcp)
+		c.recordAcknowledged()
 		_ = tcp.SetLinger(0)
 	}
 	c.Close()
@@ -93,22 +93,33 @@
 	return c.nothingAcknowledged
 }
 
-// recordAcknowledged records whether any byte of the last request is acknowledged. The
-// kernel's count of acknowledged bytes includes one for the SYN.
-func (c *Connection) recordAcknowledged(tcp *net.TCPConn) {
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return
+// recordAcknowledged records whether any byte of the last request is acknowledged.
+func (c *Connection) recordAcknowledged() {
+	acknowledged, known := acknowledgedBytes(c.conn)
+	c.sendMu.Lock()
+	defer c.sendMu.Unlock()
+	c.nothingAcknowledged = known && c.lastBytes > 0 && acknowledged == c.earlierBytes
+}
+
+// receive reads from the connection. It reports the peer's close as an end only if the last request was received.
+func (c *Connection) receive(p []byte) (int, error) {
+	n, err := c.conn.Read(p)
+	if err == io.EOF && !c.requestReceived() {
+		err = errRequestNotReceived
 	}
-	var info *unix.TCPInfo
-	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if controlErr != nil || err != nil {
-		return // the connection is closed already
+	return n, err
+}
+
+// requestReceived reports whether the peer has received the whole last request, the part of it that is still to be
+// written included.
+func (c *Connection) requestReceived() bool {
+	acknowledged, known := acknowledgedBytes(c.conn)
+	if !known {
+		return !c.bodyUnsent.Load()
 	}
 	c.sendMu.Lock()
 	defer c.sendMu.Unlock()
-	const synLength = 1
-	c.nothingAcknowledged = c.lastBytes > 0 && info.Bytes_acked == c.earlierBytes+synLength
+	return acknowledged >= c.earlierBytes+c.lastBytes
 }
 
 // recordRequestSize records the size of the request that is about to be sent.
@@ -174,8 +185,8 @@
 		return err
 	}
 	go func() {
-		// A failed write also makes reading the response fail, or the backend server has
-		// responded without the rest of the body.
+		// After a failed write a response may still be read: the backend server may have responded without
+		// the rest of the body. receive refuses one that ends with the connection.
 		if _, err := c.conn.Write(body); err == nil {
 			c.bodyUnsent.Store(false)
 		}
--- a/pkg/upstream/head_limit.go
+++ b/pkg/upstream/head_limit.go
@@ -5,11 +5,7 @@
 
 package upstream
 
-import (
-	"io"
-
-	"github.com/pkg/errors"
-)
+import "github.com/pkg/errors"
 
 // maxResponseHead bounds the head of a response together with the interim responses before it, in bytes.
 const maxResponseHead = 64 << 10
@@ -19,9 +15,9 @@
 
 // headLimiter reads from a connection, and fails when a head is longer than it may be. Bodies are not limited.
 type headLimiter struct {
-	source io.Reader
-	inHead bool
-	left   int // bytes that may still be read for the head
+	receive func(p []byte) (int, error)
+	inHead  bool
+	left    int // bytes that may still be read for the head
 }
 
 // startHead limits what is read from now on.
@@ -33,12 +29,12 @@
 // Read reads from the connection.
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.inHead {
-		return l.source.Read(p)
+		return l.receive(p)
 	}
 	if l.left <= 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err := l.source.Read(p[:min(len(p), l.left)])
+	n, err := l.receive(p[:min(len(p), l.left)])
 	l.left -= n
 	return n, err
 }
--- a/pkg/upstream/pool.go
+++ b/pkg/upstream/pool.go
@@ -94,8 +94,10 @@
 		return nil, err
 	}
 	p.open.Add(1)
-	limiter := &headLimiter{source: conn}
-	return &Connection{conn: conn, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize), pool: p, dialedAt: time.Now()}, nil
+	c := &Connection{conn: conn, pool: p, dialedAt: time.Now()}
+	c.limiter = &headLimiter{receive: c.receive}
+	c.reader = bufio.NewReaderSize(c.limiter, readBufferSize)
+	return c, nil
 }
 
 // AnswersDial reports whether the address answers a dial within dialTimeout. A refusal or
