HTTP clients: a body that ends with its connection is complete only if the request was received

A service answered a long upload with 200, neither a length nor chunks, and ended the connection in the middle of the body; its agent marked the part as the whole answer, and a stager took a chunk as staged by such an answer.

Cause: the clients of net/http, of agents, stagers, the source and entries, read the end of such a body from the same kind of socket. They treat a request that is not written to its end as no reason to doubt the response.

Change: upstream.NewClient is the one way to make a client (TestClientsCheckResponses, stricter than TestClientsBoundHeads, which it replaces: it refuses every other client, where the old one looked for some forms).

--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -111,8 +111,8 @@
 	singleUse.DisableKeepAlives = true
 	h := httpEngine{
 		base:      base,
-		client:    &http.Client{Transport: newTransport()},
-		singleUse: &http.Client{Transport: singleUse},
+		client:    upstream.NewClient(newTransport()),
+		singleUse: upstream.NewClient(singleUse),
 	}
 	return &Engine{SendOrder: h.sendOrder, ReadState: h.readState, SendRequest: h.sendRequest, Ping: h.ping}
 }
@@ -121,7 +121,7 @@
 const maxIdleConnections = 256
 
 func newTransport() *http.Transport {
-	t := upstream.NewTransport()
+	t := upstream.DefaultTransport()
 	t.MaxIdleConnsPerHost = maxIdleConnections
 	t.Proxy = nil
 	return t
--- a/pkg/entry/heartbeats.go
+++ b/pkg/entry/heartbeats.go
@@ -243,7 +243,7 @@
 }
 
 // platformClient calls the platform.
-var platformClient = &http.Client{Transport: upstream.NewTransport()}
+var platformClient = upstream.NewClient(nil)
 
 func (e *Entry) readPlatformList(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, platformPollInterval)
--- a/pkg/source/source.go
+++ b/pkg/source/source.go
@@ -72,12 +72,12 @@
 	http    *http.Client
 }
 
-// transport is shared by all clients.
-var transport = upstream.NewTransport()
+// httpClient is shared by all clients.
+var httpClient = upstream.NewClient(nil)
 
 // NewClient returns a client of the source at a base URL.
 func NewClient(baseURL string) *Client {
-	return &Client{baseURL: baseURL, http: &http.Client{Transport: transport}}
+	return &Client{baseURL: baseURL, http: httpClient}
 }
 
 // FetchManifest fetches the manifest that a version name refers to now.
--- a/pkg/upstream/endless_test.go
+++ b/pkg/upstream/endless_test.go
@@ -121,7 +121,7 @@
 	for name, head := range endlessHeads {
 		t.Run(name, func(t *testing.T) {
 			pool, conn := newPipePool(head.serve)
-			transport := BoundHeads(&http.Transport{DialContext: pool.dial, DisableKeepAlives: true})
+			transport := newTransport(&http.Transport{DialContext: pool.dial, DisableKeepAlives: true})
 			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://server/", nil)
 			if err != nil {
 				t.Fatal(err)
--- a/pkg/upstream/unread_request_test.go
+++ b/pkg/upstream/unread_request_test.go
@@ -91,6 +91,28 @@
 	}
 }
 
+// The same with a client of net/http, for a request of which a part is not written yet and all that is written was received.
+func TestBodyThatEndsBeforeTheRequestIsWrittenIsNotComplete(t *testing.T) {
+	l := rawserver.Start(t, func(conn *net.TCPConn, r *http.Request) {
+		_, _ = io.ReadFull(r.Body, make([]byte, len("begin")))
+		rawserver.Answer(unframedHead+"part", rawserver.CloseWrite)(conn, r)
+	})
+	body, rest := io.Pipe()
+	go func() { _, _ = rest.Write([]byte("begin")) }()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+l.Addr().String(), body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := NewClient(nil).Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if part, err := io.ReadAll(response.Body); err == nil {
+		t.Errorf("%q looks like a whole response", part)
+	}
+}
+
 // limitReceiveBuffer makes a socket hold only a few kilobytes that are not read.
 func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
 	const bytes = 1 << 10
--- a/test/clients_test.go
+++ b/test/clients_test.go
@@ -9,11 +9,11 @@
 	"testing"
 )
 
-// unboundedClient matches HTTP clients whose responses may have heads of up to 10 MB.
-var unboundedClient = regexp.MustCompile(`http\.DefaultClient|http\.Get\(|http\.Post\(|&http\.Client\{\}|[^(]&http\.Transport\{`)
+// uncheckedClient matches HTTP clients that are not made by upstream.NewClient.
+var uncheckedClient = regexp.MustCompile(`http\.Default(Client|Transport)|http\.Get\(|http\.Post\(|http\.Client\{|[^(]&http\.Transport\{`)
 
-// Guards against an HTTP client in the programs that reads heads without the bound of upstream.BoundHeads.
-func TestClientsBoundHeads(t *testing.T) {
+// Guards against an HTTP client in the programs that reads responses without the checks of upstream.NewClient.
+func TestClientsCheckResponses(t *testing.T) {
 	for _, root := range []string{"../pkg", "../platform", "../cmd"} {
 		err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
 			if err != nil {
@@ -22,7 +22,7 @@
 			if entry.IsDir() && (entry.Name() == "standin" || entry.Name() == "fake") {
 				return filepath.SkipDir // they stand for other programs
 			}
-			if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") || path == "../pkg/upstream/transport.go" {
 				return nil
 			}
 			raw, err := os.ReadFile(path)
@@ -30,7 +30,7 @@
 				return err
 			}
 			for i, line := range strings.Split(string(raw), "\n") {
-				if unboundedClient.MatchString(line) {
+				if uncheckedClient.MatchString(line) {
 					t.Errorf("%s:%d: %s", path, i+1, strings.TrimSpace(line))
 				}
 			}
