Responses: a status that does not exist is no answer

What callers saw: a backend server sent an answer with status 000. With a 200 behind it that 200 reached the caller as the answer. By way of an agent the caller got 200 and the body of the 000.

Cause: net/http accepts any three characters that make a number of 0 or more. A Connection took each status below 200 as an interim one and read on; the clients of net/http returned it as it was. An agent passed on status 0, which in a part of a response stands for "no status here", so its entry wrote the body, and net/http the status 200.

Change: upstream.IsSoundStatus says which statuses a response may have: 100 to 599 (RFC 9110), but not 101, since no request asks for another protocol. checkHead is the one place for sound heads, used by Connections for final and interim responses and by the clients of net/http. The attempt counts as broken: it is made again where the request may run again, else the caller gets 502 with an unknown outcome.

--- /dev/null
+++ b/pkg/agent/broken_head_test.go
@@ -0,0 +1,24 @@
+package agent
+
+import (
+	"testing"
+
+	"github.com/tidepost/tidepost/internal/rawserver"
+)
+
+// testBrokenHead checks that an agent passes on no part of an answer.
+func testBrokenHead(t *testing.T, answer string) {
+	t.Helper()
+	parts, err := sendParts(rawserver.Start(t, rawserver.Answer(answer, rawserver.Close)), uploadRequest("order"))
+	if err == nil || len(parts) > 0 {
+		t.Errorf("%q: %d parts, %v", answer, len(parts), err)
+	}
+}
+
+// Guards against a service that answers with a status which does not exist: its entry got a part with status 0, which
+// stands for no status, and answered 200.
+func TestAnswerWithImpossibleStatusIsNotPassedOn(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "101", "600"} {
+		testBrokenHead(t, "HTTP/1.1 "+status+" Unknown\r\nContent-Length: 6\r\n\r\nbroken")
+	}
+}
--- a/pkg/agent/unread_request_test.go
+++ b/pkg/agent/unread_request_test.go
@@ -14,13 +14,22 @@
 	"github.com/tidepost/tidepost/pkg/engine"
 )
 
-// executeAt has an agent execute a request at a service, and reports whether it marked the response as complete.
-func executeAt(service net.Listener, r contract.Request) (complete bool, err error) {
+// sendParts has an agent execute a request at a service, and returns the parts of the response that it sent.
+func sendParts(service net.Listener, r contract.Request) (parts []contract.ResponsePart, err error) {
 	a := &Agent{hooks: Hooks{SendResponsePart: func(_ func(contract.ResponsePart) error, p contract.ResponsePart) error {
-		complete = complete || p.End()
+		parts = append(parts, p)
 		return nil
 	}}}
 	err = a.execute(context.Background(), nil, engine.NewHTTP("http://"+service.Addr().String()), r)
+	return parts, err
+}
+
+// executeAt has an agent execute a request at a service, and reports whether it marked the response as complete.
+func executeAt(service net.Listener, r contract.Request) (complete bool, err error) {
+	parts, err := sendParts(service, r)
+	for _, p := range parts {
+		complete = complete || p.End()
+	}
 	return complete, err
 }
 
--- /dev/null
+++ b/pkg/gateway/broken_head_test.go
@@ -0,0 +1,63 @@
+// ================================================================
+// Backend servers in trouble that answer with a broken head. Guards against callers that get such an answer, or bytes
+// of it.
+// ================================================================
+
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/tidepost/tidepost/internal/rawserver"
+	"github.com/tidepost/tidepost/pkg/serviceconfig"
+)
+
+// brokenMark is in each broken answer, and must not reach callers.
+const brokenMark = "BROKEN"
+
+// testBrokenHead checks that an answer is neither delivered nor quoted: a request that may run again gets the answer of
+// another server, and others an error that does not say they have not run.
+func testBrokenHead(t *testing.T, answer string) {
+	t.Helper()
+	for _, c := range []struct {
+		name       string
+		kind       serviceconfig.Kind
+		beside     bool
+		wantStatus int
+	}{
+		{"alone", serviceconfig.Repeatable, false, http.StatusBadGateway},
+		{"beside a sound server", serviceconfig.Repeatable, true, http.StatusOK},
+		{"at most once", serviceconfig.Once, true, http.StatusBadGateway},
+	} {
+		bad := newRawBackend(t, "i-1", rawserver.Close, func(*http.Request) string { return answer })
+		servers := []*fakeBackend{bad}
+		sound := newFakeBackend(t, "i-2", respondWith("200 OK", "whole"))
+		if c.beside {
+			servers = append(servers, sound)
+		}
+		f := newFixture(t, c.kind, false, servers...)
+		status, header, body, err := f.do(t, f.request(t, http.MethodPost, "a", "order"))
+		if status != c.wantStatus || err != nil || status == http.StatusOK && body != "whole" {
+			t.Errorf("%s: status %d, %v, body %q", c.name, status, err, body)
+		}
+		if strings.Contains(body, brokenMark) || header.Get(brokenMark) != "" {
+			t.Errorf("%s: bytes of the answer reach the caller: %v, %q", c.name, header, body)
+		}
+		if c.kind == serviceconfig.Once && len(sound.requests()) > 0 {
+			t.Errorf("%s: the request was sent twice", c.name)
+		}
+	}
+}
+
+// A status below 200 that is no interim one was skipped, and what followed it was delivered as the answer.
+func TestAnswerWithImpossibleStatusIsNotDelivered(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n" + brokenMark
+	for _, status := range []string{"000", "001", "099", "+20", "-00", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			testBrokenHead(t, "HTTP/1.1 "+status+" Unknown\r\nContent-Length: 6\r\n\r\n"+brokenMark)
+		})
+		t.Run(status+", then 200", func(t *testing.T) { testBrokenHead(t, "HTTP/1.1 "+status+" Unknown\r\n\r\n"+whole) })
+	}
+}
--- a/pkg/upstream/connection.go
+++ b/pkg/upstream/connection.go
@@ -202,6 +202,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(response.StatusCode); err != nil {
+			return nil, err
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -19,7 +19,7 @@
 const writeReportTimeout = time.Second
 
 // NewClient returns a client that sends requests with a transport, which it changes; nil stands for DefaultTransport.
-// It bounds the heads of responses, and refuses bodies that are not complete.
+// It bounds the heads of responses, and refuses heads that are not sound and bodies that are not complete.
 func NewClient(base *http.Transport) *http.Client {
 	if base == nil {
 		base = DefaultTransport()
@@ -60,6 +60,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkHead(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
 	if FramingOf(response) == FramedByClose && !response.Uncompressed {
 		response.Body = &unframedBody{ReadCloser: response.Body, roundTrip: x}
 	}
