Responses: errors don't quote what a server sent

What callers saw: a backend server that sent a line of 60,000 bytes as a head made the 502 of its caller 60,200 bytes long, with the server's bytes in it; the attempt's log line had them twice.

Cause: the errors of net/http quote the line that they refuse, and reach callers as they are: malformed status lines, fields, lengths, encodings and trailers. Reason phrases, and the id and incarnation that a response names, are quoted by our own messages.

Where the end of the connection cuts a line, net/http reports a malformed line; the error is the end of the connection now, so the attempt looks for a crash of its server as after any other cut. An engine's answer to an order is quoted to 200 bytes. The message of an attempt without a response that can be used says "no valid response": it said "no response" also where one had come.

--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -179,9 +179,9 @@
 	switch response.StatusCode {
 	case http.StatusOK:
 	case http.StatusConflict:
-		return State{}, failure.New(failure.StaleOrder, "engine: %s", bytes.TrimSpace(raw))
+		return State{}, failure.New(failure.StaleOrder, "engine: %.200s", bytes.TrimSpace(raw))
 	default:
-		return State{}, failure.New(failure.BackendFailed, "engine answered %s: %s", response.Status, bytes.TrimSpace(raw))
+		return State{}, failure.New(failure.BackendFailed, "engine answered %s: %.200s", response.Status, bytes.TrimSpace(raw))
 	}
 	var s State
 	if err := json.Unmarshal(raw, &s); err != nil {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -215,13 +215,13 @@
 	response, err := x.conn.Exchange(q.ctx, outgoing, q.localDeadline())
 	x.standbys.endReceiving(err != nil)
 	if err != nil {
-		return nil, x.recordBroken("no response", err)
+		return nil, x.recordBroken("no valid response", err)
 	}
 	x.watch.recordProgress()
 	x.silenceMonitor.receivedBytes(time.Now())
 	head := x.gateway.protocol.ReadResponse(response.StatusCode, response.Header)
 	if head.ID != "" && head.ID != q.head.ID {
-		return nil, x.recordBroken("the response carries the id of request "+head.ID, nil)
+		return nil, x.recordBroken("the response carries the id of another request", nil)
 	}
 	x.updateLimit(head)
 	if head.NotRun {
@@ -310,7 +310,7 @@
 	if head.IsFromOther(x.backend.latestRegistration().Incarnation()) {
 		registration := x.backend.latestRegistration()
 		x.gateway.backends.markDeparted(registration.Incarnation(), registration.StartedAt())
-		x.gateway.recordAttempt(q, attemptWrongIncarnation, "the address belongs to "+head.Incarnation)
+		x.gateway.recordAttempt(q, attemptWrongIncarnation, fmt.Sprintf("the address belongs to %.*s", maxLoggedIncarnation, head.Incarnation))
 		return false
 	}
 	if q.versionDeadlinePassed() {
@@ -331,6 +331,9 @@
 	}
 }
 
+// maxLoggedIncarnation bounds the incarnation that messages name, in bytes, where another process sent it.
+const maxLoggedIncarnation = 64
+
 // maxRejectionBody and rejectionBodyTimeout bound the body of a rejection, which is read only so that the
 // connection can be reused.
 const (
--- a/pkg/upstream/connection.go
+++ b/pkg/upstream/connection.go
@@ -200,13 +200,13 @@
 	for range maxInterimResponses {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, c.limiter.headError(err)
 		}
 		if err := checkHead(response.StatusCode); err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
-			return response, nil
+			return withoutQuotes(response), nil
 		}
 	}
 	return nil, errors.Errorf("more than %d interim responses", maxInterimResponses)
--- a/pkg/upstream/head_limit.go
+++ b/pkg/upstream/head_limit.go
@@ -5,7 +5,11 @@
 
 package upstream
 
-import "github.com/pkg/errors"
+import (
+	"io"
+
+	"github.com/pkg/errors"
+)
 
 // maxResponseHead bounds the head of a response together with the interim responses before it, in bytes.
 const maxResponseHead = 64 << 10
@@ -17,11 +21,12 @@
 type headLimiter struct {
 	receive func(p []byte) (int, error)
 	inHead  bool
-	left    int // bytes that may still be read for the head
+	left    int   // bytes that may still be read for the head
+	failure error // of the last read; nil if it succeeded
 }
 
 // startHead limits what is read from now on.
-func (l *headLimiter) startHead() { l.inHead, l.left = true, maxResponseHead }
+func (l *headLimiter) startHead() { l.inHead, l.left, l.failure = true, maxResponseHead, nil }
 
 // endHead ends the limit.
 func (l *headLimiter) endHead() { l.inHead = false }
@@ -32,9 +37,23 @@
 		return l.receive(p)
 	}
 	if l.left <= 0 {
-		return 0, errHeadTooLarge
+		l.failure = errHeadTooLarge
+		return 0, l.failure
 	}
 	n, err := l.receive(p[:min(len(p), l.left)])
 	l.left -= n
+	l.failure = err
 	return n, err
 }
+
+// headError returns the error of reading a head: that of the connection, since net/http takes a line that the end of
+// the connection cuts for a malformed one, or one that does not quote the head.
+func (l *headLimiter) headError(err error) error {
+	switch l.failure {
+	case nil:
+		return headError(err)
+	case io.EOF:
+		return io.ErrUnexpectedEOF
+	}
+	return l.failure
+}
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -58,7 +58,7 @@
 	x := &roundTrip{ctx: r.Context()}
 	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), x.trace())))
 	if err != nil {
-		return nil, err
+		return nil, x.roundTripError(err)
 	}
 	if err := checkHead(response.StatusCode); err != nil {
 		_ = response.Body.Close()
@@ -67,13 +67,14 @@
 	if FramingOf(response) == FramedByClose && !response.Uncompressed {
 		response.Body = &unframedBody{ReadCloser: response.Body, roundTrip: x}
 	}
-	return response, nil
+	return withoutQuotes(response), nil
 }
 
 // roundTrip is what is known of one request. Several connections may be tried for it, one after the other.
 type roundTrip struct {
 	ctx     context.Context
 	written atomic.Pointer[chan error] // gets the result of writing the request to the last connection
+	began   atomic.Bool                // a byte of a response has been received
 }
 
 // trace returns the hooks that observe the request.
@@ -83,6 +84,7 @@
 			written := make(chan error, 1)
 			x.written.Store(&written)
 		},
+		GotFirstResponseByte: func() { x.began.Store(true) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			select {
 			case *x.written.Load() <- info.Err:
@@ -92,6 +94,15 @@
 	}
 }
 
+// roundTripError returns the error of a request without a response. Only one that comes after the first byte of a
+// response may quote it.
+func (x *roundTrip) roundTripError(err error) error {
+	if !x.began.Load() {
+		return err
+	}
+	return headError(err)
+}
+
 // isWritten reports whether the request is written to its end. The transport may report that late, since another
 // goroutine writes.
 func (x *roundTrip) isWritten() bool {
