Responses: a head with a blank in the name of a field is no answer

What callers saw: a backend server answered with "Content-Length : 60" and six bytes, and its caller got these as a complete answer; with "Transfer-Encoding : chunked" the caller got the framing of the chunks as the body; with "X Y: z" that line was dropped and the rest passed on. The same by way of an agent. Where the blank stood before the name, the line became a part of the field before it, and its caller got "a Content-Length: 60" as the value of that field.

Cause: net/http keeps a name that holds a blank under that name, where nothing looks for it, also where it says how the body ends. It joins a line that begins with a blank to the line before (RFC 9112 lets a gateway refuse such a response; its proxies MUST do that or replace the blank). Control bytes in names and values were refused before.

Change: checkHead asks that each name is a token (RFC 9110). Lines that begin with a blank can't be seen after net/http has parsed a head, so foldScanner looks for them in the bytes; over TLS (the origin's, if any) it can't. With the hook for interim responses net/http no longer bounds their number, so the hook does.

--- a/pkg/agent/broken_head_test.go
+++ b/pkg/agent/broken_head_test.go
@@ -22,3 +22,12 @@
 		testBrokenHead(t, "HTTP/1.1 "+status+" Unknown\r\nContent-Length: 6\r\n\r\nbroken")
 	}
 }
+
+// Guards against a service that answers with a name of a field which holds a blank: the field was ignored, also where it
+// says how the body ends.
+func TestAnswerWithBrokenFieldNameIsNotPassedOn(t *testing.T) {
+	for _, fields := range []string{"Content-Length : 60", "Transfer-Encoding : chunked", "X Y: z", "X\x01: z", "X: a\r\n Content-Length: 60"} {
+		testBrokenHead(t, "HTTP/1.1 200 OK\r\n"+fields+"\r\n\r\n6\r\nbroken\r\n0\r\n\r\n")
+		testBrokenHead(t, "HTTP/1.1 103 Early Hints\r\n"+fields+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nbroken")
+	}
+}
--- a/pkg/gateway/broken_head_test.go
+++ b/pkg/gateway/broken_head_test.go
@@ -61,3 +61,18 @@
 		t.Run(status+", then 200", func(t *testing.T) { testBrokenHead(t, "HTTP/1.1 "+status+" Unknown\r\n\r\n"+whole) })
 	}
 }
+
+// A field whose name holds a blank was ignored, or passed on, with what it says about the body. A name that begins with
+// one was taken for a part of the field before it.
+func TestAnswerWithBrokenFieldNameIsNotDelivered(t *testing.T) {
+	for _, fields := range []string{
+		"Content-Length : 60", "Content-Length\t: 60", "Transfer-Encoding : chunked", brokenMark + " Y: b", brokenMark + ": a\r\nX Y: b",
+		brokenMark + "\x01: b", brokenMark + "\x7f: b", brokenMark + "\x80: b", "X\x00: " + brokenMark, "X\r: " + brokenMark,
+		" X: " + brokenMark, brokenMark + ": a\r\n Content-Length: 60", brokenMark + ": a\r\n\tTransfer-Encoding: chunked",
+	} {
+		t.Run(fields, func(t *testing.T) {
+			testBrokenHead(t, "HTTP/1.1 200 OK\r\n"+fields+"\r\n\r\n6\r\n"+brokenMark+"\r\n0\r\n\r\n")
+			testBrokenHead(t, "HTTP/1.1 103 Early Hints\r\n"+fields+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n"+brokenMark)
+		})
+	}
+}
--- a/pkg/upstream/connection.go
+++ b/pkg/upstream/connection.go
@@ -32,10 +32,13 @@
 	// the response is read. A larger body is written in a separate goroutine, because a
 	// backend server may respond before it has read the whole body.
 	maxInlineWrite = 16 << 10
-	// maxInterimResponses bounds the 1xx responses before the final one.
+	// maxInterimResponses bounds the 1xx responses, of which a final one must follow the last.
 	maxInterimResponses = 8
 )
 
+// errTooManyInterim reports a response that is only preceded by interim ones.
+var errTooManyInterim = errors.Errorf("%d interim responses without a final one; check what runs at the backend server's address", maxInterimResponses)
+
 // Request is an outgoing request.
 type Request struct {
 	// Method, URI and Host are sent unchanged.
@@ -202,14 +205,14 @@
 		if err != nil {
 			return nil, c.limiter.headError(err)
 		}
-		if err := checkHead(response.StatusCode); err != nil {
+		if err := checkHead(response.StatusCode, response.Header, c.limiter.folds.found); err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
 			return withoutQuotes(response), nil
 		}
 	}
-	return nil, errors.Errorf("more than %d interim responses", maxInterimResponses)
+	return nil, errTooManyInterim
 }
 
 // SetDeadline sets the deadline of all later reads and writes.
--- a/pkg/upstream/head_limit.go
+++ b/pkg/upstream/head_limit.go
@@ -23,10 +23,14 @@
 	inHead  bool
 	left    int   // bytes that may still be read for the head
 	failure error // of the last read; nil if it succeeded
+	folds   foldScanner
 }
 
 // startHead limits what is read from now on.
-func (l *headLimiter) startHead() { l.inHead, l.left, l.failure = true, maxResponseHead, nil }
+func (l *headLimiter) startHead() {
+	l.inHead, l.left, l.failure = true, maxResponseHead, nil
+	l.folds.startResponse()
+}
 
 // endHead ends the limit.
 func (l *headLimiter) endHead() { l.inHead = false }
@@ -43,6 +47,7 @@
 	n, err := l.receive(p[:min(len(p), l.left)])
 	l.left -= n
 	l.failure = err
+	l.folds.scan(p[:n])
 	return n, err
 }
 
--- a/pkg/upstream/sound_head.go
+++ b/pkg/upstream/sound_head.go
@@ -1,6 +1,7 @@
 // ================================================================
 // What a sound head of a response is. net/http accepts more: status codes that do not exist, which it hands on as
-// they are. A backend server that sends such a head is in trouble, and nothing in its response can be relied on.
+// they are, and names of fields that hold blanks, which it does not understand, also where they say how the body ends. A
+// backend server that sends such a head is in trouble, and nothing in its response can be relied on.
 // ================================================================
 
 package upstream
@@ -12,6 +13,7 @@
 	"net/http"
 	"net/textproto"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -24,6 +26,9 @@
 // errUnsoundStatus reports a response whose status no server may send here.
 var errUnsoundStatus = errors.New("the response has a status that does not exist or was not asked for; check what runs at the backend server's address")
 
+// errUnsoundField reports a response whose head has a field with a name that no field may have.
+var errUnsoundField = errors.New("the head of the response has a field whose name holds a blank or another character that no name may hold; check what runs at the backend server's address")
+
 // errMalformedHead and errMalformedTrailer stand for the errors of net/http, which quote what the server sent at any length.
 var (
 	errMalformedHead    = errors.New("the head of the response is not valid HTTP/1.1 or too long; check what runs at the backend server's address")
@@ -36,14 +41,42 @@
 	return status >= minStatus && status <= maxStatus && status != http.StatusSwitchingProtocols
 }
 
-// checkHead returns why the head of a response, or of an interim response, is not sound; nil if it is.
-func checkHead(status int) error {
+// checkHead returns why the head of a response, or of an interim response, is not sound; nil if it is. isFolded says that
+// one of its lines begins with a blank.
+func checkHead(status int, header map[string][]string, isFolded bool) error {
 	if !IsSoundStatus(status) {
 		return errUnsoundStatus
 	}
+	if isFolded {
+		return errUnsoundField
+	}
+	for name := range header {
+		if !isToken(name) {
+			return errUnsoundField
+		}
+	}
 	return nil
 }
 
+// isToken reports whether a name of a field consists of the characters that it may have.
+func isToken(name string) bool {
+	for i := range len(name) {
+		if !isTokenCharacter(name[i]) {
+			return false
+		}
+	}
+	return name != ""
+}
+
+// isTokenCharacter reports whether a character may be part of a token (RFC 9110, section 5.6.2).
+func isTokenCharacter(b byte) bool {
+	switch {
+	case b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z', b >= '0' && b <= '9':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
 // withoutQuotes changes a response so that no message quotes what its server sent: its reason phrase becomes the usual
 // one of the status, and a trailer that is refused is not part of the error.
 func withoutQuotes(response *http.Response) *http.Response {
@@ -56,6 +89,11 @@
 
 // headError returns the error of reading a head without quoting the head.
 func headError(err error) error {
+	for _, own := range []error{errUnsoundField, errTooManyInterim} {
+		if errors.Is(err, own) {
+			return own
+		}
+	}
 	if isConnectionError(err) {
 		return err
 	}
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -11,6 +11,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -60,7 +62,7 @@
 	if err != nil {
 		return nil, x.roundTripError(err)
 	}
-	if err := checkHead(response.StatusCode); err != nil {
+	if err := checkHead(response.StatusCode, response.Header, x.isFolded()); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
@@ -75,15 +77,15 @@
 	ctx     context.Context
 	written atomic.Pointer[chan error] // gets the result of writing the request to the last connection
 	began   atomic.Bool                // a byte of a response has been received
+	conn    atomic.Pointer[countedConn]
+	interim atomic.Int32 // interim responses so far
 }
 
 // trace returns the hooks that observe the request.
 func (x *roundTrip) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			written := make(chan error, 1)
-			x.written.Store(&written)
-		},
+		GotConn:              x.start,
+		Got1xxResponse:       x.checkInterim,
 		GotFirstResponseByte: func() { x.began.Store(true) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			select {
@@ -94,6 +96,32 @@
 	}
 }
 
+// start prepares for a response on a connection.
+func (x *roundTrip) start(info httptrace.GotConnInfo) {
+	written := make(chan error, 1)
+	x.written.Store(&written)
+	conn, _ := info.Conn.(*countedConn) // nil with TLS, whose bytes are not those of a head
+	x.conn.Store(conn)
+	if conn != nil {
+		conn.startResponse()
+	}
+}
+
+// checkInterim returns why an interim response is refused; nil if it is not. With this hook net/http does not bound how
+// many there are.
+func (x *roundTrip) checkInterim(status int, header textproto.MIMEHeader) error {
+	if x.interim.Add(1) >= maxInterimResponses {
+		return errTooManyInterim
+	}
+	return checkHead(status, header, x.isFolded())
+}
+
+// isFolded reports whether a line of the response's head, as far as it is read, begins with a blank.
+func (x *roundTrip) isFolded() bool {
+	conn := x.conn.Load()
+	return conn != nil && conn.isFolded()
+}
+
 // roundTripError returns the error of a request without a response. Only one that comes after the first byte of a
 // response may quote it.
 func (x *roundTrip) roundTripError(err error) error {
@@ -138,10 +166,27 @@
 	return n, err
 }
 
-// countedConn is a connection that counts the bytes which are sent.
+// countedConn is a connection that counts the bytes which are sent, and looks into the heads that are received.
 type countedConn struct {
 	net.Conn
 	sent atomic.Uint64 // those of a write in progress included
+
+	mu    sync.Mutex
+	folds foldScanner
+}
+
+// startResponse has the connection expect the head of a response.
+func (c *countedConn) startResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.folds.startResponse()
+}
+
+// isFolded reports whether a line of the last response's head begins with a blank.
+func (c *countedConn) isFolded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.folds.found
 }
 
 // Write writes to the connection.
@@ -153,6 +198,9 @@
 // Read reads from the connection. It reports the peer's close as an end only if the peer has received all that was sent.
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	c.folds.scan(p[:n])
+	c.mu.Unlock()
 	if err != io.EOF {
 		return n, err
 	}
