--- a/pkg/agent/broken_head_test.go
+++ b/pkg/agent/broken_head_test.go
@@ -31,3 +31,11 @@
 		testBrokenHead(t, "HTTP/1.1 103 Early Hints\r\n"+fields+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nbroken")
 	}
 }
+
+// Guards against a service that stops in the middle of an answer's head and ends its connection.
+func TestAnswerCutInHeadIsNotPassedOn(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+	for cut := range len(head) {
+		testBrokenHead(t, head[:cut])
+	}
+}
