--- a/pkg/gateway/broken_head_test.go
+++ b/pkg/gateway/broken_head_test.go
@@ -6,6 +6,7 @@
 package gateway
 
 import (
+	"bufio"
 	"net/http"
 	"strings"
 	"testing"
@@ -76,3 +77,31 @@
 		})
 	}
 }
+
+// A broken answer to a probe does not confirm that a server which ended its answer with the connection is in order.
+func TestBrokenProbeAnswerDoesNotConfirm(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 000 Unknown\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 000 Unknown\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX: y\r\n Z: a\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Le",
+		"garbage\r\n\r\n",
+	} {
+		t.Run(answer, func(t *testing.T) {
+			t.Parallel()
+			server := newFakeBackend(t, "i-1", func(w *bufio.Writer, r *http.Request) bool {
+				writeUnframed(w, r, "text/plain", "part")
+				return false
+			})
+			server.onProbe = func(w *bufio.Writer, _ *http.Request) bool {
+				_, _ = w.WriteString(answer)
+				return false
+			}
+			f := newFixture(t, serviceconfig.Once, false, server)
+			if status, _, body, err := f.do(t, f.request(t, http.MethodPost, "a", "order")); status == http.StatusOK && err == nil {
+				t.Errorf("%q looks like a whole answer", body)
+			}
+		})
+	}
+}
