Soak: backend servers that send broken answers, with the real programs

Four plain servers answer every second request with one of ten broken answers in turn: an early part of a body before a reset, status 000 alone and with a 200 behind it, blanks behind, in and before names of fields, a control byte in a name, a cut head, a head and a failure without end. A third of the requests upload 3 MiB. No caller may get a byte of them, nor a status that the gateways do not make.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets: build, demo, test, check, prove, soak, silence, lost, streams, ends, parts, final-faults, limits, weights,
-# generate, clean, and bench-...
+# broken, generate, clean, and bench-...
 
-.PHONY: build demo test check prove soak silence lost streams ends parts final-faults limits weights generate clean \
+.PHONY: build demo test check prove soak silence lost streams ends parts final-faults limits weights broken generate clean \
 	bench-burst bench-route bench-control bench-capacity bench-path bench-fleet
 
 # A failing test must fail the target, also where its output is filtered.
@@ -96,6 +96,10 @@
 	TIDEPOST_GATEWAYS="$(GATEWAYS)" TIDEPOST_SOAK_LOGS="$(LOGS)" \
 	go test -count=1 -v -timeout 30m -tags bench ./soak -run TestWeightsUnderFaults | grep -E '^weights|weights_(series_)?test|FAIL|^ok'
 
+# Backend servers that send broken answers, with the real programs: make broken SEED=1.
+broken:
+	TIDEPOST_SEED=$(or $(SEED),1) go test -count=1 -v ./soak -run TestBrokenAnswersDoNotReachCallers | grep -E 'broken_answers|FAIL|^ok'
+
 # What CI runs besides the tests.
 check:
 	test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -8,6 +8,7 @@
 //	127.n.4.i  plain server i       9000 (proxy) to 9001; the origin 9100 on the first
 //	127.n.5.i  crashing server i    9001, without a proxy: its port closes when it crashes
 //	127.n.6.i  crashing engine i    9001 as above, and its stager with links 7700 (proxy) to 7701
+//	127.n.7.i  broken server i      9001 as above: a reset must arrive as it is sent
 //
 // Links use the same port on every VM, so that a stager is found on its engine's host. The
 // proxies listen on that port; the programs listen on another one and advertise the
@@ -53,6 +54,7 @@
 	plainVMs
 	crashingVMs
 	crashingEngineVMs
+	brokenVMs
 )
 
 // clusterConfig is the number of programs and servers of each kind, the time that a plain server
@@ -65,6 +67,8 @@
 	retryReserve int
 	// drainNotice is how long a gateway accepts requests after the signal to stop.
 	drainNotice time.Duration
+	// broken is how many plain servers send broken answers.
+	broken int
 	// crashing is how many plain servers crash when they run crashingBody. With sameInstance
 	// they restart under their previous instance.
 	crashing     int
@@ -112,6 +116,7 @@
 	// engines and plain servers are in the order of their addresses.
 	engines  []*standin.Engine
 	plain    []*standin.Server
+	broken   []*standin.BrokenServer
 	crashing []*standin.CrashingServer // plain ones first, then engines
 	operator standin.Operator
 	// namedAt holds the times at which the naming of each version was acknowledged.
@@ -144,6 +149,7 @@
 	// Cleanups run in reverse order, so the programs end before the proxies.
 	cl.startProxies()
 	cl.startServers(ctx)
+	cl.startBrokenServers(ctx)
 	cl.startCrashingServers(ctx)
 	cl.programs = newPrograms(t, folder)
 	cl.startPrograms()
@@ -274,6 +280,25 @@
 	}
 }
 
+// startBrokenServers starts the plain servers that send broken answers.
+func (cl *cluster) startBrokenServers(ctx context.Context) {
+	for i := range cl.config.broken {
+		s := &standin.BrokenServer{
+			Heartbeats: standin.Heartbeats{
+				Instance: fmt.Sprintf("b-%d", i+1), Service: standin.PlainService, Address: cl.address(brokenVMs, i, serverTargetPort),
+				Zone: failureDomain(i), Slots: engineFigures.Slots, Interval: heartbeatInterval, ControlNodes: cl.controlAddresses(),
+			},
+			ServiceTime: cl.config.plainServiceTime, RunLog: cl.runLog,
+		}
+		cl.broken = append(cl.broken, s)
+		cl.standins.Go(func() {
+			if err := s.Run(ctx); err != nil {
+				cl.t.Error(err)
+			}
+		})
+	}
+}
+
 // startCrashingServers starts the plain servers and engines that crash.
 func (cl *cluster) startCrashingServers(ctx context.Context) {
 	for i := range cl.config.crashing {
--- a/soak/keepalive_test.go
+++ b/soak/keepalive_test.go
@@ -34,6 +34,8 @@
 	// tokens bounds the lengths of streams, and prompt those of their prompts, both in
 	// tokens; zero values mean the default bounds.
 	tokens, prompt bounds
+	// drawPlain draws a request to a plain server; nil means drawPlain.
+	drawPlain func(*rand.Rand) standin.Request
 
 	callers  sync.WaitGroup
 	mu       sync.Mutex
@@ -47,6 +49,9 @@
 			draw, kind := l.drawStream, "s"
 			if n >= l.streams {
 				draw, kind = drawPlain, "p"
+				if l.drawPlain != nil {
+					draw = l.drawPlain
+				}
 			}
 			drawBounded := func(r *rand.Rand) standin.Request {
 				a := draw(r)
