Responses: HTTP/1.0 with a Transfer-Encoding is no answer

What callers would see: a backend server answers "HTTP/1.0 200 OK" with "Transfer-Encoding: chunked", and the framing of the chunks is delivered as the body. Nobody has reported it; it was found with the table of heads.

Cause: net/http drops the field from responses of HTTP/1.0 before anyone can look at it, and reads the body to the end of the connection. RFC 9112 (section 6.1) has the framing of such a message treated as faulty.

Change: the scanner that looks for lines which begin with a blank looks for this field too, so it is named headScanner.

--- a/pkg/gateway/broken_head_test.go
+++ b/pkg/gateway/broken_head_test.go
@@ -78,6 +78,11 @@
 	}
 }
 
+// The field was dropped, and the framing of the chunks delivered as the body.
+func TestEncodedAnswerOfHTTP10IsNotDelivered(t *testing.T) {
+	testBrokenHead(t, "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\n"+brokenMark+"\r\n0\r\n\r\n")
+}
+
 // A broken answer to a probe does not confirm that a server which ended its answer with the connection is in order.
 func TestBrokenProbeAnswerDoesNotConfirm(t *testing.T) {
 	for _, answer := range []string{
--- a/pkg/upstream/connection.go
+++ b/pkg/upstream/connection.go
@@ -205,7 +205,7 @@
 		if err != nil {
 			return nil, c.limiter.headError(err)
 		}
-		if err := checkHead(response.StatusCode, response.Header, c.limiter.folds.found); err != nil {
+		if err := checkHead(response.StatusCode, response.Header, c.limiter.scanner.fault); err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
--- a/pkg/upstream/head_limit.go
+++ b/pkg/upstream/head_limit.go
@@ -23,13 +23,13 @@
 	inHead  bool
 	left    int   // bytes that may still be read for the head
 	failure error // of the last read; nil if it succeeded
-	folds   foldScanner
+	scanner headScanner
 }
 
 // startHead limits what is read from now on.
 func (l *headLimiter) startHead() {
 	l.inHead, l.left, l.failure = true, maxResponseHead, nil
-	l.folds.startResponse()
+	l.scanner.startResponse()
 }
 
 // endHead ends the limit.
@@ -47,7 +47,7 @@
 	n, err := l.receive(p[:min(len(p), l.left)])
 	l.left -= n
 	l.failure = err
-	l.folds.scan(p[:n])
+	l.scanner.scan(p[:n])
 	return n, err
 }
 
--- a/pkg/upstream/sound_head.go
+++ b/pkg/upstream/sound_head.go
@@ -41,14 +41,14 @@
 	return status >= minStatus && status <= maxStatus && status != http.StatusSwitchingProtocols
 }
 
-// checkHead returns why the head of a response, or of an interim response, is not sound; nil if it is. isFolded says that
-// one of its lines begins with a blank.
-func checkHead(status int, header map[string][]string, isFolded bool) error {
+// checkHead returns why the head of a response, or of an interim response, is not sound; nil if it is. fault is
+// what a headScanner found in its bytes.
+func checkHead(status int, header map[string][]string, fault error) error {
 	if !IsSoundStatus(status) {
 		return errUnsoundStatus
 	}
-	if isFolded {
-		return errUnsoundField
+	if fault != nil {
+		return fault
 	}
 	for name := range header {
 		if !isToken(name) {
@@ -89,7 +89,7 @@
 
 // headError returns the error of reading a head without quoting the head.
 func headError(err error) error {
-	for _, own := range []error{errUnsoundField, errTooManyInterim} {
+	for _, own := range []error{errUnsoundField, errEncodedHTTP10, errTooManyInterim} {
 		if errors.Is(err, own) {
 			return own
 		}
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, x.roundTripError(err)
 	}
-	if err := checkHead(response.StatusCode, response.Header, x.isFolded()); err != nil {
+	if err := checkHead(response.StatusCode, response.Header, x.headFault()); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
@@ -113,13 +113,15 @@
 	if x.interim.Add(1) >= maxInterimResponses {
 		return errTooManyInterim
 	}
-	return checkHead(status, header, x.isFolded())
+	return checkHead(status, header, x.headFault())
 }
 
-// isFolded reports whether a line of the response's head, as far as it is read, begins with a blank.
-func (x *roundTrip) isFolded() bool {
-	conn := x.conn.Load()
-	return conn != nil && conn.isFolded()
+// headFault returns why the bytes of the response's head, as far as they are read, are not sound; nil if they are.
+func (x *roundTrip) headFault() error {
+	if conn := x.conn.Load(); conn != nil {
+		return conn.headFault()
+	}
+	return nil
 }
 
 // roundTripError returns the error of a request without a response. Only one that comes after the first byte of a
@@ -171,22 +173,22 @@
 	net.Conn
 	sent atomic.Uint64 // those of a write in progress included
 
-	mu    sync.Mutex
-	folds foldScanner
+	mu      sync.Mutex
+	scanner headScanner
 }
 
 // startResponse has the connection expect the head of a response.
 func (c *countedConn) startResponse() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.folds.startResponse()
+	c.scanner.startResponse()
 }
 
-// isFolded reports whether a line of the last response's head begins with a blank.
-func (c *countedConn) isFolded() bool {
+// headFault returns why the bytes of the last response's head are not sound; nil if they are.
+func (c *countedConn) headFault() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.folds.found
+	return c.scanner.fault
 }
 
 // Write writes to the connection.
@@ -199,7 +201,7 @@
 func (c *countedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
-	c.folds.scan(p[:n])
+	c.scanner.scan(p[:n])
 	c.mu.Unlock()
 	if err != io.EOF {
 		return n, err
