Upstream: one idea a file

transport.go held the client, what is known of a request and the connections; sound_head.go also held how errors are kept free of quotes. No change of behaviour; the tests of the package and of its users pass unchanged.

--- a/pkg/upstream/head_limit.go
+++ b/pkg/upstream/head_limit.go
@@ -17,7 +17,7 @@
 // errHeadTooLarge reports a response whose head exceeds maxResponseHead.
 var errHeadTooLarge = errors.Errorf("the head of the response exceeds %d bytes; check what runs at the backend server's address", maxResponseHead)
 
-// headLimiter reads from a connection, and fails when a head is longer than it may be. Bodies are not limited.
+// headLimiter reads from a connection, scans heads, and fails when one is longer than it may be. Bodies are not limited.
 type headLimiter struct {
 	receive func(p []byte) (int, error)
 	inHead  bool
@@ -26,13 +26,13 @@
 	scanner headScanner
 }
 
-// startHead limits what is read from now on.
+// startHead limits and scans what is read from now on.
 func (l *headLimiter) startHead() {
 	l.inHead, l.left, l.failure = true, maxResponseHead, nil
 	l.scanner.startResponse()
 }
 
-// endHead ends the limit.
+// endHead ends both.
 func (l *headLimiter) endHead() { l.inHead = false }
 
 // Read reads from the connection.
@@ -56,7 +56,7 @@
 func (l *headLimiter) headError(err error) error {
 	switch l.failure {
 	case nil:
-		return headError(err)
+		return unquotedError(err)
 	case io.EOF:
 		return io.ErrUnexpectedEOF
 	}
--- a/pkg/upstream/sound_head.go
+++ b/pkg/upstream/sound_head.go
@@ -7,12 +7,7 @@
 package upstream
 
 import (
-	"context"
-	"io"
-	"net"
 	"net/http"
-	"net/textproto"
-	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -29,12 +24,6 @@
 // errUnsoundField reports a response whose head has a field with a name that no field may have.
 var errUnsoundField = errors.New("the head of the response has a field whose name holds a blank or another character that no name may hold; check what runs at the backend server's address")
 
-// errMalformedHead and errMalformedTrailer stand for the errors of net/http, which quote what the server sent at any length.
-var (
-	errMalformedHead    = errors.New("the head of the response is not valid HTTP/1.1 or too long; check what runs at the backend server's address")
-	errMalformedTrailer = errors.New("the trailer of the response is not valid HTTP/1.1; check what runs at the backend server's address")
-)
-
 // IsSoundStatus reports whether a response may have a status. Responses that switch protocols are not sound, since no
 // request asks for one.
 func IsSoundStatus(status int) bool {
@@ -76,53 +65,3 @@
 	}
 	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
-
-// withoutQuotes changes a response so that no message quotes what its server sent: its reason phrase becomes the usual
-// one of the status, and a trailer that is refused is not part of the error.
-func withoutQuotes(response *http.Response) *http.Response {
-	response.Status = strconv.Itoa(response.StatusCode) + " " + http.StatusText(response.StatusCode)
-	if FramingOf(response) == FramedByChunks {
-		response.Body = chunkedBody{response.Body}
-	}
-	return response
-}
-
-// headError returns the error of reading a head without quoting the head.
-func headError(err error) error {
-	for _, own := range []error{errUnsoundField, errEncodedHTTP10, errTooManyInterim} {
-		if errors.Is(err, own) {
-			return own
-		}
-	}
-	if isConnectionError(err) {
-		return err
-	}
-	return errMalformedHead
-}
-
-// isConnectionError reports whether an error is of a connection or a context, and not of what was received.
-func isConnectionError(err error) bool {
-	var network net.Error
-	if errors.As(err, &network) {
-		return true
-	}
-	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, context.Canceled, errHeadTooLarge} {
-		if errors.Is(err, target) {
-			return true
-		}
-	}
-	return false
-}
-
-// chunkedBody is the body of a response in chunks.
-type chunkedBody struct{ io.ReadCloser }
-
-// Read reads from the body, and returns errors without quoting the trailer.
-func (b chunkedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	var malformed textproto.ProtocolError
-	if errors.As(err, &malformed) {
-		err = errMalformedTrailer
-	}
-	return n, err
-}
