--- a/pkg/upstream/round_trip.go
+++ b/pkg/upstream/round_trip.go
@@ -26,6 +26,18 @@
 	interim atomic.Int32 // interim responses so far
 }
 
+func newRoundTrip(ctx context.Context) *roundTrip {
+	x := &roundTrip{ctx: ctx}
+	x.awaitReport()
+	return x
+}
+
+// awaitReport has the next report that the request is written count.
+func (x *roundTrip) awaitReport() {
+	written := make(chan error, 1)
+	x.written.Store(&written)
+}
+
 // trace returns the hooks that observe the request.
 func (x *roundTrip) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
@@ -43,8 +55,7 @@
 
 // start prepares for a response on a connection.
 func (x *roundTrip) start(info httptrace.GotConnInfo) {
-	written := make(chan error, 1)
-	x.written.Store(&written)
+	x.awaitReport()
 	conn, _ := info.Conn.(*checkedConn) // nil with TLS, whose bytes are not those of a head
 	x.conn.Store(conn)
 	if conn != nil {
--- a/pkg/upstream/transport.go
+++ b/pkg/upstream/transport.go
@@ -49,7 +49,7 @@
 
 // RoundTrip sends a request and returns its response.
 func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	x := &roundTrip{ctx: r.Context()}
+	x := newRoundTrip(r.Context())
 	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), x.trace())))
 	if err != nil {
 		return nil, x.roundTripError(err)
