Gateway test: early answers to shorter uploads, reset later, and with a length

An early answer that is complete by its length counts with each size and each ending of the connection, there and here. No change of the product.

--- a/pkg/gateway/unread_upload_test.go
+++ b/pkg/gateway/unread_upload_test.go
@@ -8,10 +8,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/tidepost/tidepost/internal/rawserver"
 	"github.com/tidepost/tidepost/pkg/serviceconfig"
@@ -67,3 +69,45 @@
 		}
 	}
 }
+
+// The same for uploads that fit into the buffers of the sockets, in part or as a whole, and for connections that end some
+// milliseconds after the part: then the read may take the error, or the write, or the part may be delivered before.
+func TestPartAnswerToShortUploadIsNotComplete(t *testing.T) {
+	const rounds = 4
+	parts := map[string]string{"text/plain": "part", "text/plain; long": strings.Repeat("x", maxBuffered+1), eventStream: events(1, 1)}
+	for _, length := range []int{20 << 10, 200 << 10, 3 << 20} {
+		for _, delay := range []time.Duration{0, time.Millisecond, 5 * time.Millisecond} {
+			for contentType, part := range parts {
+				t.Run(fmt.Sprintf("%d bytes, %s, after %s", length, contentType, delay), func(t *testing.T) {
+					answer := unframedAnswer(contentType, part)
+					l := rawserver.Start(t, func(conn *net.TCPConn, r *http.Request) {
+						_, _ = io.WriteString(conn, answer(r))
+						time.Sleep(delay)
+						rawserver.Reset.End(conn)
+					})
+					f := newFixture(t, serviceconfig.Once, false, &fakeBackend{incarnation: "i-1", listener: l})
+					for range rounds {
+						if status, _, body, err := f.do(t, f.request(t, http.MethodPost, "a", longUpload[:length])); status == http.StatusOK && err == nil {
+							t.Errorf("%d bytes of an answer look complete", len(body))
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// An early answer that is complete by its length counts, whatever becomes of the upload.
+func TestAnswerWithLengthToUnreadUploadIsComplete(t *testing.T) {
+	for _, ending := range rawserver.Endings() {
+		for _, length := range []int{20 << 10, 200 << 10, 3 << 20} {
+			server := newRawBackend(t, "i-1", ending, func(r *http.Request) string {
+				return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 5\r\n\r\nwhole", headerID, r.Header.Get(headerID))
+			})
+			f := newFixture(t, serviceconfig.Once, false, server)
+			if status, _, body, err := f.do(t, f.request(t, http.MethodPost, "a", longUpload[:length])); status != http.StatusOK || body != "whole" || err != nil {
+				t.Errorf("%s, %d bytes: status %d, %v, body %q", ending, length, status, err, body)
+			}
+		}
+	}
+}
