Upstream: one check of the end of a connection

Whether io.EOF is an end stood twice, in Connection and in checkedConn, and not alike: where acknowledged bytes were not known, the first looked whether the body was written, the second took the end as it was. checkEnd in framing.go serves both now. It is stricter in one case: a connection that this side closes just as the response ends, where the kernel can't be asked any more, is no proof (TestEndOfClosedConnectionIsNotComplete). Connections that are not TCP, in tests only, are taken at their word in both; an unwritten body had them refused in one.

--- a/pkg/upstream/checked_conn.go
+++ b/pkg/upstream/checked_conn.go
@@ -6,7 +6,6 @@
 package upstream
 
 import (
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -47,11 +46,5 @@
 	c.mu.Lock()
 	c.scanner.scan(p[:n])
 	c.mu.Unlock()
-	if err != io.EOF {
-		return n, err
-	}
-	if acknowledged, known := acknowledgedBytes(c.Conn); known && acknowledged < c.sent.Load() {
-		return n, errRequestNotReceived
-	}
-	return n, err
+	return n, checkEnd(c.Conn, c.sent.Load(), err)
 }
--- a/pkg/upstream/connection.go
+++ b/pkg/upstream/connection.go
@@ -98,31 +98,23 @@
 
 // recordAcknowledged records whether any byte of the last request is acknowledged.
 func (c *Connection) recordAcknowledged() {
-	acknowledged, known := acknowledgedBytes(c.conn)
+	acknowledged, err := acknowledgedBytes(c.conn)
 	c.sendMu.Lock()
 	defer c.sendMu.Unlock()
-	c.nothingAcknowledged = known && c.lastBytes > 0 && acknowledged == c.earlierBytes
+	c.nothingAcknowledged = err == nil && c.lastBytes > 0 && acknowledged == c.earlierBytes
 }
 
 // receive reads from the connection. It reports the peer's close as an end only if the last request was received.
 func (c *Connection) receive(p []byte) (int, error) {
 	n, err := c.conn.Read(p)
-	if err == io.EOF && !c.requestReceived() {
-		err = errRequestNotReceived
-	}
-	return n, err
+	return n, checkEnd(c.conn, c.requestedBytes(), err)
 }
 
-// requestReceived reports whether the peer has received the whole last request, the part of it that is still to be
-// written included.
-func (c *Connection) requestReceived() bool {
-	acknowledged, known := acknowledgedBytes(c.conn)
-	if !known {
-		return !c.bodyUnsent.Load()
-	}
+// requestedBytes returns how many bytes the requests so far have, those that are still to be written included.
+func (c *Connection) requestedBytes() uint64 {
 	c.sendMu.Lock()
 	defer c.sendMu.Unlock()
-	return acknowledged >= c.earlierBytes+c.lastBytes
+	return c.earlierBytes + c.lastBytes
 }
 
 // recordRequestSize records the size of the request that is about to be sent.
--- a/pkg/upstream/framing.go
+++ b/pkg/upstream/framing.go
@@ -50,22 +50,43 @@
 // received the whole request.
 var errRequestNotReceived = errors.Wrap(io.ErrUnexpectedEOF, "the connection ended before the backend server had received the whole request")
 
-// acknowledgedBytes returns how many bytes of those sent on a connection the peer's TCP has acknowledged. They are not
-// known if the connection is closed on this side or is not TCP.
-func acknowledgedBytes(conn net.Conn) (bytes uint64, known bool) {
+// errNotCounted reports a connection that is not TCP, or whose kernel does not count acknowledged bytes.
+var errNotCounted = errors.New("acknowledged bytes are not counted")
+
+// checkEnd returns the error of a read from a connection: io.EOF only if the peer has received all bytes that were sent or
+// are to be sent when it closed the connection. Where these are not counted the peer is taken at its word.
+func checkEnd(conn net.Conn, sent uint64, err error) error {
+	if err != io.EOF {
+		return err
+	}
+	acknowledged, err := acknowledgedBytes(conn)
+	if err == errNotCounted || err == nil && acknowledged >= sent {
+		return io.EOF
+	}
+	return errRequestNotReceived
+}
+
+// acknowledgedBytes returns how many bytes of those sent on a connection the peer's TCP has acknowledged. It fails if the
+// connection is closed on this side, and with errNotCounted.
+func acknowledgedBytes(conn net.Conn) (uint64, error) {
 	const synLength = 1 // the kernel's count includes the SYN
 	tcp, ok := conn.(syscall.Conn)
 	if !ok {
-		return 0, false
+		return 0, errNotCounted
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return 0, false
+		return 0, err
 	}
 	var info *unix.TCPInfo
 	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if controlErr != nil || err != nil || info.Bytes_acked < synLength {
-		return 0, false
+	switch {
+	case controlErr != nil:
+		return 0, controlErr
+	case err != nil:
+		return 0, err
+	case info.Bytes_acked < synLength:
+		return 0, errNotCounted
 	}
-	return info.Bytes_acked - synLength, true
+	return info.Bytes_acked - synLength, nil
 }
--- a/pkg/upstream/unread_request_test.go
+++ b/pkg/upstream/unread_request_test.go
@@ -118,3 +118,18 @@
 	const bytes = 1 << 10
 	return raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes) })
 }
+
+// A connection that this side closes just as its response ends proves nothing about the request.
+func TestEndOfClosedConnectionIsNotComplete(t *testing.T) {
+	conn, err := net.Dial("tcp", rawserver.Start(t, rawserver.Answer("", rawserver.Close)).Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := checkEnd(conn, 0, io.EOF); err != io.EOF {
+		t.Errorf("open: %v", err)
+	}
+	_ = conn.Close()
+	if err := checkEnd(conn, 0, io.EOF); err != errRequestNotReceived {
+		t.Errorf("closed: %v", err)
+	}
+}
