Upstream: what is wrong with a head is of one type

The errors of heads carried the same remedy in seven texts, and two lists told them from those of net/http, of which one had to be extended with each. headFault adds the remedy and is recognised by its type.

--- a/pkg/upstream/connection.go
+++ b/pkg/upstream/connection.go
@@ -36,9 +36,6 @@
 	maxInterimResponses = 8
 )
 
-// errTooManyInterim reports a response that is only preceded by interim ones.
-var errTooManyInterim = errors.Errorf("%d interim responses without a final one; check what runs at the backend server's address", maxInterimResponses)
-
 // Request is an outgoing request.
 type Request struct {
 	// Method, URI and Host are sent unchanged.
--- a/pkg/upstream/head_limit.go
+++ b/pkg/upstream/head_limit.go
@@ -5,18 +5,11 @@
 
 package upstream
 
-import (
-	"io"
-
-	"github.com/pkg/errors"
-)
+import "io"
 
 // maxResponseHead bounds the head of a response together with the interim responses before it, in bytes.
 const maxResponseHead = 64 << 10
 
-// errHeadTooLarge reports a response whose head exceeds maxResponseHead.
-var errHeadTooLarge = errors.Errorf("the head of the response exceeds %d bytes; check what runs at the backend server's address", maxResponseHead)
-
 // headLimiter reads from a connection, scans heads, and fails when one is longer than it may be. Bodies are not limited.
 type headLimiter struct {
 	receive func(p []byte) (int, error)
--- a/pkg/upstream/head_scanner.go
+++ b/pkg/upstream/head_scanner.go
@@ -8,11 +8,6 @@
 
 package upstream
 
-import "github.com/pkg/errors"
-
-// errEncodedHTTP10 reports a response of HTTP/1.0 that claims to be in chunks (RFC 9112, section 6.1).
-var errEncodedHTTP10 = errors.New("the response is of HTTP/1.0 and has a Transfer-Encoding; check what runs at the backend server's address")
-
 const (
 	// minorVersionColumn and statusColumn are where a status line has its minor version and its status.
 	minorVersionColumn = len("HTTP/1.")
--- a/pkg/upstream/sound_head.go
+++ b/pkg/upstream/sound_head.go
@@ -7,10 +7,9 @@
 package upstream
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
-
-	"github.com/pkg/errors"
 )
 
 const (
@@ -18,11 +17,32 @@
 	maxStatus = 599
 )
 
-// errUnsoundStatus reports a response whose status no server may send here.
-var errUnsoundStatus = errors.New("the response has a status that does not exist or was not asked for; check what runs at the backend server's address")
+// headFault is the error of a head that is not sound. It never quotes the head.
+type headFault string
+
+// Error returns what is wrong, and the remedy.
+func (f headFault) Error() string {
+	return string(f) + "; check what runs at the backend server's address"
+}
 
-// errUnsoundField reports a response whose head has a field with a name that no field may have.
-var errUnsoundField = errors.New("the head of the response has a field whose name holds a blank or another character that no name may hold; check what runs at the backend server's address")
+const (
+	// errUnsoundStatus reports a status that no server may send here.
+	errUnsoundStatus headFault = "the response has a status that does not exist or was not asked for"
+	// errUnsoundField reports a field with a name that no field may have.
+	errUnsoundField headFault = "the head of the response has a field whose name holds a blank or another character that no name may hold"
+	// errEncodedHTTP10 reports a response of HTTP/1.0 that claims to be in chunks (RFC 9112, section 6.1).
+	errEncodedHTTP10 headFault = "the response is of HTTP/1.0 and has a Transfer-Encoding"
+	// errMalformedHead and errMalformedTrailer stand for the errors of net/http, which quote what the server sent.
+	errMalformedHead    headFault = "the head of the response is not valid HTTP/1.1 or too long"
+	errMalformedTrailer headFault = "the trailer of the response is not valid HTTP/1.1"
+)
+
+var (
+	// errHeadTooLarge reports a head that exceeds maxResponseHead.
+	errHeadTooLarge = headFault(fmt.Sprintf("the head of the response exceeds %d bytes", maxResponseHead))
+	// errTooManyInterim reports interim responses without a final one.
+	errTooManyInterim = headFault(fmt.Sprintf("%d interim responses without a final one", maxInterimResponses))
+)
 
 // IsSoundStatus reports whether a response may have a status. Responses that switch protocols are not sound, since no
 // request asks for one.
--- a/pkg/upstream/unquoted.go
+++ b/pkg/upstream/unquoted.go
@@ -16,12 +16,6 @@
 	"github.com/pkg/errors"
 )
 
-// errMalformedHead and errMalformedTrailer stand for the errors of net/http, which quote what the server sent at any length.
-var (
-	errMalformedHead    = errors.New("the head of the response is not valid HTTP/1.1 or too long; check what runs at the backend server's address")
-	errMalformedTrailer = errors.New("the trailer of the response is not valid HTTP/1.1; check what runs at the backend server's address")
-)
-
 // withoutQuotes changes a response so that no message quotes what its server sent: its reason phrase becomes the usual
 // one of the status, and a trailer that is refused is not part of the error.
 func withoutQuotes(response *http.Response) *http.Response {
@@ -34,10 +28,9 @@
 
 // unquotedError returns the error of reading a head without quoting the head.
 func unquotedError(err error) error {
-	for _, own := range []error{errUnsoundField, errEncodedHTTP10, errTooManyInterim} {
-		if errors.Is(err, own) {
-			return own
-		}
+	var fault headFault
+	if errors.As(err, &fault) {
+		return fault
 	}
 	if isConnectionError(err) {
 		return err
@@ -51,7 +44,7 @@
 	if errors.As(err, &network) {
 		return true
 	}
-	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, context.Canceled, errHeadTooLarge} {
+	for _, target := range []error{io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, context.Canceled} {
 		if errors.Is(err, target) {
 			return true
 		}
