--- a/internal/rawserver/rawserver.go
+++ b/internal/rawserver/rawserver.go
@@ -11,7 +11,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 )
 
@@ -55,20 +54,6 @@
 	}
 }
 
-// Endless returns a script that writes the beginning of an answer and then a text again and again, until the client
-// closes the connection or length bytes are written, so that a test ends.
-func Endless(begin, repeated string, length int) Script {
-	const blockLength = 64 << 10
-	block := strings.Repeat(repeated, blockLength/len(repeated))
-	return func(conn *net.TCPConn, _ *http.Request) {
-		_, err := io.WriteString(conn, begin)
-		for sent := 0; err == nil && sent < length; sent += len(block) {
-			_, err = io.WriteString(conn, block)
-		}
-		Close.End(conn)
-	}
-}
-
 // Start starts a server for one test and returns its listener. OPTIONS requests, which probe whether the server
 // runs, are answered as by a healthy one.
 func Start(t testing.TB, s Script) net.Listener {
--- a/pkg/agent/broken_head_test.go
+++ b/pkg/agent/broken_head_test.go
@@ -9,7 +9,7 @@
 // testBrokenHead checks that an agent passes on no part of an answer.
 func testBrokenHead(t *testing.T, answer string) {
 	t.Helper()
-	parts, err := sendParts(rawserver.Start(t, rawserver.Answer(answer, rawserver.Close)), uploadRequest("order"))
+	parts, err := sendParts(engineAt(rawserver.Start(t, rawserver.Answer(answer, rawserver.Close))), uploadRequest("order"))
 	if err == nil || len(parts) > 0 {
 		t.Errorf("%q: %d parts, %v", answer, len(parts), err)
 	}
--- a/pkg/agent/requests_test.go
+++ b/pkg/agent/requests_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/tidepost/tidepost/pkg/contract"
 	"github.com/tidepost/tidepost/pkg/engine"
-	"github.com/tidepost/tidepost/pkg/link"
 )
 
 // serveOne answers one request at l without a length. A process that then crashes leaves its port
@@ -45,13 +44,7 @@
 		}
 		t.Cleanup(func() { _ = l.Close() })
 		go serveOne(l, crashes)
-		complete := false
-		a := &Agent{hooks: Hooks{SendResponsePart: func(_ func(contract.ResponsePart) error, p contract.ResponsePart) error {
-			complete = complete || p.End()
-			return nil
-		}}}
-		r := testRequest("a", time.Now().Add(time.Minute))
-		err = a.execute(context.Background(), (*link.Stream)(nil), engine.NewHTTP("http://"+l.Addr().String()), r)
+		complete, err := isMarkedComplete(engineAt(l), testRequest("a", time.Now().Add(time.Minute)))
 		if complete == crashes || (err != nil) != crashes {
 			t.Errorf("engine crashes %t: complete %t, %v", crashes, complete, err)
 		}
@@ -60,15 +53,10 @@
 
 // A response with a length needs no ping.
 func TestAnswerWithLengthNeedsNoPing(t *testing.T) {
-	complete := false
-	a := &Agent{hooks: Hooks{SendResponsePart: func(_ func(contract.ResponsePart) error, p contract.ResponsePart) error {
-		complete = complete || p.End()
-		return nil
-	}}}
 	backend := &engine.Engine{SendRequest: func(context.Context, contract.Request) (*http.Response, error) {
 		return http.ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")), nil)
 	}}
-	if err := a.execute(context.Background(), nil, backend, testRequest("a", time.Now().Add(time.Minute))); err != nil || !complete {
+	if complete, err := isMarkedComplete(backend, testRequest("a", time.Now().Add(time.Minute))); err != nil || !complete {
 		t.Errorf("complete %t, %v", complete, err)
 	}
 }
--- a/pkg/agent/unread_request_test.go
+++ b/pkg/agent/unread_request_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,28 +10,8 @@
 
 	"github.com/tidepost/tidepost/internal/rawserver"
 	"github.com/tidepost/tidepost/pkg/contract"
-	"github.com/tidepost/tidepost/pkg/engine"
 )
 
-// sendParts has an agent execute a request at a service, and returns the parts of the response that it sent.
-func sendParts(service net.Listener, r contract.Request) (parts []contract.ResponsePart, err error) {
-	a := &Agent{hooks: Hooks{SendResponsePart: func(_ func(contract.ResponsePart) error, p contract.ResponsePart) error {
-		parts = append(parts, p)
-		return nil
-	}}}
-	err = a.execute(context.Background(), nil, engine.NewHTTP("http://"+service.Addr().String()), r)
-	return parts, err
-}
-
-// executeAt has an agent execute a request at a service, and reports whether it marked the response as complete.
-func executeAt(service net.Listener, r contract.Request) (complete bool, err error) {
-	parts, err := sendParts(service, r)
-	for _, p := range parts {
-		complete = complete || p.End()
-	}
-	return complete, err
-}
-
 // uploadRequest returns a request for a plain service with a body.
 func uploadRequest(body string) contract.Request {
 	return contract.NewRequest("a", "larder", "", contract.Digest{}, "ordering", http.MethodPost, "/", "text/plain", []byte(body),
@@ -49,7 +28,7 @@
 			l := rawserver.Start(t, rawserver.Answer("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart", ending))
 			marked := 0
 			for range rounds {
-				complete, err := executeAt(l, upload)
+				complete, err := isMarkedComplete(engineAt(l), upload)
 				if complete || err == nil {
 					marked++
 				}
@@ -68,7 +47,7 @@
 		rawserver.Answer("HTTP/1.1 200 OK\r\n\r\nwhole", rawserver.Close)(conn, r)
 	})
 	for _, length := range []int{0, 1 << 10, 16 << 20} {
-		if complete, err := executeAt(l, uploadRequest(strings.Repeat("u", length))); !complete || err != nil {
+		if complete, err := isMarkedComplete(engineAt(l), uploadRequest(strings.Repeat("u", length))); !complete || err != nil {
 			t.Errorf("upload of %d bytes: complete %t, %v", length, complete, err)
 		}
 	}
--- a/pkg/entry/broken_list_test.go
+++ b/pkg/entry/broken_list_test.go
@@ -1,9 +1,9 @@
 package entry
 
 import (
+	"net"
 	"testing"
 
-	"github.com/tidepost/tidepost/internal/heapgrowth"
 	"github.com/tidepost/tidepost/internal/rawserver"
 )
 
@@ -30,26 +30,14 @@
 
 // Guards against an entry that keeps what the platform sends without end, in a head or a body.
 func TestEndlessListsAreNotKept(t *testing.T) {
-	const (
-		sent    = 256 << 20
-		maxKept = sent / 4
-	)
-	for name, s := range map[string]rawserver.Script{
-		"field":         rawserver.Endless("HTTP/1.1 200 OK\r\nX: ", "x", sent),
-		"body":          rawserver.Endless("HTTP/1.1 200 OK\r\n\r\n", "x", sent),
-		"one string":    rawserver.Endless("HTTP/1.1 200 OK\r\n\r\n[{\"name\":\"", "x", sent),
-		"many elements": rawserver.Endless("HTTP/1.1 200 OK\r\n\r\n[{}", ",{}", sent),
-	} {
-		t.Run(name, func(t *testing.T) {
-			e := testEntry(t, "http://"+rawserver.Start(t, s).Addr().String())
-			growth := heapgrowth.Of(func() {
-				if e.readPlatformList(t.Context()) == nil {
-					t.Error("a list without end was accepted")
-				}
-			})
-			if growth > maxKept {
-				t.Errorf("the heap has grown by %d MB; %d MB were sent", growth>>20, sent>>20)
-			}
-		})
+	lists := map[string]rawserver.Endless{
+		"one string":    {Begin: "HTTP/1.1 200 OK\r\n\r\n[{\"name\":\"", Repeated: "x"},
+		"many elements": {Begin: "HTTP/1.1 200 OK\r\n\r\n[{}", Repeated: ",{}"},
 	}
+	answers := rawserver.Merge(rawserver.EndlessHeads(), rawserver.EndlessBodies(), lists)
+	rawserver.CheckNotKept(t, answers, rawserver.LongLength, 1, func(t *testing.T, l net.Listener) {
+		if testEntry(t, "http://"+l.Addr().String()).readPlatformList(t.Context()) == nil {
+			t.Error("a list without end was accepted")
+		}
+	})
 }
--- a/pkg/source/broken_response_test.go
+++ b/pkg/source/broken_response_test.go
@@ -1,9 +1,9 @@
 package source
 
 import (
+	"net"
 	"testing"
 
-	"github.com/tidepost/tidepost/internal/heapgrowth"
 	"github.com/tidepost/tidepost/internal/rawserver"
 	"github.com/tidepost/tidepost/pkg/contract"
 )
@@ -34,30 +34,19 @@
 
 // Guards against a client that keeps what an origin sends without end, in a head or a body.
 func TestEndlessResponsesAreNotKept(t *testing.T) {
-	const (
-		sent    = 256 << 20
-		maxKept = sent / 4
-	)
-	m := contract.NewManifest(1, 1, []contract.Digest{{}})
-	for name, s := range map[string]rawserver.Script{
-		"field": rawserver.Endless("HTTP/1.1 200 OK\r\nX: ", "x", sent),
-		"body":  rawserver.Endless("HTTP/1.1 200 OK\r\n\r\n", "x", sent),
-		"range": rawserver.Endless("HTTP/1.1 206 Partial Content\r\n\r\n", "x", sent),
-		"JSON":  rawserver.Endless("HTTP/1.1 200 OK\r\n\r\n{\"chunks\":[", "\"\",", sent),
-	} {
-		t.Run(name, func(t *testing.T) {
-			c := NewClient("http://" + rawserver.Start(t, s).Addr().String())
-			growth := heapgrowth.Of(func() {
-				if _, err := c.FetchManifest(t.Context(), "menu", "v1"); err == nil {
-					t.Error("a manifest without end was accepted")
-				}
-				if _, err := c.FetchChunk(t.Context(), "menu", "v1", m, 0); err == nil {
-					t.Error("a chunk without end was accepted")
-				}
-			})
-			if growth > maxKept {
-				t.Errorf("the heap has grown by %d MB; %d MB were sent in each call", growth>>20, sent>>20)
-			}
-		})
+	contents := map[string]rawserver.Endless{
+		"range": {Begin: "HTTP/1.1 206 Partial Content\r\n\r\n", Repeated: "x"},
+		"JSON":  {Begin: "HTTP/1.1 200 OK\r\n\r\n{\"chunks\":[", Repeated: "\"\","},
 	}
+	m := contract.NewManifest(1, 1, []contract.Digest{{}})
+	answers := rawserver.Merge(rawserver.EndlessHeads(), rawserver.EndlessBodies(), contents)
+	rawserver.CheckNotKept(t, answers, rawserver.LongLength, 1, func(t *testing.T, l net.Listener) {
+		c := NewClient("http://" + l.Addr().String())
+		if _, err := c.FetchManifest(t.Context(), "menu", "v1"); err == nil {
+			t.Error("a manifest without end was accepted")
+		}
+		if _, err := c.FetchChunk(t.Context(), "menu", "v1", m, 0); err == nil {
+			t.Error("a chunk without end was accepted")
+		}
+	})
 }
