Tests: one table of heads without end

pkg/upstream had such a table since the incident of responses without end; the one in internal/rawserver was written beside it. The older, longer one stands in rawserver now, with its names, and serves both. The tests of pkg/upstream keep their cases and assertions; the other readers get nine heads in place of six.

--- a/internal/rawserver/endless.go
+++ b/internal/rawserver/endless.go
@@ -24,12 +24,15 @@
 // EndlessHeads returns answers without end in their heads, by name.
 func EndlessHeads() map[string]Endless {
 	return map[string]Endless{
-		"no HTTP":           {"", "garbage"},
 		"status line":       {"HTTP/1.1 200 ", "O"},
-		"field":             {"HTTP/1.1 200 OK\r\nX: ", "x"},
-		"fields":            {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
-		"folded field":      {"HTTP/1.1 200 OK\r\nA: b\r\n", " c\r\n"},
-		"interim responses": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"header field":      {"HTTP/1.1 200 OK\r\nX-Endless: ", "x"},
+		"name of a field":   {"HTTP/1.1 200 OK\r\nX-", "n"},
+		"many fields":       {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		"continued field":   {"HTTP/1.1 200 OK\r\nA: b\r\n", " c\r\n"},
+		"no HTTP":           {"", "\x00garbage"},
+		"empty lines":       {"", "\r\n"},
+		"interim responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+		"interim fields":    {"HTTP/1.1 103 Early Hints\r\n", "Link: </a>\r\n"},
 	}
 }
 
--- a/pkg/upstream/endless_test.go
+++ b/pkg/upstream/endless_test.go
@@ -10,33 +10,22 @@
 	"sync/atomic"
 	"testing"
 	"time"
-)
-
-// endlessHead is the beginning of a head, and what follows it again and again.
-type endlessHead struct{ begin, repeated string }
 
-var endlessHeads = map[string]endlessHead{
-	"status line":       {"HTTP/1.1 200 ", "O"},
-	"header field":      {"HTTP/1.1 200 OK\r\nX-Endless: ", "x"},
-	"name of a field":   {"HTTP/1.1 200 OK\r\nX-", "n"},
-	"many fields":       {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
-	"continued field":   {"HTTP/1.1 200 OK\r\nA: b\r\n", " c\r\n"},
-	"no HTTP":           {"", "\x00garbage"},
-	"empty lines":       {"", "\r\n"},
-	"interim responses": {"", "HTTP/1.1 100 Continue\r\n\r\n"},
-	"interim fields":    {"HTTP/1.1 103 Early Hints\r\n", "Link: </a>\r\n"},
-}
+	"github.com/tidepost/tidepost/internal/rawserver"
+)
 
 // endlessBytes is what an endless sender sends at most, so that a test ends.
 const endlessBytes = 4 << 20
 
-// serve answers one request with the head.
-func (h endlessHead) serve(server net.Conn) {
-	defer server.Close()
-	if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
-		return
+// serveEndless returns a function that answers one request with a head.
+func serveEndless(head rawserver.Endless) func(server net.Conn) {
+	return func(server net.Conn) {
+		defer server.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(server, head.Begin+strings.Repeat(head.Repeated, endlessBytes/len(head.Repeated)))
 	}
-	_, _ = io.WriteString(server, h.begin+strings.Repeat(h.repeated, endlessBytes/len(h.repeated)))
 }
 
 // countingConn counts the bytes that were read.
@@ -73,9 +62,9 @@
 
 // Guards against a backend server that sends a head without end: it was read into memory until the deadline.
 func TestEndlessHeadIsRefused(t *testing.T) {
-	for name, head := range endlessHeads {
+	for name, head := range rawserver.EndlessHeads() {
 		t.Run(name, func(t *testing.T) {
-			pool, conn := newPipePool(head.serve)
+			pool, conn := newPipePool(serveEndless(head))
 			c, _, err := get(t, pool)
 			if err == nil {
 				t.Fatal("a response without end was accepted")
@@ -118,9 +107,9 @@
 // Guards against an engine, an origin or the platform that sends a head without end: the clients of net/http read
 // 10 MB of each.
 func TestTransportBoundsHeads(t *testing.T) {
-	for name, head := range endlessHeads {
+	for name, head := range rawserver.EndlessHeads() {
 		t.Run(name, func(t *testing.T) {
-			pool, conn := newPipePool(head.serve)
+			pool, conn := newPipePool(serveEndless(head))
 			transport := newTransport(&http.Transport{DialContext: pool.dial, DisableKeepAlives: true})
 			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://server/", nil)
 			if err != nil {
