--- a/review/cases2/deployment.go
+++ b/review/cases2/platform/deployment.go
@@ -26,6 +26,7 @@
 
 	coreClass  = 1
 	frontClass = 2
+	sideClass  = 3
 	plainClass = 4
 )
 
@@ -102,10 +103,13 @@
 peers: {listen: "%s:%d", unsecured: true}
 observe: {listen: "%s:%d"}
 limits: {memory: "280MB"}
-failure_domains: {"hall-a": "region-hall-a", "hall-b": "region-hall-b", "hall-c": "region-hall-c"}
 `, name, zone, zone, d.host(class, i), linkPort, d.host(class, i), observePort)
 }
 
+// domains is the setting of the failure domains, which control nodes and gateways have.
+const domains = `failure_domains: {"hall-a": "region-hall-a", "hall-b": "region-hall-b", "hall-c": "region-hall-c"}
+`
+
 func (d *deployment) seeds() string {
 	return `["` + strings.Join(d.controlAddresses(), `", "`) + `"]`
 }
@@ -121,7 +125,7 @@
 	return d.start("tidepost-control", name, d.common(name, coreClass, i)+fmt.Sprintf(`data: {folder: %q}
 control: {listen: %q, seeds: %s, bootstrap: %t, tolerate: 1}
 backends: {heartbeat: "1200ms"}
-`, d.dataFolder(i), d.address(coreClass, i, controlPort), d.seeds(), bootstrap))
+%s`, d.dataFolder(i), d.address(coreClass, i, controlPort), d.seeds(), bootstrap, domains))
 }
 
 // startFront starts a gateway.
@@ -133,7 +137,7 @@
 drain: {limit: "8s"}
 retries: {reserve: 100, window: "10s"}
 weights: {within: "8000ms"}
-`, d.address(frontClass, i, frontPort), d.address(frontClass, i, readyPort), d.seeds()))
+%s`, d.address(frontClass, i, frontPort), d.address(frontClass, i, readyPort), d.seeds(), domains))
 }
 
 func (d *deployment) start(program, name, settings string) error {
--- a/review/cases2/main.go
+++ b/review/cases2/platform/main.go
@@ -23,6 +23,7 @@
 }{
 	"lone-voter": {3, playLoneVoter},
 	"surplus":    {3, playSurplus},
+	"manifest":   {3, playManifest},
 }
 
 func main() {
