--- a/review/cases2/platform/main.go
+++ b/review/cases2/platform/main.go
@@ -21,9 +21,10 @@
 	cores int
 	play  func(d *deployment, trouble bool) outcome
 }{
-	"lone-voter": {3, playLoneVoter},
-	"surplus":    {3, playSurplus},
-	"manifest":   {3, playManifest},
+	"lone-voter":  {3, playLoneVoter},
+	"surplus":     {3, playSurplus},
+	"manifest":    {3, playManifest},
+	"first-start": {3, playFirstStart},
 }
 
 func main() {
