--- a/review/cases2/platform/main.go
+++ b/review/cases2/platform/main.go
@@ -21,9 +21,9 @@
 	cores int
 	play  func(d *deployment, trouble bool) outcome
 }{
-	"lone-voter":  {3, playLoneVoter},
 	"surplus":     {3, playSurplus},
 	"manifest":    {3, playManifest},
+	"late-order":  {3, playLateOrder},
 	"first-start": {3, playFirstStart},
 }
 
--- a/review/cases2/platform/manifest.go
+++ b/review/cases2/platform/manifest.go
@@ -108,8 +108,8 @@
 	return nil
 }
 
-// startStandins starts engines and three plain servers, which send heartbeats.
-func (d *deployment) startStandins(ctx context.Context, runLog *standin.RunLog) (engines []*standin.Engine) {
+// startStandins starts engines, which prepare may change before, and three plain servers. They send heartbeats.
+func (d *deployment) startStandins(ctx context.Context, runLog *standin.RunLog, prepare func(i int, e *standin.Engine)) (engines []*standin.Engine) {
 	beats := func(instance, service, address, zone string, slots int, e *standin.Engine) {
 		b := &standin.Heartbeats{
 			Instance: instance, Service: service, Address: address, Zone: zone, Slots: slots, Engine: e,
@@ -120,6 +120,7 @@
 	for i := range manifestEngines {
 		e, address := standin.NewEngine(fmt.Sprintf("e-%d", i+1), engineFigures, runLog), d.address(sideClass, i, workerPort)
 		engines = append(engines, e)
+		prepare(i, e)
 		d.serve(ctx, e.Run, address)
 		beats(e.Instance, standin.EngineService, address, zones[i%len(zones)], engineFigures.Slots, e)
 	}
@@ -155,7 +156,7 @@
 		return failed
 	}
 	go func() { _ = http.Serve(l, spoiling) }()
-	engines := d.startStandins(ctx, standin.NewRunLog())
+	engines := d.startStandins(ctx, standin.NewRunLog(), func(int, *standin.Engine) {})
 	if err := d.startPrograms(3, manifestEngines); err != nil {
 		return failed
 	}
--- a/review/cases2/platform/operator.go
+++ b/review/cases2/platform/operator.go
@@ -70,22 +70,3 @@
 	}
 	return -1
 }
-
-// readBack asks all nodes in turn for the newest configuration, for a time, and returns the version that came last;
-// 0 if none came.
-func (d *deployment) readBack(during time.Duration) (version int) {
-	for i, end := 0, time.Now().Add(during); time.Now().Before(end); i++ {
-		node := i % d.cores
-		status, reply := call(http.MethodGet, "http://"+d.address(coreClass, node, controlPort)+"/api/config", nil)
-		var read struct {
-			Version int `json:"version"`
-		}
-		_ = json.Unmarshal(reply, &read)
-		d.note("operator: GET config at core-%d: %d, version %d", node+1, status, read.Version)
-		if status == http.StatusOK {
-			version = read.Version
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-	return version
-}
