--- a/review/cases2/platform/main.go
+++ b/review/cases2/platform/main.go
@@ -5,8 +5,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// maxLength is the longest time that a case may take.
+const maxLength = 115 * time.Second
+
 // outcome is the exit code of a case.
 type outcome int
 
@@ -38,8 +44,22 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(int(failed))
 	}
+	go d.endWhenStopped()
 	result := c.play(d, os.Getenv("TROUBLE") != "0")
 	d.note("result: %d", result)
 	d.end()
 	os.Exit(int(result))
 }
+
+// endWhenStopped ends a case that is stopped or takes too long, with its processes.
+func (d *deployment) endWhenStopped() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-stop:
+	case <-time.After(maxLength):
+	}
+	d.note("stopped early")
+	d.end()
+	os.Exit(int(failed))
+}
