--- a/review/cases2/platform/deployment.go
+++ b/review/cases2/platform/deployment.go
@@ -4,11 +4,13 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -30,6 +32,9 @@
 	plainClass = 4
 )
 
+// errEnded is the error of a start after the end of the case.
+var errEnded = errors.New("the case has ended")
+
 // deployment is a set of processes and the record of what happened.
 type deployment struct {
 	folder, root string
@@ -41,6 +46,9 @@
 	mu        sync.Mutex
 	record    *os.File
 	processes map[string]*process
+	ended     bool // no process is started any more
+
+	startQueue chan func() // run by one thread: a process ends with the thread that has started it
 }
 
 // process is one program that this case has started.
@@ -62,7 +70,13 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{folder: folder, root: root, cores: cores, started: time.Now(), record: record, processes: map[string]*process{}}
+	d := &deployment{folder: folder, root: root, cores: cores, started: time.Now(), record: record, processes: map[string]*process{}, startQueue: make(chan func())}
+	go func() {
+		runtime.LockOSThread()
+		for start := range d.startQueue {
+			start()
+		}
+	}()
 	for n := 20; n < 250; n++ {
 		if d.guard, err = net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", n, linkPort)); err == nil {
 			d.subnet = n
@@ -152,13 +166,24 @@
 	cmd := exec.Command(filepath.Join(d.root, "target", program))
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.folder, "TIDEPOST_CONFIG=" + path}
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p := &process{cmd: cmd, exited: make(chan struct{})}
+	started := make(chan error)
+	d.startQueue <- func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		err := errEnded
+		if !d.ended {
+			err = cmd.Start()
+		}
+		if err == nil {
+			d.processes[name] = p
+		}
+		go func() { started <- err }()
+	}
+	if err := <-started; err != nil {
 		return err
 	}
-	p := &process{cmd: cmd, exited: make(chan struct{})}
-	d.mu.Lock()
-	d.processes[name] = p
-	d.mu.Unlock()
 	go func() {
 		err := cmd.Wait()
 		_ = log.Close()
@@ -190,6 +215,7 @@
 // end ends all processes and removes the temporary folder.
 func (d *deployment) end() {
 	d.mu.Lock()
+	d.ended = true
 	all := make([]*process, 0, len(d.processes))
 	for _, p := range d.processes {
 		all = append(all, p)
--- a/review/cases2/platform/main.go
+++ b/review/cases2/platform/main.go
@@ -29,7 +29,6 @@
 }{
 	"surplus":     {3, playSurplus},
 	"manifest":    {3, playManifest},
-	"late-order":  {3, playLateOrder},
 	"first-start": {3, playFirstStart},
 }
 
--- a/review/cases2/platform/manifest.go
+++ b/review/cases2/platform/manifest.go
@@ -1,13 +1,18 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,11 +113,12 @@
 	return nil
 }
 
-// startStandins starts engines, which prepare may change before, and three plain servers. They send heartbeats.
-func (d *deployment) startStandins(ctx context.Context, runLog *standin.RunLog, prepare func(i int, e *standin.Engine)) (engines []*standin.Engine) {
+// startStandins starts engines and three plain servers. They send heartbeats.
+func (d *deployment) startStandins(ctx context.Context, runLog *standin.RunLog) (engines []*standin.Engine) {
+	born := time.Now()
 	beats := func(instance, service, address, zone string, slots int, e *standin.Engine) {
 		b := &standin.Heartbeats{
-			Instance: instance, Service: service, Address: address, Zone: zone, Slots: slots, Engine: e,
+			Instance: instance, Service: service, Address: address, Zone: zone, Slots: slots, Engine: e, StartedAt: born,
 			Interval: heartbeatInterval, ControlNodes: d.controlAddresses(),
 		}
 		go b.Run(ctx)
@@ -120,8 +126,9 @@
 	for i := range manifestEngines {
 		e, address := standin.NewEngine(fmt.Sprintf("e-%d", i+1), engineFigures, runLog), d.address(sideClass, i, workerPort)
 		engines = append(engines, e)
-		prepare(i, e)
-		d.serve(ctx, e.Run, address)
+		// The project's engine doesn't say in its reports when it started.
+		d.serve(ctx, e.Run, d.address(sideClass, i, engineTargetPort))
+		d.serve(ctx, reporting{d.address(sideClass, i, engineTargetPort), born}.run, address)
 		beats(e.Instance, standin.EngineService, address, zones[i%len(zones)], engineFigures.Slots, e)
 	}
 	for i := range 3 {
@@ -132,6 +139,49 @@
 	return engines
 }
 
+// engineTargetPort is where the project's engine listens, behind reporting.
+const engineTargetPort = 9001
+
+// reporting passes on the calls of an engine, and adds to its reports when it started.
+type reporting struct {
+	target string
+	born   time.Time
+}
+
+func (r reporting) run(ctx context.Context, address string) error {
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: r.target})
+	proxy.FlushInterval = -1
+	proxy.ErrorLog = log.New(io.Discard, "", 0)
+	proxy.ErrorHandler = func(http.ResponseWriter, *http.Request, error) { panic(http.ErrAbortHandler) }
+	proxy.ModifyResponse = func(response *http.Response) error {
+		if response.Request.URL.Path != "/api/report" {
+			return nil
+		}
+		var report map[string]any
+		if err := json.NewDecoder(response.Body).Decode(&report); err != nil {
+			return err
+		}
+		report["born"] = r.born.UnixMilli()
+		body, err := json.Marshal(report)
+		if err != nil {
+			return err
+		}
+		response.Body, response.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(len(body))
+		response.Header.Set("Content-Length", strconv.Itoa(len(body)))
+		return nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	server := &http.Server{Handler: proxy, ErrorLog: log.New(io.Discard, "", 0)}
+	if err := server.Serve(l); ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
 // serve runs a stand-in until the context ends.
 func (d *deployment) serve(ctx context.Context, run func(context.Context, string) error, address string) {
 	go func() {
@@ -156,7 +206,7 @@
 		return failed
 	}
 	go func() { _ = http.Serve(l, spoiling) }()
-	engines := d.startStandins(ctx, standin.NewRunLog(), func(int, *standin.Engine) {})
+	engines := d.startStandins(ctx, standin.NewRunLog())
 	if err := d.startPrograms(3, manifestEngines); err != nil {
 		return failed
 	}
@@ -212,13 +262,32 @@
 	group.Wait()
 }
 
-// twice sends a request, and once more if it wasn't served, as the callers of the site do.
+// retryAfter keeps the Retry-After of the last answer.
+type retryAfter struct{ wait time.Duration }
+
+// RoundTrip sends a request over a new connection.
+func (r *retryAfter) RoundTrip(request *http.Request) (*http.Response, error) {
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	response, err := transport.RoundTrip(request)
+	if err == nil {
+		seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+		r.wait = time.Duration(seconds * float64(time.Second))
+	}
+	return response, err
+}
+
+// twice sends a request, and once more within its deadline if it wasn't served, as the callers of the site do. It waits as
+// Retry-After says, up to a third of what is left.
 func twice(caller standin.Caller, request standin.Request) standin.Result {
+	started, refusal := time.Now(), &retryAfter{}
+	caller.KeepAliveClient = &http.Client{Transport: refusal}
 	result := caller.DoOnce(context.Background(), request, 0)
-	if result.Complete {
+	left := request.Timeout - time.Since(started)
+	if result.Complete || left <= 0 {
 		return result
 	}
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(min(max(refusal.wait, 50*time.Millisecond), left/3))
+	request.Timeout -= time.Since(started)
 	again := caller.DoOnce(context.Background(), request, 1)
 	again.Attempts = append(result.Attempts, again.Attempts...)
 	return again
